--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# The only entry: `make` builds, `make test` checks, `make demo` shows.
+.PHONY: all build test fmt lint demo generate race fuzz spec bench slopes chaos clean
+
+GO ?= go
+FUZZTIME ?= 10s
+
+all: build
+
+build:
+	$(GO) build -o bin/knapweedspur .
+	$(GO) build -o bin/standin ./cmd/standin
+
+test:
+	$(GO) vet ./...
+	$(GO) test ./...
+
+race:
+	$(GO) test -race ./...
+
+fmt:
+	gofmt -w .
+
+lint:
+	golangci-lint run ./...
+
+demo: build
+	./script/demo
+
+generate:
+	./script/generate
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/internal/agent/assembler/agent.go
@@ -0,0 +1,109 @@
+package assembler
+
+import (
+	"sync/atomic"
+	"time"
+
+	"knapweedspur/internal/agent/admitter"
+	"knapweedspur/internal/agent/announcer"
+	"knapweedspur/internal/agent/runner"
+	"knapweedspur/internal/agent/server"
+	"knapweedspur/internal/wire/message"
+)
+
+// agent joins the parts: it tells entries of them, and hands frames on to them.
+type agent struct {
+	settings  *Settings
+	name      string
+	admitter  *admitter.Admitter
+	server    *server.Server
+	runner    *runner.Runner
+	announcer *announcer.Announcer
+	offset    atomic.Uint64
+}
+
+func (a *agent) hello() *message.Hello {
+	return &message.Hello{VM: a.settings.VM, Agent: a.name, Rack: a.settings.Rack, Domain: a.settings.Domain, Service: a.settings.Service}
+}
+
+func (a *agent) heartbeat() *message.Heartbeat {
+	load := a.admitter.Load()
+	h := &message.Heartbeat{
+		Running: load.Running + load.Queued, Leaving: load.Leaving,
+		Open: load.Open && a.settings.Service != "", Offset: a.offset.Load(),
+	}
+	if a.runner == nil {
+		return h
+	}
+	if r := a.runner.Report(); r != nil {
+		h.Lease = r.Lease
+		h.Free = r.Free
+		h.Tasks = r.Tasks
+	}
+	return h
+}
+
+// handler hands on the frames of one connection.
+type handler struct {
+	agent *agent
+	link  *announcer.Link
+	calls *server.Link
+}
+
+func (a *agent) connected(link *announcer.Link) announcer.Handler {
+	return &handler{agent: a, link: link, calls: a.server.NewLink(link)}
+}
+
+// Handle takes one frame.
+func (h *handler) Handle(now time.Time, f *message.Frame) {
+	switch {
+	case f.Request != nil:
+		h.calls.Serve(now, f.Request)
+	case f.Credit != nil:
+		h.calls.Credit(f.Credit.ID, f.Credit.Parts)
+	case f.Abandon != nil:
+		h.calls.Abandon(f.Abandon.ID)
+	case f.Setting != nil:
+		h.agent.set(now, f.Setting)
+	default:
+		h.task(f)
+	}
+}
+
+// task hands a frame about tasks to the runner.
+func (h *handler) task(f *message.Frame) {
+	r := h.agent.runner
+	if r == nil {
+		return
+	}
+	switch {
+	case f.Start != nil:
+		r.Post(runner.StartAsked{Start: f.Start, Reply: func(reply *message.Frame) { _ = h.link.Send(reply) }})
+	case f.Stop != nil:
+		r.Post(runner.StopAsked{Stop: f.Stop})
+	case f.View != nil:
+		r.Post(runner.ViewCame{View: f.View})
+	case f.Taken != nil:
+		r.Post(runner.TakenCame{Taken: f.Taken})
+	}
+}
+
+// Close gives up the requests of the connection.
+func (h *handler) Close() { h.calls.Close() }
+
+// set puts a setting in force, unless a newer one is.
+func (a *agent) set(now time.Time, s *message.Setting) {
+	if len(s.Entries) > 0 {
+		a.announcer.Learn(s.Entries)
+	}
+	for {
+		old := a.offset.Load()
+		if s.Offset < old {
+			return
+		}
+		if a.offset.CompareAndSwap(old, s.Offset) {
+			break
+		}
+	}
+	a.admitter.Set(now, s.Slots, s.Connections)
+}
--- /dev/null
+++ b/internal/agent/leaser/leaser.go
@@ -0,0 +1,98 @@
+// Package leaser keeps the lease of a VM as its agent knows it. All times are
+// durations on the worker's clock, which runs on while the VM is suspended.
+package leaser
+
+import (
+	"time"
+
+	"knapweedspur/internal/wire/message"
+)
+
+// margin is the share of the hold time kept back for the drift of clocks.
+const margin = 20
+
+// Standing is how a VM stands in an entry's view. The set is closed.
+type Standing interface{ standing() }
+
+// Live means that tasks may run until the worker's clock shows Until.
+type Live struct{ Until time.Duration }
+
+// Fenced means that the lease will lapse; all tasks must stop, then join anew.
+type Fenced struct{ Lease int }
+
+// Absent means that this agent process has no lease and must join with the
+// next number.
+type Absent struct{ Next int }
+
+// Superseded means that a later agent process holds the VM's lease.
+type Superseded struct{}
+
+// Stale means that the view is older than what is known already.
+type Stale struct{}
+
+func (Live) standing()       {}
+func (Fenced) standing()     {}
+func (Absent) standing()     {}
+func (Superseded) standing() {}
+func (Stale) standing()      {}
+
+// Leaser holds the lease of one agent process. It is not safe for concurrent
+// use.
+type Leaser struct {
+	// Agent is this process's incarnation.
+	Agent string
+	// Lease is the lease number held, 0 for none.
+	Lease int
+
+	until  time.Duration
+	fenced bool
+	seen   int
+}
+
+// Until returns when the lease runs out.
+func (l *Leaser) Until() time.Duration { return l.until }
+
+// Ready reports whether new tasks may start at a time of the worker's clock.
+func (l *Leaser) Ready(stamp time.Duration) bool {
+	return l.Lease > 0 && !l.fenced && stamp < l.until
+}
+
+// View takes an entry's answer to a probe that was sent at a time of the
+// worker's clock. The lease counts from the age of the view, not from the
+// arrival of the answer.
+func (l *Leaser) View(sent time.Duration, v *message.View) Standing {
+	if v.Lease < l.seen {
+		return Stale{}
+	}
+	l.seen = v.Lease
+	if v.Agent == l.Agent && v.Agent != "" {
+		return l.mine(sent, v)
+	}
+	if l.Lease > 0 && v.Lease >= l.Lease {
+		l.fenced = true
+		return Superseded{}
+	}
+	if l.Lease > 0 {
+		return Stale{}
+	}
+	return Absent{Next: v.Lease + 1}
+}
+
+func (l *Leaser) mine(sent time.Duration, v *message.View) Standing {
+	if v.Lease > l.Lease {
+		l.Lease = v.Lease
+		l.fenced = false
+		l.until = 0
+	}
+	if v.Fenced {
+		l.fenced = true
+	}
+	if l.fenced {
+		return Fenced{Lease: l.Lease}
+	}
+	l.until = max(l.until, sent-v.Age+v.Hold-v.Hold/margin)
+	return Live{Until: l.until}
+}
+
+// NextAfterFence returns the number to join with once all tasks have stopped.
+func (l *Leaser) NextAfterFence() int { return l.Lease + 1 }
--- /dev/null
+++ b/internal/agent/runner/runner.go
@@ -0,0 +1,511 @@
+// Package runner keeps the tasks of one VM: it holds the lease, takes or
+// refuses starts, and reports how attempts ended.
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"knapweedspur/internal/agent/leaser"
+	"knapweedspur/internal/agent/ledger"
+	"knapweedspur/internal/platform/workerclient"
+	"knapweedspur/internal/wire/message"
+)
+
+const (
+	watchWait   = 500 * time.Millisecond
+	callTimeout = 2 * time.Second
+	retryPause  = 200 * time.Millisecond
+	inboxSize   = 1024
+	// lost is how long the worker may be silent before the VM says it has no
+	// lease.
+	lost = 3 * time.Second
+)
+
+// ErrSuperseded means that a later agent process has this VM.
+var ErrSuperseded = errors.New("a later agent process has this VM; this one ends")
+
+// Outbox sends frames to entries.
+type Outbox interface {
+	// Any sends a frame to one entry, another one for each turn.
+	Any(turn int, f *message.Frame)
+	// All sends a frame to all connected entries.
+	All(f *message.Frame)
+}
+
+// Inbound is what reaches the runner. The set is closed.
+type Inbound interface{ inbound() }
+
+// StartAsked is a start message. Reply sends to the entry that asked.
+type StartAsked struct {
+	Start *message.Start
+	Reply func(*message.Frame)
+}
+
+// StopAsked is a stop message.
+type StopAsked struct{ Stop *message.Stop }
+
+// ViewCame is the answer to a probe.
+type ViewCame struct{ View *message.View }
+
+// TakenCame names closes that the log has.
+type TakenCame struct{ Taken *message.Taken }
+
+type statusCame struct{ status workerclient.Status }
+
+func (StartAsked) inbound() {}
+func (StopAsked) inbound()  {}
+func (ViewCame) inbound()   {}
+func (TakenCame) inbound()  {}
+func (statusCame) inbound() {}
+
+// Report is what the runner tells of itself.
+type Report struct {
+	Agent string
+	Boot  string
+	Size  message.Size
+	Free  message.Size
+	Lease int
+	Tasks int
+	Seen  time.Time
+}
+
+// Runner keeps the tasks of one VM. Set the exported fields, then Run.
+type Runner struct {
+	// Worker is the worker on this VM.
+	Worker workerclient.Worker
+	// Agent is this process's incarnation.
+	Agent string
+	// Outbox sends frames to entries.
+	Outbox Outbox
+	// Every is the time between probes.
+	Every time.Duration
+	// Logger takes what happens.
+	Logger hclog.Logger
+
+	inbox  chan Inbound
+	report atomic.Pointer[Report]
+
+	boot    string
+	takes   int
+	agent   string
+	status  workerclient.Status
+	seen    time.Time
+	lease   *leaser.Leaser
+	ledger  *ledger.Ledger
+	offsets map[message.Attempt]uint64
+	unsaid  map[message.Attempt]message.Close
+	probes  map[uint64]time.Duration
+	probe   uint64
+	turn    int
+	whole   bool
+	stopped map[message.Attempt]bool
+}
+
+// Init readies the inbox. Call it before Post.
+func (r *Runner) Init() { r.inbox = make(chan Inbound, inboxSize) }
+
+// Post hands something to the runner. It drops it when the runner is far
+// behind; everything is said again in time.
+func (r *Runner) Post(m Inbound) {
+	select {
+	case r.inbox <- m:
+	default:
+	}
+}
+
+// Report returns what the runner last told of itself, or nil before it has
+// taken the worker.
+func (r *Runner) Report() *Report { return r.report.Load() }
+
+// Run keeps the tasks until the context ends or a later agent has the VM.
+func (r *Runner) Run(ctx context.Context) error {
+	if err := r.take(ctx); err != nil {
+		return err
+	}
+	go r.watch(ctx)
+	ticker := time.NewTicker(r.Every)
+	defer ticker.Stop()
+	r.tick(ctx, time.Now())
+	for {
+		var err error
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-r.inbox:
+			err = r.handle(ctx, time.Now(), m)
+		case now := <-ticker.C:
+			r.tick(ctx, now)
+		}
+		if errors.Is(err, workerclient.ErrSuperseded) || errors.Is(err, ErrSuperseded) {
+			return ErrSuperseded
+		}
+		if err != nil {
+			r.Logger.Warn("a call to the worker failed", "error", err)
+		}
+		r.publish()
+	}
+}
+
+// take takes the worker and rebuilds the ledger from what runs there.
+func (r *Runner) take(ctx context.Context) error {
+	r.takes++
+	r.agent = fmt.Sprintf("%s.%d", r.Agent, r.takes)
+	for {
+		status, err := r.tryTake(ctx)
+		if err == nil {
+			r.adopt(time.Now(), status)
+			return nil
+		}
+		r.Logger.Warn("the worker does not answer; trying again", "error", err)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (r *Runner) tryTake(ctx context.Context) (workerclient.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.Worker.Take(ctx, r.agent)
+}
+
+// adopt begins anew with what the worker runs.
+func (r *Runner) adopt(now time.Time, s workerclient.Status) {
+	r.boot = s.Boot
+	r.lease = &leaser.Leaser{Agent: r.agent}
+	r.ledger = ledger.New(s.Size)
+	r.offsets = map[message.Attempt]uint64{}
+	r.unsaid = map[message.Attempt]message.Close{}
+	r.probes = map[uint64]time.Duration{}
+	r.stopped = map[message.Attempt]bool{}
+	r.whole = true
+	for i := range s.Tasks {
+		r.ledger.Hold(s.Tasks[i].Name(), s.Tasks[i].Size)
+	}
+	r.observe(now, s)
+	r.publish()
+}
+
+func (r *Runner) publish() {
+	lease := r.ledger.Lease
+	if time.Since(r.seen) > lost {
+		lease = 0
+	}
+	r.report.Store(&Report{
+		Agent: r.agent, Boot: r.boot, Size: r.ledger.Size, Free: r.ledger.Free(), Lease: lease,
+		Tasks: r.ledger.Count(), Seen: r.seen,
+	})
+}
+
+// watch posts each change of the worker's status.
+func (r *Runner) watch(ctx context.Context) {
+	revision := -1
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+		status, err := r.Worker.Watch(call, r.Report().Agent, revision, watchWait)
+		cancel()
+		if errors.Is(err, workerclient.ErrSuperseded) {
+			status = workerclient.Status{}
+		} else if err != nil {
+			sleep(ctx, retryPause)
+			continue
+		}
+		revision = status.Revision
+		select {
+		case r.inbox <- statusCame{status: status}:
+		case <-ctx.Done():
+		}
+		if err != nil {
+			sleep(ctx, retryPause)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (r *Runner) handle(ctx context.Context, now time.Time, m Inbound) error {
+	switch m := m.(type) {
+	case StartAsked:
+		return r.start(ctx, m)
+	case StopAsked:
+		return r.stop(ctx, m.Stop)
+	case ViewCame:
+		return r.view(ctx, m.View)
+	case TakenCame:
+		return r.taken(ctx, m.Taken.Attempts)
+	case statusCame:
+		return r.statusCame(ctx, now, m.status)
+	}
+	return nil
+}
+
+// statusCame takes a status. A new boot means that all of the old tasks are
+// gone, and an empty one that the worker knows this agent no longer.
+func (r *Runner) statusCame(ctx context.Context, now time.Time, s workerclient.Status) error {
+	if s.Boot == "" {
+		return r.displaced(ctx)
+	}
+	if s.Boot != r.boot {
+		r.Logger.Info("the VM has booted anew", "boot", s.Boot)
+		return r.take(ctx)
+	}
+	r.observe(now, s)
+	return nil
+}
+
+// displaced tells a new boot, which knows no agent, from a later agent.
+func (r *Runner) displaced(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	s, err := r.Worker.Watch(ctx, "", -1, 0)
+	if err != nil || s.Boot == r.boot {
+		return ErrSuperseded
+	}
+	return r.take(ctx)
+}
+
+// observe notes which attempts have ended and reports them.
+func (r *Runner) observe(now time.Time, s workerclient.Status) {
+	r.status = s
+	r.seen = now
+	fresh := false
+	for i := range s.Tasks {
+		t := &s.Tasks[i]
+		name := t.Name()
+		if t.State != workerclient.StateEnded || !r.ledger.Holds(name) {
+			continue
+		}
+		c := message.Close{Run: t.Run, Task: t.Task, Attempt: t.Attempt, How: t.How, Checkpoint: t.Checkpoint}
+		r.ledger.End(name, r.offsets[name], c)
+		delete(r.offsets, name)
+		delete(r.stopped, name)
+		r.unsaid[name] = c
+		fresh = true
+	}
+	if fresh {
+		r.say()
+	}
+}
+
+// say reports the closes that the log is not known to have.
+func (r *Runner) say() {
+	if len(r.unsaid) == 0 {
+		return
+	}
+	report := &message.Report{}
+	for _, c := range r.unsaid {
+		report.Closes = append(report.Closes, c)
+	}
+	r.turn++
+	r.Outbox.Any(r.turn, &message.Frame{Report: report})
+}
+
+func (r *Runner) taken(ctx context.Context, names []message.Attempt) error {
+	var known []message.Attempt
+	for _, name := range names {
+		if _, ok := r.unsaid[name]; ok {
+			delete(r.unsaid, name)
+			known = append(known, name)
+		}
+	}
+	if len(known) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.Worker.Forget(ctx, r.agent, known)
+}
+
+func (r *Runner) start(ctx context.Context, m StartAsked) error {
+	s := m.Start
+	name := message.Attempt{Run: s.Run, Task: s.Task, Attempt: s.Attempt}
+	if !r.lease.Ready(r.status.Stamp) {
+		return nil
+	}
+	switch d := r.ledger.Decide(s).(type) {
+	case ledger.Take:
+		r.offsets[name] = s.Offset
+		if err := r.begin(ctx, s); err != nil {
+			return err
+		}
+		m.Reply(started(name))
+	case ledger.Held:
+		// The worker treats a second start as the first, so one that failed is made up for.
+		if err := r.begin(ctx, s); err != nil {
+			return err
+		}
+		m.Reply(started(name))
+	case ledger.Refuse:
+		r.Logger.Info("refused a task", "run", s.Run, "task", s.Task, "attempt", s.Attempt, "reason", d.Reason)
+		r.unsaid[name] = message.Close{Run: s.Run, Task: s.Task, Attempt: s.Attempt, How: "refused"}
+		r.say()
+	case ledger.Past:
+		r.unsaid[name] = d.Close
+		r.say()
+	case ledger.Ignore:
+	}
+	return nil
+}
+
+func started(name message.Attempt) *message.Frame {
+	return &message.Frame{Started: &message.Started{Attempts: []message.Attempt{name}}}
+}
+
+func (r *Runner) begin(ctx context.Context, s *message.Start) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.Worker.Start(ctx, r.agent, workerclient.Task{
+		Run: s.Run, Task: s.Task, Attempt: s.Attempt, Job: s.Job, Size: s.Size, Checkpoint: s.Checkpoint,
+	})
+}
+
+func (r *Runner) stop(ctx context.Context, s *message.Stop) error {
+	name := message.Attempt{Run: s.Run, Task: s.Task, Attempt: s.Attempt}
+	if r.ledger.Holds(name) {
+		return r.halt(ctx, name, s.Checkpoint)
+	}
+	if r.ledger.Lease > 0 && r.ledger.Forbid(name, s.Offset) {
+		r.unsaid[name] = message.Close{Run: s.Run, Task: s.Task, Attempt: s.Attempt, How: "refused"}
+	}
+	r.say()
+	return nil
+}
+
+func (r *Runner) halt(ctx context.Context, name message.Attempt, checkpoint bool) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.Worker.Stop(ctx, r.agent, name, checkpoint)
+}
+
+// view takes the answer to a probe.
+func (r *Runner) view(ctx context.Context, v *message.View) error {
+	sent, ok := r.probes[v.Number]
+	if !ok {
+		return nil
+	}
+	switch s := r.lease.View(sent, v).(type) {
+	case leaser.Live:
+		return r.live(ctx, s, v)
+	case leaser.Fenced:
+		return r.fenced(ctx, s)
+	case leaser.Absent:
+		r.rejoin(s.Next, r.ledger.Attempts())
+	case leaser.Superseded:
+		return ErrSuperseded
+	case leaser.Stale:
+	}
+	return nil
+}
+
+// live extends the lease. The first view of a new lease also tells which of
+// the attempts held the log has carried over; the others are stopped.
+func (r *Runner) live(ctx context.Context, s leaser.Live, v *message.View) error {
+	if r.ledger.Lease != r.lease.Lease {
+		if !r.carried(ctx, v) {
+			return nil
+		}
+		r.ledger.Renew(r.lease.Lease)
+		r.whole = false
+		r.Logger.Info("lease begins", "lease", r.lease.Lease)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.Worker.Extend(ctx, r.agent, s.Until)
+}
+
+// carried stops the attempts that the log no longer has open here. It returns
+// true when none of them is left.
+func (r *Runner) carried(ctx context.Context, v *message.View) bool {
+	if !v.Whole {
+		r.whole = true
+		return false
+	}
+	open := map[message.Attempt]bool{}
+	for _, a := range v.Open {
+		open[a] = true
+	}
+	clean := true
+	for _, name := range r.ledger.Attempts() {
+		if open[name] {
+			continue
+		}
+		clean = false
+		if err := r.halt(ctx, name, false); err != nil {
+			r.Logger.Warn("cannot stop a task that is not this VM's", "run", name.Run, "task", name.Task, "error", err)
+		}
+	}
+	return clean
+}
+
+// fenced stops all tasks, and joins anew when none is left.
+func (r *Runner) fenced(ctx context.Context, s leaser.Fenced) error {
+	for _, name := range r.ledger.Attempts() {
+		if r.stopped[name] {
+			continue
+		}
+		if err := r.halt(ctx, name, true); err != nil {
+			return err
+		}
+		r.stopped[name] = true
+	}
+	if r.ledger.Count() > 0 {
+		return nil
+	}
+	r.rejoin(s.Lease+1, nil)
+	return nil
+}
+
+// rejoin asks for a lease number, with what the worker runs.
+func (r *Runner) rejoin(lease int, held []message.Attempt) {
+	r.whole = true
+	r.turn++
+	r.Outbox.Any(r.turn, &message.Frame{Rejoin: &message.Rejoin{
+		Lease: lease, Boot: r.boot, Agent: r.agent, Size: r.ledger.Size, Held: held,
+	}})
+}
+
+// tick sends probes and says again what is not known to have arrived.
+func (r *Runner) tick(ctx context.Context, now time.Time) {
+	r.say()
+	stamp, err := r.stamp(ctx)
+	if err != nil {
+		r.Logger.Debug("the worker does not tell its clock", "error", err)
+		return
+	}
+	r.seen = now
+	r.probe++
+	r.probes[r.probe] = stamp
+	delete(r.probes, r.probe-probeMemory)
+	r.Outbox.All(&message.Frame{Probe: &message.Probe{Number: r.probe, Whole: r.whole}})
+}
+
+// probeMemory is how many probes may wait for their answers.
+const probeMemory = 64
+
+// stamp returns the worker's clock as it was before the call returned.
+func (r *Runner) stamp(ctx context.Context) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	s, err := r.Worker.Watch(ctx, r.agent, -1, 0)
+	if err != nil {
+		return 0, err
+	}
+	if s.Boot != r.boot {
+		return 0, errors.New("the VM has booted anew")
+	}
+	r.status.Stamp = s.Stamp
+	return s.Stamp, nil
+}
--- /dev/null
+++ b/internal/cli/runner/agent.go
@@ -0,0 +1,24 @@
+package runner
+
+import "knapweedspur/internal/agent/assembler"
+
+// agentCommand runs an agent.
+type agentCommand struct {
+	assembler.Settings
+}
+
+// Help shows an example.
+func (c *agentCommand) Help() string {
+	return `Example:
+  knapweedspur agent --entries 10.0.0.5:7071,10.0.1.5:7071 --vm vm-17 --domain alpha \
+    --service thumbnails --upstream 127.0.0.1:8080 --worker 127.0.0.1:9100 --token "$TOKEN"`
+}
+
+// Run runs the agent until it is told to stop.
+func (c *agentCommand) Run(env *environment) error {
+	if err := c.Validate(); err != nil {
+		return usageError{err}
+	}
+	logger := env.logger.With("vm", c.VM)
+	return runApp(assembler.Options(&c.Settings, logger, assembler.HTTP(&c.Settings)), c.Grace)
+}
--- /dev/null
+++ b/internal/cli/runner/audit.go
@@ -0,0 +1,38 @@
+package runner
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"knapweedspur/internal/wire/message"
+)
+
+// auditCommand shows the audit trail.
+type auditCommand struct {
+	reach
+	JSON bool `name:"json" help:"Print for programs."`
+}
+
+// Help shows an example.
+func (c *auditCommand) Help() string {
+	return `Example:
+  knapweedspur audit --json`
+}
+
+// Run prints the audit trail.
+func (c *auditCommand) Run(env *environment) error {
+	var lines []message.Audit
+	if err := c.call(http.MethodGet, "/v1/audit", nil, &lines); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(env.out, lines)
+	}
+	rows := make([]string, 0, len(lines))
+	for _, l := range lines {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%s", l.Time.Format(time.RFC3339), l.Who, l.Action, l.Target, l.Base, l.Offset, l.Outcome))
+	}
+	table(env.out, "TIME\tWHO\tACTION\tTARGET\tBASE\tOFFSET\tOUTCOME", rows)
+	return nil
+}
--- /dev/null
+++ b/internal/cli/runner/drain.go
@@ -0,0 +1,35 @@
+package runner
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+)
+
+// drainCommand takes work off a VM.
+type drainCommand struct {
+	reach
+	VM   string `arg:"" name:"vm" help:"Name of the VM."`
+	Undo bool   `help:"Let the VM get work again."`
+}
+
+// Help shows an example.
+func (c *drainCommand) Help() string {
+	return `Its tasks are checkpointed and go on elsewhere; requests in flight end.
+
+Example:
+  knapweedspur drain vm-17`
+}
+
+// Run drains the VM.
+func (c *drainCommand) Run(env *environment) error {
+	method, did := http.MethodPost, "drained"
+	if c.Undo {
+		method, did = http.MethodDelete, "takes work again"
+	}
+	if err := c.call(method, "/v1/vms/"+url.PathEscape(c.VM)+"/drain?who="+url.QueryEscape(c.who()), nil, nil); err != nil {
+		return err
+	}
+	fmt.Fprintln(env.out, c.VM, did)
+	return nil
+}
--- /dev/null
+++ b/internal/cli/runner/runner.go
@@ -0,0 +1,86 @@
+// Package runner is the command line of knapweedspur: one file per command.
+package runner
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+)
+
+// The exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// root holds all commands.
+type root struct {
+	Level  string `help:"Least level of log lines: trace, debug, info, warn, error." env:"KNAPWEEDSPUR_LEVEL" default:"info" enum:"trace,debug,info,warn,error"`
+	Format string `help:"Format of log lines: text or json." env:"KNAPWEEDSPUR_FORMAT" default:"text" enum:"text,json"`
+
+	Entry   entryCommand   `cmd:"" help:"Run an entry."`
+	Agent   agentCommand   `cmd:"" help:"Run the agent of a VM."`
+	Check   checkCommand   `cmd:"" help:"Check declaration files."`
+	Publish publishCommand `cmd:"" help:"Publish declaration files."`
+	Submit  submitCommand  `cmd:"" help:"Submit a run of a job."`
+	Status  statusCommand  `cmd:"" help:"Show members, runs and refusals."`
+	Why     whyCommand     `cmd:"" help:"Explain why a run, a VM or a declaration is as it is."`
+	Drain   drainCommand   `cmd:"" help:"Take work off a VM and give it no more."`
+	Cancel  cancelCommand  `cmd:"" help:"Cancel a run."`
+	Audit   auditCommand   `cmd:"" help:"Show the audit trail of changes."`
+	Version versionCommand `cmd:"" help:"Show the version."`
+}
+
+// environment is what commands run in.
+type environment struct {
+	out    io.Writer
+	errs   io.Writer
+	logger hclog.Logger
+}
+
+// usageError is an error in how a command was called.
+type usageError struct{ error }
+
+// Run runs one command and returns the exit code.
+func Run(args []string, out, errs io.Writer) int {
+	var r root
+	exited := -1
+	parser, err := kong.New(&r,
+		kong.Name("knapweedspur"),
+		kong.Description("A scheduler for latency-critical and batch work on the same VMs."),
+		kong.Writers(out, errs),
+		kong.Exit(func(code int) { exited = code }),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		fmt.Fprintln(errs, "knapweedspur:", err)
+		return exitFailure
+	}
+	parsed, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		fmt.Fprintf(errs, "knapweedspur: %v\nTry knapweedspur --help.\n", err)
+		return exitUsage
+	}
+	logger := hclog.New(&hclog.LoggerOptions{Name: "knapweedspur", Level: hclog.LevelFromString(r.Level), Output: errs, JSONFormat: r.Format == "json"})
+	return code(parsed.Run(&environment{out: out, errs: errs, logger: logger}), errs)
+}
+
+func code(err error, errs io.Writer) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(errs, "knapweedspur:", trace.UserMessage(err))
+	var usage usageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/internal/cli/runner/status.go
@@ -0,0 +1,81 @@
+package runner
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"knapweedspur/internal/wire/admin"
+)
+
+// statusCommand shows what an entry knows.
+type statusCommand struct {
+	reach
+	JSON bool `name:"json" help:"Print for programs."`
+}
+
+// Help shows an example.
+func (c *statusCommand) Help() string {
+	return `Example:
+  knapweedspur status --entry 10.0.0.5:7071`
+}
+
+// Run prints the status.
+func (c *statusCommand) Run(env *environment) error {
+	var s admin.Status
+	if err := c.call(http.MethodGet, "/v1/status", nil, &s); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(env.out, s)
+	}
+	log := "up"
+	if s.Stalled {
+		log = "not answering appends"
+	}
+	fmt.Fprintf(env.out, "entry %s in %s, %d entries alive\nconfiguration in force up to offset %d; log %s, last seen %s ago\n",
+		s.Entry, s.Domain, len(s.Entries), s.Offset, log, s.Age.Round(time.Millisecond))
+	n := s.Counts
+	fmt.Fprintf(env.out, "requests %d, answered %d, retries %d, refused: unrun %d, unknown %d, ran %d\n\n",
+		n.Requests, n.Answered, n.Retries, n.Unrun, n.Unknown, n.Ran)
+	table(env.out, "DOMAIN\tRACK\tVM\tSERVICE\tREQUESTS\tTASKS\tLEASE\tOFFSET\tSTATE", agentRows(s.Agents))
+	if len(s.Runs) > 0 {
+		fmt.Fprintln(env.out)
+		table(env.out, "RUN\tTEAM\tPENDING\tOPEN\tDONE\tFAILED\tCANCELLED\tATTEMPTS\tREASON", runRows(s.Runs))
+	}
+	return nil
+}
+
+func agentRows(agents []admin.Agent) []string {
+	rows := make([]string, 0, len(agents))
+	for _, a := range agents {
+		service := a.Service
+		if service == "" {
+			service = "-"
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s", a.Domain, a.Rack, a.VM, service, a.Running, a.Tasks, a.Lease, a.Offset, state(a)))
+	}
+	return rows
+}
+
+func state(a admin.Agent) string {
+	switch {
+	case a.Fenced:
+		return "fenced"
+	case a.Leaving:
+		return "leaving"
+	case a.Drained:
+		return "drained"
+	case a.Service != "" && !a.Open:
+		return "upstream not ready"
+	}
+	return "ready"
+}
+
+func runRows(runs []admin.Run) []string {
+	rows := make([]string, 0, len(runs))
+	for _, r := range runs {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s", r.Run, r.Team, r.Pending, r.Open, r.Done, r.Failed, r.Cancelled, r.Attempts, r.Reason))
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/cli/runner/submit.go
@@ -0,0 +1,54 @@
+package runner
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"knapweedspur/internal/wire/admin"
+)
+
+// followPause is the time between two looks at a run.
+const followPause = 250 * time.Millisecond
+
+// submitCommand submits a run of a job.
+type submitCommand struct {
+	reach
+	Job  string `arg:"" help:"Name of the declared job."`
+	Name string `name:"run" help:"Name of the run. A name used before is refused, so a repeat cannot run twice."`
+	Wait bool   `help:"Wait until the run has ended."`
+}
+
+// Help shows an example.
+func (c *submitCommand) Help() string {
+	return `Example:
+  knapweedspur submit proofs --run proofs-2026-12-03 --wait`
+}
+
+// Run submits the run.
+func (c *submitCommand) Run(env *environment) error {
+	var run admin.Run
+	asked := admin.Submission{Job: c.Job, Run: c.Name, Who: c.who()}
+	if err := c.call(http.MethodPost, "/v1/runs", asked, &run); err != nil {
+		return err
+	}
+	fmt.Fprintf(env.out, "submitted %s with %d tasks\n", run.Run, run.Pending+run.Open+run.Done)
+	if run.Reason != "" {
+		fmt.Fprintln(env.out, run.Reason)
+	}
+	for c.Wait && run.Pending+run.Open > 0 {
+		time.Sleep(followPause)
+		if err := c.call(http.MethodGet, "/v1/runs/"+run.Run, nil, &run); err != nil {
+			return err
+		}
+	}
+	if c.Wait {
+		fmt.Fprintf(env.out, "%s ended: %d done, %d failed, %d cancelled\n", run.Run, run.Done, run.Failed, run.Cancelled)
+		if run.Failed+run.Cancelled > 0 {
+			return trace.Errorf("not all tasks are done")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/runner/version.go
@@ -0,0 +1,26 @@
+package runner
+
+import (
+	"fmt"
+	"runtime/debug"
+)
+
+// Release is the version of this release.
+const Release = "0.1.0"
+
+// versionCommand shows the version.
+type versionCommand struct{}
+
+// Run prints the version, and the revision where the build knows it.
+func (c *versionCommand) Run(env *environment) error {
+	revision := "unknown revision"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = s.Value
+			}
+		}
+	}
+	fmt.Fprintf(env.out, "knapweedspur %s (%s)\n", Release, revision)
+	return nil
+}
--- /dev/null
+++ b/internal/entry/assembler/assembler.go
@@ -0,0 +1,253 @@
+package assembler
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/fx"
+
+	"knapweedspur/internal/config/cataloger"
+	"knapweedspur/internal/entry/bookkeeper"
+	"knapweedspur/internal/entry/controller"
+	"knapweedspur/internal/entry/driver"
+	"knapweedspur/internal/entry/linker"
+	"knapweedspur/internal/entry/publisher"
+	"knapweedspur/internal/entry/server"
+	"knapweedspur/internal/entry/tracker"
+	"knapweedspur/internal/log/appender"
+	"knapweedspur/internal/platform/logclient"
+	"knapweedspur/internal/policy/chooser"
+	"knapweedspur/internal/policy/placer"
+	"knapweedspur/internal/route/budgeter"
+	"knapweedspur/internal/route/forwarder"
+	"knapweedspur/internal/state/snapshotter"
+	"knapweedspur/internal/task/scheduler"
+	"knapweedspur/internal/wire/admin"
+	"knapweedspur/internal/wire/encoder"
+	"knapweedspur/internal/wire/message"
+)
+
+const (
+	// ConfigStream is the stream of the configuration, the same in all regions.
+	ConfigStream = "config"
+	// TaskStream begins the name of a region's task stream.
+	TaskStream = "tasks."
+
+	logWait       = time.Second
+	appendTimeout = 5 * time.Second
+	peerTimeout   = time.Second
+	maxSnapshot   = 64 << 20
+	beatsMissed   = 5
+)
+
+// Incarnation names this process among all that ever ran.
+type Incarnation string
+
+// NewIncarnation makes a name that is never used twice.
+func NewIncarnation(prefix string) Incarnation { return Incarnation(prefix + "-" + rand.Text()[:16]) }
+
+// Options returns the parts of an entry for fx.
+func Options(s *Settings, logger hclog.Logger, log logclient.Log) fx.Option {
+	return fx.Options(
+		fx.Supply(s),
+		fx.Provide(
+			func() hclog.Logger { return logger },
+			func() logclient.Log { return log },
+			func() Incarnation { return NewIncarnation("entry") },
+			func() *cataloger.Cataloger { return &cataloger.Cataloger{} },
+			tracker.New,
+			func() *budgeter.Budget { return &budgeter.Budget{} },
+			newKernel, newDriver, newPublisher, newForwarder, newLinker, newBookkeeper, newServer, newController,
+		),
+		fx.Invoke(run, export),
+	)
+}
+
+func newKernel(s *Settings, in Incarnation, catalog *cataloger.Cataloger) (*scheduler.Kernel, error) {
+	place, err := placer.Lookup(s.Placement)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &scheduler.Kernel{
+		Entry: string(in), Place: place, Hold: s.Hold, Suspect: s.Suspect,
+		Quota: func(team string) (message.Size, bool) {
+			if spec := catalog.Current().Team(team); spec != nil {
+				return spec.Quota, true
+			}
+			return message.Size{}, false
+		},
+	}, nil
+}
+
+func newAppender(s *Settings, in Incarnation, log logclient.Log, stream string, logger hclog.Logger) *appender.Appender {
+	return &appender.Appender{Log: log, Stream: stream, Writer: string(in), Gap: s.Group, Timeout: appendTimeout, Logger: logger.Named("appender")}
+}
+
+func newDriver(s *Settings, in Incarnation, log logclient.Log, k *scheduler.Kernel, t *tracker.Tracker, logger hclog.Logger) *driver.Driver {
+	stream := TaskStream + s.Region
+	peers := &peers{token: s.Token, client: &http.Client{Timeout: peerTimeout}}
+	return &driver.Driver{
+		Kernel: k, Log: log, Stream: stream, Wait: logWait, Appender: newAppender(s, in, log, stream, logger), Tracker: t,
+		Address: s.advertised(), AskPeers: peers.heard,
+		SnapshotEvery: s.SnapshotEvery, SnapshotRecords: uint64(s.SnapshotRecords), Logger: logger.Named("driver"),
+	}
+}
+
+func newPublisher(s *Settings, in Incarnation, log logclient.Log, c *cataloger.Cataloger, d *driver.Driver, logger hclog.Logger) *publisher.Publisher {
+	peers := &peers{token: s.Token, client: &http.Client{Timeout: peerTimeout}}
+	return &publisher.Publisher{
+		Log: log, Stream: ConfigStream, Wait: logWait, Appender: newAppender(s, in, log, ConfigStream, logger), Catalog: c,
+		Peers: s.Peers, AskPeer: peers.snapshot,
+		First:         func(now time.Time) bool { return d.First(now, ConfigStream) },
+		SnapshotEvery: s.SnapshotEvery, SnapshotRecords: uint64(s.SnapshotRecords), Logger: logger.Named("publisher"),
+	}
+}
+
+func newForwarder(s *Settings, c *cataloger.Cataloger, t *tracker.Tracker, b *budgeter.Budget) (*forwarder.Forwarder, error) {
+	choose, err := chooser.Lookup(s.Routing)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &forwarder.Forwarder{Catalog: c, Tracker: t, Choose: choose, Budget: b}, nil
+}
+
+func newLinker(s *Settings, c *cataloger.Cataloger, t *tracker.Tracker, d *driver.Driver, logger hclog.Logger) *linker.Linker {
+	return &linker.Linker{Tracker: t, Driver: d, Catalog: c, Domain: s.Domain, Silence: beatsMissed * s.Beat, Logger: logger.Named("linker")}
+}
+
+func newBookkeeper(d *driver.Driver, c *cataloger.Cataloger) *bookkeeper.Bookkeeper {
+	return &bookkeeper.Bookkeeper{Driver: d, Catalog: c}
+}
+
+func newServer(f *forwarder.Forwarder, b *bookkeeper.Bookkeeper, c *cataloger.Cataloger) *server.Server {
+	return &server.Server{Forward: f, Runs: b, Catalog: c}
+}
+
+func newController(s *Settings, in Incarnation, l *linker.Linker, d *driver.Driver, p *publisher.Publisher, t *tracker.Tracker, c *cataloger.Cataloger, f *forwarder.Forwarder, b *bookkeeper.Bookkeeper) *controller.Controller {
+	return &controller.Controller{
+		Entry: string(in), Domain: s.Domain, Token: s.Token, Link: l, Runs: b, Driver: d, Publisher: p, Tracker: t, Catalog: c, Forwarder: f,
+	}
+}
+
+// parts are what run starts and stops.
+type parts struct {
+	fx.In
+	Settings   *Settings
+	Driver     *driver.Driver
+	Publisher  *publisher.Publisher
+	Linker     *linker.Linker
+	Server     *server.Server
+	Controller *controller.Controller
+	Forwarder  *forwarder.Forwarder
+	Logger     hclog.Logger
+}
+
+// run starts the parts with the application and stops them with it: the
+// readiness check fails first, then requests in flight end, then the rest.
+func run(lc fx.Lifecycle, p parts) {
+	ctx, cancel := context.WithCancel(context.Background())
+	callers := &http.Server{Handler: p.Server.Handler(), ReadHeaderTimeout: appendTimeout}
+	control := &http.Server{Handler: p.Controller.Handler(), ReadHeaderTimeout: appendTimeout}
+	var group sync.WaitGroup
+	background := func(f func(context.Context)) { group.Go(func() { f(ctx) }) }
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			if err := serve(control, p.Settings.Control, p.Logger); err != nil {
+				return err
+			}
+			if err := serve(callers, p.Settings.Listen, p.Logger); err != nil {
+				return err
+			}
+			background(p.Driver.Appender.Run)
+			background(p.Publisher.Appender.Run)
+			background(p.Driver.Run)
+			background(p.Publisher.Run)
+			p.Logger.Info("entry runs", "callers", p.Settings.Listen, "control", p.Settings.Control)
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			p.Server.Stop()
+			p.Logger.Info("entry stops; waiting for the balancer, then for requests in flight")
+			wait(stop, p.Settings.Settle)
+			err := callers.Shutdown(stop)
+			p.Linker.Close()
+			cancel()
+			_ = control.Close()
+			group.Wait()
+			return trace.Wrap(err)
+		},
+	})
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func serve(s *http.Server, address netip.AddrPort, logger hclog.Logger) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return trace.Wrap(err, "listen on %s; is another process there?", address)
+	}
+	go func() {
+		if err := s.Serve(listener); err != nil && err != http.ErrServerClosed {
+			logger.Error("server ended", "address", address, "error", err)
+		}
+	}()
+	return nil
+}
+
+// peers asks other entries.
+type peers struct {
+	token  string
+	client *http.Client
+}
+
+func (p *peers) get(ctx context.Context, peer netip.AddrPort, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+path, nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+p.token)
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "ask entry %s", peer)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, trace.ConnectionProblem(nil, "ask entry %s: %s", peer, resp.Status)
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, maxSnapshot))
+}
+
+// heard reports whether any of the entries hears a VM.
+func (p *peers) heard(ctx context.Context, vm string, entries []netip.AddrPort) bool {
+	for _, e := range entries {
+		body, err := p.get(ctx, e, "/v1/vms/"+vm+"/heard")
+		var answer admin.Heard
+		if err == nil && json.Unmarshal(body, &answer) == nil && answer.Heard {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *peers) snapshot(ctx context.Context, peer netip.AddrPort) (snapshotter.Snapshot, error) {
+	var s snapshotter.Snapshot
+	body, err := p.get(ctx, peer, "/v1/snapshot")
+	if err != nil {
+		return s, err
+	}
+	return s, encoder.DecodeSnapshot(body, &s)
+}
--- /dev/null
+++ b/internal/entry/assembler/export.go
@@ -0,0 +1,30 @@
+package assembler
+
+import (
+	"time"
+
+	"knapweedspur/internal/entry/driver"
+	"knapweedspur/internal/entry/tracker"
+	"knapweedspur/internal/log/appender"
+	"knapweedspur/internal/metric/exporter"
+	"knapweedspur/internal/route/budgeter"
+	"knapweedspur/internal/route/forwarder"
+)
+
+// export publishes the metrics of an entry. docs/OPERATIONS.md lists them.
+func export(f *forwarder.Forwarder, b *budgeter.Budget, d *driver.Driver, t *tracker.Tracker) {
+	exporter.Publish("knapweedspur", func() any {
+		n := f.Counts()
+		taken, denied := b.Spent()
+		age, _ := d.Age(time.Now())
+		return map[string]any{
+			"requests": n.Requests.Load(), "answered": n.Answered.Load(), "retries": taken, "denied": denied,
+			"unrun": n.Unrun.Load(), "unknown": n.Unknown.Load(), "ran": n.Ran.Load(), "abandoned": n.Abandoned.Load(),
+			"agents": len(t.List()), "age": age.Seconds(), "stalled": d.Appender.Stalled(), "log": counts(d.Appender.Counts()),
+		}
+	})
+}
+
+func counts(c appender.Counts) map[string]int64 {
+	return map[string]int64{"appends": c.Appends, "records": c.Records, "bytes": c.Bytes}
+}
--- /dev/null
+++ b/internal/entry/assembler/settings.go
@@ -0,0 +1,74 @@
+// Package assembler puts the parts of an entry together.
+package assembler
+
+import (
+	"net/netip"
+	"time"
+
+	"knapweedspur/internal/policy/chooser"
+	"knapweedspur/internal/policy/placer"
+	"knapweedspur/internal/setting/checker"
+)
+
+// Settings are the settings of an entry.
+type Settings struct {
+	Listen    netip.AddrPort   `help:"Address for callers." env:"KNAPWEEDSPUR_LISTEN" default:"127.0.0.1:7070"`
+	Control   netip.AddrPort   `help:"Address for agents, operators and other entries." env:"KNAPWEEDSPUR_CONTROL" default:"127.0.0.1:7071"`
+	Advertise netip.AddrPort   `help:"Control address that others reach; --control where empty." env:"KNAPWEEDSPUR_ADVERTISE"`
+	Log       netip.AddrPort   `help:"Address of the platform's log service." env:"KNAPWEEDSPUR_LOG" required:""`
+	Peers     []netip.AddrPort `help:"Control addresses of entries to take the configuration from while the log is down." env:"KNAPWEEDSPUR_PEERS"`
+	Domain    string           `help:"Failure domain of this VM." env:"KNAPWEEDSPUR_DOMAIN" required:""`
+	Region    string           `help:"Region of this VM; it names the task stream." env:"KNAPWEEDSPUR_REGION" default:"main"`
+	Token     string           `help:"Token that agents and operators must show." env:"KNAPWEEDSPUR_TOKEN"`
+	Insecure  bool             `help:"Run without a token, for a trial on loopback." env:"KNAPWEEDSPUR_INSECURE"`
+
+	Hold    time.Duration `help:"Hold time of leases; the same on all entries." env:"KNAPWEEDSPUR_HOLD" default:"2m"`
+	Suspect time.Duration `help:"Silence after which a VM is fenced." env:"KNAPWEEDSPUR_SUSPECT" default:"20s"`
+	Beat    time.Duration `help:"Time between heartbeats of agents." env:"KNAPWEEDSPUR_BEAT" default:"1s"`
+	Group   time.Duration `help:"Least time between two appends." env:"KNAPWEEDSPUR_GROUP" default:"20ms"`
+	Grace   time.Duration `help:"How long a planned stop may take." env:"KNAPWEEDSPUR_GRACE" default:"30s"`
+	Settle  time.Duration `help:"How long the balancer may take to see that an entry stops." env:"KNAPWEEDSPUR_SETTLE" default:"3s"`
+
+	Routing   string `help:"Routing policy." env:"KNAPWEEDSPUR_ROUTING" default:"sampled"`
+	Placement string `help:"Placement policy." env:"KNAPWEEDSPUR_PLACEMENT" default:"spread"`
+
+	SnapshotEvery   time.Duration `help:"Most time between two snapshots; well below the log's retention." env:"KNAPWEEDSPUR_SNAPSHOT_EVERY" default:"10m"`
+	SnapshotRecords int           `help:"Most appends between two snapshots." env:"KNAPWEEDSPUR_SNAPSHOT_RECORDS" default:"20000"`
+}
+
+// Validate reports every fault of the settings at once.
+func (s *Settings) Validate() error {
+	var c checker.Checker
+	c.Listen("listen", s.Listen)
+	c.Listen("control", s.Control)
+	c.Address("log", s.Log)
+	for _, p := range s.Peers {
+		c.Address("peers", p)
+	}
+	c.Name("domain", s.Domain)
+	c.Name("region", s.Region)
+	c.Token(s.Token, s.Insecure)
+	c.Between("hold", s.Hold, time.Second, 24*time.Hour)
+	c.Between("suspect", s.Suspect, time.Second, time.Hour)
+	c.Between("beat", s.Beat, 50*time.Millisecond, time.Minute)
+	c.Between("group", s.Group, 0, time.Second)
+	c.Between("grace", s.Grace, time.Second, time.Hour)
+	c.Between("settle", s.Settle, 0, time.Minute)
+	c.Between("snapshot-every", s.SnapshotEvery, time.Second, 24*time.Hour)
+	c.Count("snapshot-records", s.SnapshotRecords, 10, 1<<24)
+	if _, err := chooser.Lookup(s.Routing); err != nil {
+		c.Fault("routing", s.Routing, err.Error())
+	}
+	if _, err := placer.Lookup(s.Placement); err != nil {
+		c.Fault("placement", s.Placement, err.Error())
+	}
+	return c.Err()
+}
+
+// advertised returns the control address that others reach.
+func (s *Settings) advertised() netip.AddrPort {
+	if s.Advertise.IsValid() {
+		return s.Advertise
+	}
+	return s.Control
+}
--- /dev/null
+++ b/internal/entry/bookkeeper/bookkeeper.go
@@ -0,0 +1,125 @@
+// Package bookkeeper answers those who submit, follow and cancel runs of jobs.
+package bookkeeper
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"knapweedspur/internal/config/cataloger"
+	"knapweedspur/internal/entry/driver"
+	"knapweedspur/internal/entry/summarizer"
+	"knapweedspur/internal/fault/verdict"
+	"knapweedspur/internal/task/scheduler"
+	"knapweedspur/internal/wire/admin"
+	"knapweedspur/internal/wire/message"
+)
+
+const (
+	// RunHeader names a run whose submission failed, to ask for it later.
+	RunHeader = "Knapweedspur-Run"
+
+	// recordTimeout bounds the wait for a record to be read back.
+	recordTimeout = 10 * time.Second
+	// maxSubmission is the largest submission, in bytes.
+	maxSubmission = 16 << 10
+	// maxName is the longest name of a run.
+	maxName = 128
+)
+
+// Bookkeeper answers about runs. Set the exported fields before Register.
+type Bookkeeper struct {
+	// Driver records runs.
+	Driver *driver.Driver
+	// Catalog holds the declarations.
+	Catalog *cataloger.Cataloger
+}
+
+// Register adds the routes below a prefix.
+func (b *Bookkeeper) Register(r *mux.Router, prefix string) {
+	r.HandleFunc(prefix, b.submit).Methods(http.MethodPost)
+	r.HandleFunc(prefix+"/{run}", b.follow).Methods(http.MethodGet)
+	r.HandleFunc(prefix+"/{run}", b.cancel).Methods(http.MethodDelete)
+}
+
+func (b *Bookkeeper) submit(w http.ResponseWriter, r *http.Request) {
+	var asked admin.Submission
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSubmission))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&asked); err != nil {
+		invalid("the submission is not JSON with job, run and who: " + err.Error()).Write(w)
+		return
+	}
+	spec := b.Catalog.Current().Job(asked.Job)
+	if spec == nil {
+		(&verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Missing, Reason: "no job " + strconv.Quote(asked.Job) + " is declared"}).Write(w)
+		return
+	}
+	if len(asked.Run) > maxName {
+		invalid("the name of a run has at most 128 characters").Write(w)
+		return
+	}
+	if asked.Run == "" {
+		asked.Run = asked.Job + "-" + rand.Text()[:12]
+	}
+	record := &message.Submit{
+		Run: asked.Run, Job: asked.Job, Team: spec.Team, Who: asked.Who, Tasks: spec.Tasks, Size: spec.Size,
+		Expect: spec.Expect, Urgent: spec.Urgent, Evict: spec.Evict,
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), recordTimeout)
+	defer cancel()
+	e := b.Driver.Record(ctx, message.Record{Submit: record}, func(other *message.Record) bool {
+		return other.Submit != nil && other.Submit.Run == record.Run
+	})
+	if e != nil {
+		w.Header().Set(RunHeader, asked.Run)
+		e.Write(w)
+		return
+	}
+	b.answer(w, asked.Run, http.StatusCreated)
+}
+
+func invalid(reason string) *verdict.Error {
+	return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Invalid, Reason: reason}
+}
+
+func (b *Bookkeeper) follow(w http.ResponseWriter, r *http.Request) {
+	b.answer(w, mux.Vars(r)["run"], http.StatusOK)
+}
+
+// answer sends the state of a run.
+func (b *Bookkeeper) answer(w http.ResponseWriter, name string, status int) {
+	var run *admin.Run
+	ready := b.Driver.Read(func(k *scheduler.Kernel) { run = summarizer.Run(k, name) })
+	if !ready {
+		(&verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Outage, Reason: "this entry has not read the log yet", After: time.Second}).Write(w)
+		return
+	}
+	if run == nil {
+		(&verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Missing, Reason: "no run " + strconv.Quote(name) + " is known"}).Write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(run)
+}
+
+func (b *Bookkeeper) cancel(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["run"]
+	ctx, cancel := context.WithTimeout(r.Context(), recordTimeout)
+	defer cancel()
+	record := &message.Cancel{Run: name, Who: r.URL.Query().Get("who")}
+	e := b.Driver.Record(ctx, message.Record{Cancel: record}, func(other *message.Record) bool {
+		return other.Cancel != nil && other.Cancel.Run == name
+	})
+	if e != nil {
+		e.Write(w)
+		return
+	}
+	b.answer(w, name, http.StatusOK)
+}
--- /dev/null
+++ b/internal/entry/controller/controller.go
@@ -0,0 +1,272 @@
+// Package controller answers operators, agents and other entries on an
+// entry's control address.
+package controller
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"knapweedspur/internal/config/cataloger"
+	"knapweedspur/internal/entry/bookkeeper"
+	"knapweedspur/internal/entry/driver"
+	"knapweedspur/internal/entry/publisher"
+	"knapweedspur/internal/entry/summarizer"
+	"knapweedspur/internal/entry/tracker"
+	"knapweedspur/internal/fault/verdict"
+	"knapweedspur/internal/link/carrier"
+	"knapweedspur/internal/route/forwarder"
+	"knapweedspur/internal/state/configfolder"
+	"knapweedspur/internal/task/scheduler"
+	"knapweedspur/internal/wire/admin"
+	"knapweedspur/internal/wire/encoder"
+	"knapweedspur/internal/wire/message"
+)
+
+const (
+	recordTimeout = 10 * time.Second
+	// maxChange is the largest change, in bytes.
+	maxChange = 4 << 20
+	// heardSpan is how long ago a VM may have been heard to count as heard.
+	heardSpan = 5 * time.Second
+)
+
+// Controller answers on the control address. Set the exported fields before
+// Handler.
+type Controller struct {
+	// Entry is this entry's incarnation.
+	Entry string
+	// Domain is its failure domain.
+	Domain string
+	// Token is what operators, agents and entries must show, empty for none.
+	Token string
+	// Link takes the connections of agents.
+	Link http.Handler
+	// Runs answers about runs.
+	Runs *bookkeeper.Bookkeeper
+	// Driver, Publisher, Tracker, Catalog and Forwarder are the entry's parts.
+	Driver    *driver.Driver
+	Publisher *publisher.Publisher
+	Tracker   *tracker.Tracker
+	Catalog   *cataloger.Cataloger
+	Forwarder *forwarder.Forwarder
+}
+
+// Handler returns the routes.
+func (c *Controller) Handler() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	r.Use(c.authorize)
+	r.Handle(carrier.Path, c.Link)
+	r.HandleFunc("/v1/status", c.status).Methods(http.MethodGet)
+	r.HandleFunc("/v1/why/{name}", c.why).Methods(http.MethodGet)
+	r.HandleFunc("/v1/declarations", c.declarations).Methods(http.MethodGet)
+	c.Runs.Register(r, "/v1/runs")
+	r.HandleFunc("/v1/changes", c.publish).Methods(http.MethodPost)
+	r.HandleFunc("/v1/audit", c.audit).Methods(http.MethodGet)
+	r.HandleFunc("/v1/vms/{vm}/drain", c.drain).Methods(http.MethodPost, http.MethodDelete)
+	r.HandleFunc("/v1/vms/{vm}/heard", c.heard).Methods(http.MethodGet)
+	r.HandleFunc("/v1/snapshot", c.snapshot).Methods(http.MethodGet)
+	r.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
+	return r
+}
+
+func (c *Controller) authorize(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if c.Token != "" && subtle.ConstantTimeCompare([]byte(token), []byte(c.Token)) != 1 {
+			w.Header().Set(verdict.Header, verdict.Unrun.String())
+			http.Error(w, "the token is missing or wrong; set --token or KNAPWEEDSPUR_TOKEN", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func send(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (c *Controller) status(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	s := &admin.Status{Entry: c.Entry, Domain: c.Domain, Stalled: c.Driver.Appender.Stalled(), Counts: c.totals()}
+	s.Age, _ = c.Driver.Age(now)
+	if current := c.Catalog.Current(); current != nil {
+		s.Offset = current.Next
+	}
+	for _, m := range c.Tracker.List() {
+		s.Agents = append(s.Agents, agent(m))
+	}
+	c.Driver.Read(func(k *scheduler.Kernel) {
+		s.Entries = c.entries(now, k)
+		s.Runs = summarizer.Runs(k)
+		for i := range s.Agents {
+			if vm := k.State.VMs[s.Agents[i].VM]; vm != nil {
+				s.Agents[i].Drained = vm.Drained
+				s.Agents[i].Fenced = vm.Fence != 0
+			}
+		}
+	})
+	send(w, s)
+}
+
+// entries returns the entries alive by name.
+func (c *Controller) entries(now time.Time, k *scheduler.Kernel) []admin.Entry {
+	names := k.Alive(now)
+	sort.Strings(names)
+	list := make([]admin.Entry, 0, len(names))
+	for _, name := range names {
+		e := admin.Entry{Entry: name, Address: k.State.Entries[name].Address}
+		if name == c.Entry {
+			e.Address = c.Driver.Address
+		}
+		list = append(list, e)
+	}
+	return list
+}
+
+func agent(m *tracker.Member) admin.Agent {
+	a := admin.Agent{VM: m.Hello.VM, Domain: m.Hello.Domain, Rack: m.Hello.Rack, Service: m.Hello.Service}
+	if h := m.Heartbeat(); h != nil {
+		a.Lease = h.Lease
+		a.Offset = h.Offset
+		a.Tasks = h.Tasks
+		a.Running = h.Running
+		a.Open = h.Open
+		a.Leaving = h.Leaving
+	}
+	return a
+}
+
+func (c *Controller) totals() admin.Counts {
+	n := c.Forwarder.Counts()
+	return admin.Counts{
+		Requests: int(n.Requests.Load()), Answered: int(n.Answered.Load()), Retries: int(n.Retries.Load()),
+		Unrun: int(n.Unrun.Load()), Unknown: int(n.Unknown.Load()), Ran: int(n.Ran.Load()),
+	}
+}
+
+func (c *Controller) why(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["name"]
+	var lines []string
+	c.Driver.Read(func(k *scheduler.Kernel) { lines = summarizer.Why(k, name) })
+	if current := c.Catalog.Current(); lines == nil && current != nil {
+		lines = declared(current, name)
+	}
+	if lines == nil {
+		missing("nothing is known of " + strconv.Quote(name) + "; name a run, a VM or a declaration").Write(w)
+		return
+	}
+	send(w, &admin.Reason{Name: name, Lines: lines})
+}
+
+func missing(reason string) *verdict.Error {
+	return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Missing, Reason: reason}
+}
+
+// declared explains a declaration.
+func declared(current *cataloger.Catalog, name string) []string {
+	if broken, ok := current.Broken[name]; ok {
+		return []string{"in force at version " + strconv.FormatUint(current.Versions[name], 10) + ", but this entry cannot read it: " + broken}
+	}
+	spec := current.Specs[name]
+	if spec == nil {
+		return nil
+	}
+	return []string{"a " + spec.Kind + " in force at version " + strconv.FormatUint(current.Versions[name], 10)}
+}
+
+func (c *Controller) declarations(w http.ResponseWriter, _ *http.Request) {
+	var list []admin.Version
+	broken := map[string]string{}
+	if current := c.Catalog.Current(); current != nil {
+		broken = current.Broken
+	}
+	ok := c.Publisher.Read(func(s *configfolder.State) {
+		for name, item := range s.Items {
+			list = append(list, admin.Version{Name: name, Version: item.Version, Who: item.Who, Body: item.Body, Broken: broken[name]})
+		}
+	})
+	if !ok {
+		(&verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Outage, Reason: "this entry has no configuration yet", After: time.Second}).Write(w)
+		return
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	send(w, list)
+}
+
+func (c *Controller) publish(w http.ResponseWriter, r *http.Request) {
+	var change message.Change
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChange))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&change); err != nil {
+		(&verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Invalid, Reason: "the change is not JSON with id, who and edits: " + err.Error()}).Write(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), recordTimeout)
+	defer cancel()
+	version, e := c.Publisher.Publish(ctx, &change)
+	if e != nil {
+		e.Write(w)
+		return
+	}
+	send(w, &admin.Outcome{Version: version})
+}
+
+// audit sends the lines of both streams in the order of their times.
+func (c *Controller) audit(w http.ResponseWriter, _ *http.Request) {
+	list := []message.Audit{}
+	c.Publisher.Read(func(s *configfolder.State) { list = append(list, s.Audit...) })
+	c.Driver.Read(func(k *scheduler.Kernel) { list = append(list, k.State.Audit...) })
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Time.Before(list[j].Time) })
+	send(w, list)
+}
+
+func (c *Controller) drain(w http.ResponseWriter, r *http.Request) {
+	vm := mux.Vars(r)["vm"]
+	on := r.Method == http.MethodPost
+	ctx, cancel := context.WithTimeout(r.Context(), recordTimeout)
+	defer cancel()
+	record := &message.Drain{VM: vm, On: on, Who: r.URL.Query().Get("who")}
+	e := c.Driver.Record(ctx, message.Record{Drain: record}, func(other *message.Record) bool {
+		return other.Drain != nil && other.Drain.VM == vm && other.Drain.On == on
+	})
+	if e != nil {
+		e.Write(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// heard tells another entry whether this one hears a VM that holds its lease.
+func (c *Controller) heard(w http.ResponseWriter, r *http.Request) {
+	m := c.Tracker.Get(mux.Vars(r)["vm"])
+	answer := &admin.Heard{}
+	if m != nil && m.Heartbeat() != nil {
+		answer.Heard = m.Heartbeat().Lease > 0 && time.Since(m.Heard()) < heardSpan
+	}
+	send(w, answer)
+}
+
+// snapshot sends the configuration to an entry that starts in an outage.
+func (c *Controller) snapshot(w http.ResponseWriter, _ *http.Request) {
+	s, err := c.Publisher.Snapshot()
+	if err != nil {
+		missing(err.Error()).Write(w)
+		return
+	}
+	data, err := encoder.Encode(&s)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/entry/driver/driver.go
@@ -0,0 +1,364 @@
+// Package driver drives the scheduling kernel of an entry: it folds the task
+// stream, tells the kernel what happens, and does what the kernel asks for.
+package driver
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"knapweedspur/internal/entry/tracker"
+	"knapweedspur/internal/log/appender"
+	"knapweedspur/internal/log/tailer"
+	"knapweedspur/internal/platform/logclient"
+	"knapweedspur/internal/state/snapshotter"
+	"knapweedspur/internal/state/taskfolder"
+	"knapweedspur/internal/task/scheduler"
+	"knapweedspur/internal/wire/message"
+)
+
+const (
+	tickEvery  = 250 * time.Millisecond
+	aliveEvery = 5 * time.Second
+	retryPause = time.Second
+)
+
+// Driver drives one kernel. Set the exported fields, then Run.
+type Driver struct {
+	// Kernel decides; its State is set by Run.
+	Kernel *scheduler.Kernel
+	// Log is the log service.
+	Log logclient.Log
+	// Stream is the task stream.
+	Stream string
+	// Wait is how long a read of the log waits.
+	Wait time.Duration
+	// Appender offers records to the stream.
+	Appender *appender.Appender
+	// Tracker holds the connected agents.
+	Tracker *tracker.Tracker
+	// Address is where agents reach this entry.
+	Address netip.AddrPort
+	// AskPeers finds out whether another entry hears a VM.
+	AskPeers func(ctx context.Context, vm string, entries []netip.AddrPort) bool
+	// SnapshotEvery and SnapshotRecords bound the time and the records between
+	// two snapshots.
+	SnapshotEvery   time.Duration
+	SnapshotRecords uint64
+	// Logger takes what happens.
+	Logger hclog.Logger
+
+	mu      sync.Mutex
+	ready   bool
+	tail    *tailer.Tailer
+	context context.Context
+	folded  chan struct{}
+	last    time.Time
+	lastAt  uint64
+	rejects map[uint64][]taskfolder.Rejected
+}
+
+// rejectSpan is for how many offsets the rejected records are remembered.
+const rejectSpan = 4096
+
+// Run drives the kernel until the context ends.
+func (d *Driver) Run(ctx context.Context) {
+	d.context = ctx
+	d.folded = make(chan struct{})
+	d.rejects = map[uint64][]taskfolder.Rejected{}
+	from, ok := d.begin(ctx)
+	if !ok {
+		return
+	}
+	d.tail = &tailer.Tailer{
+		Log: d.Log, Stream: d.Stream, Wait: d.Wait, Apply: d.apply, Recover: d.recover, Logger: d.Logger,
+		Viewed: func(now time.Time, v tailer.View) { d.viewed(now, v) },
+	}
+	d.mu.Lock()
+	d.ready = true
+	d.mu.Unlock()
+	go d.tail.Run(ctx, from)
+	d.tick(ctx)
+}
+
+// begin loads the newest snapshot, waiting for the log as long as it takes.
+func (d *Driver) begin(ctx context.Context) (uint64, bool) {
+	for {
+		state, err := d.load(ctx)
+		if err == nil {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.reset(time.Now(), state)
+			return state.Next, true
+		}
+		d.Logger.Warn("waiting for the log service", "stream", d.Stream, "error", err)
+		select {
+		case <-ctx.Done():
+			return 0, false
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (d *Driver) load(ctx context.Context) (*taskfolder.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.Appender.Timeout)
+	defer cancel()
+	s, err := snapshotter.Read(ctx, d.Log, d.Stream)
+	if errors.Is(err, snapshotter.ErrNone) {
+		return taskfolder.New(), nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return taskfolder.Restore(s.Data)
+}
+
+// reset begins anew from a state.
+func (d *Driver) reset(now time.Time, state *taskfolder.State) {
+	d.Kernel.State = state
+	d.Kernel.Init(now)
+	d.last = now
+	d.lastAt = state.Next
+	for _, m := range d.Tracker.List() {
+		d.run(now, d.Kernel.Step(now, scheduler.Linked{VM: m.Hello.VM}))
+	}
+	for name, vm := range state.VMs {
+		if vm.Drained {
+			d.Tracker.Drain(name, true)
+		}
+	}
+}
+
+// recover goes on from a snapshot when the log has cut the records ahead.
+func (d *Driver) recover(ctx context.Context, from uint64) (uint64, error) {
+	state, err := d.load(ctx)
+	if err != nil {
+		return from, err
+	}
+	if state.Next <= from {
+		return from, errors.New("the log has cut records that no snapshot holds")
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Logger.Warn("records were cut; going on from a snapshot", "stream", d.Stream, "from", from, "next", state.Next)
+	d.reset(time.Now(), state)
+	return state.Next, nil
+}
+
+// apply folds one value and tells the kernel.
+func (d *Driver) apply(now time.Time, offset uint64, value []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changes := d.Kernel.State.Fold(offset, value)
+	for _, c := range changes {
+		d.note(offset, c)
+	}
+	delete(d.rejects, offset-rejectSpan)
+	d.run(now, d.Kernel.Step(now, scheduler.Folded{Changes: changes}))
+	close(d.folded)
+	d.folded = make(chan struct{})
+}
+
+func (d *Driver) note(offset uint64, c taskfolder.Event) {
+	switch c := c.(type) {
+	case taskfolder.Rejected:
+		d.rejects[offset] = append(d.rejects[offset], c)
+	case taskfolder.Drained:
+		d.Tracker.Drain(c.VM, c.On)
+	case taskfolder.Fenced:
+		d.Logger.Warn("fenced a VM that is not heard", "vm", c.VM, "lease", c.Lease)
+	case taskfolder.Joined:
+		d.Logger.Info("a VM has joined", "vm", c.VM, "lease", c.Lease)
+	}
+}
+
+func (d *Driver) viewed(now time.Time, v tailer.View) {
+	d.Tell(now, scheduler.Viewed{Asked: v.Asked})
+}
+
+// Tell tells the kernel of an event and does what it asks for.
+func (d *Driver) Tell(now time.Time, event scheduler.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.ready {
+		return
+	}
+	d.run(now, d.Kernel.Step(now, event))
+}
+
+// run does actions. The lock is held, so nothing here waits.
+func (d *Driver) run(now time.Time, actions []scheduler.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case scheduler.Offer:
+			if d.Appender.Offer(a.Record) == nil {
+				d.run(now, d.Kernel.Step(now, scheduler.Refused{Record: a.Record}))
+			}
+		case scheduler.Send:
+			if m := d.Tracker.Get(a.VM); m != nil {
+				_ = m.Caller.Queue(a.Frame)
+			}
+		case scheduler.AskPeers:
+			entries := d.peers(now)
+			go d.ask(a.VM, entries)
+		}
+	}
+}
+
+// peers returns the addresses of the other entries alive.
+func (d *Driver) peers(now time.Time) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, name := range d.Kernel.Alive(now) {
+		if e, ok := d.Kernel.State.Entries[name]; ok && name != d.Kernel.Entry {
+			list = append(list, e.Address)
+		}
+	}
+	return list
+}
+
+// Entries returns the addresses of all entries alive.
+func (d *Driver) Entries(now time.Time) []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.ready {
+		return nil
+	}
+	return append(d.peers(now), d.Address)
+}
+
+func (d *Driver) ask(vm string, entries []netip.AddrPort) {
+	heard := d.AskPeers(d.context, vm, entries)
+	d.Tell(time.Now(), scheduler.PeersAnswered{VM: vm, Heard: heard})
+}
+
+// tick tells the time, says that this entry is alive, and writes snapshots.
+func (d *Driver) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	var said time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.Tell(now, scheduler.Ticked{})
+			if now.Sub(said) >= aliveEvery && !d.Appender.Stalled() {
+				said = now
+				d.Appender.Offer(message.Record{Alive: &message.Alive{Entry: d.Kernel.Entry, Address: d.Address}})
+			}
+			d.snapshot(ctx, now)
+		}
+	}
+}
+
+// snapshot writes a snapshot if one is due and this entry is the one to do it.
+func (d *Driver) snapshot(ctx context.Context, now time.Time) {
+	d.mu.Lock()
+	state := d.Kernel.State
+	due := d.Kernel.First(now, d.Stream) && snapshotter.Due(now, d.last, state.Next, d.lastAt, d.SnapshotEvery, d.SnapshotRecords)
+	var s snapshotter.Snapshot
+	var err error
+	if due {
+		s.Next = state.Next
+		s.Data, err = state.Snapshot()
+		d.last = now
+		d.lastAt = state.Next
+	}
+	d.mu.Unlock()
+	if !due {
+		return
+	}
+	if err == nil {
+		err = d.write(ctx, s)
+	}
+	if err != nil {
+		d.Logger.Warn("cannot write a snapshot; trying again later", "stream", d.Stream, "error", err)
+		return
+	}
+	d.Logger.Debug("wrote a snapshot", "stream", d.Stream, "next", s.Next, "bytes", len(s.Data))
+}
+
+func (d *Driver) write(ctx context.Context, s snapshotter.Snapshot) error {
+	ctx, cancel := context.WithTimeout(ctx, d.Appender.Timeout)
+	defer cancel()
+	return snapshotter.Write(ctx, d.Log, d.Stream, s)
+}
+
+// View returns an agent's view of its lease, or nil while this entry has none.
+func (d *Driver) View(now time.Time, vm string, probe *message.Probe) *message.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.ready {
+		return nil
+	}
+	seen := d.tail.View()
+	if seen.Asked.IsZero() {
+		return nil
+	}
+	v := &message.View{Number: probe.Number, Age: now.Sub(seen.Asked), Hold: d.Kernel.Hold, Whole: probe.Whole}
+	folded := d.Kernel.State.VMs[vm]
+	if folded == nil {
+		v.Lease = d.Kernel.State.Floor
+		return v
+	}
+	v.Agent = folded.Agent
+	v.Lease = folded.Lease
+	v.Fenced = folded.Fence != 0
+	if probe.Whole {
+		d.Kernel.State.OpenOn(vm, func(k taskfolder.Key, _ *taskfolder.Run, t *taskfolder.Task) {
+			v.Open = append(v.Open, message.Attempt{Run: k.Run, Task: k.Task, Attempt: int(t.Attempt)})
+		})
+	}
+	return v
+}
+
+// Read calls f with the state, which f must not keep.
+func (d *Driver) Read(f func(k *scheduler.Kernel)) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.ready {
+		return false
+	}
+	f(d.Kernel)
+	return true
+}
+
+// Age returns how old this entry's view of the log is, and false if it never
+// had one.
+func (d *Driver) Age(now time.Time) (time.Duration, bool) {
+	d.mu.Lock()
+	ready := d.ready
+	d.mu.Unlock()
+	if !ready {
+		return 0, false
+	}
+	v := d.tail.View()
+	return now.Sub(v.Asked), !v.Asked.IsZero()
+}
+
+// rejection returns why a record at an offset did not count, and whether the
+// offset was folded.
+func (d *Driver) rejection(offset uint64, same func(*message.Record) bool) (string, bool, chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.ready || d.Kernel.State.Next <= offset {
+		return "", false, d.folded
+	}
+	for _, r := range d.rejects[offset] {
+		if same(&r.Record) {
+			return r.Reason, true, nil
+		}
+	}
+	return "", true, nil
+}
+
+// First reports whether this entry is ranked first for a key.
+func (d *Driver) First(now time.Time, key string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ready && d.Kernel.First(now, key)
+}
--- /dev/null
+++ b/internal/entry/linker/linker.go
@@ -0,0 +1,256 @@
+// Package linker takes the connections of agents on an entry.
+package linker
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"knapweedspur/internal/config/cataloger"
+	"knapweedspur/internal/entry/driver"
+	"knapweedspur/internal/entry/tracker"
+	"knapweedspur/internal/link/carrier"
+	"knapweedspur/internal/route/forwarder"
+	"knapweedspur/internal/task/scheduler"
+	"knapweedspur/internal/wire/message"
+)
+
+const (
+	// queueSize is how many control frames may wait for one agent.
+	queueSize = 1024
+	// helloTimeout is how long an agent may take for its first frame.
+	helloTimeout = 5 * time.Second
+	// rejoinPause is the least time between two joins offered for an agent.
+	rejoinPause = 2 * time.Second
+)
+
+// Linker takes connections. Set the exported fields before use.
+type Linker struct {
+	// Tracker holds the members.
+	Tracker *tracker.Tracker
+	// Driver is told what agents say.
+	Driver *driver.Driver
+	// Catalog holds the declarations.
+	Catalog *cataloger.Cataloger
+	// Domain is the entry's own failure domain.
+	Domain string
+	// Silence is how long an agent may say nothing.
+	Silence time.Duration
+	// Logger takes what happens.
+	Logger hclog.Logger
+
+	mu    sync.Mutex
+	links map[*link]struct{}
+	ended bool
+}
+
+// link is one connection.
+type link struct {
+	*Linker
+	conn     *carrier.Conn
+	exchange *forwarder.Exchange
+	queue    chan *message.Frame
+	member   *tracker.Member
+	joined   time.Time
+	entries  []netip.AddrPort
+	offset   uint64
+}
+
+// Send sends a frame at once.
+func (l *link) Send(f *message.Frame) error {
+	err := l.conn.Send(f)
+	if err != nil {
+		l.conn.Close()
+	}
+	return err
+}
+
+// Queue sends a frame later.
+func (l *link) Queue(f *message.Frame) bool {
+	select {
+	case l.queue <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// Exchange returns the requests that wait on the connection.
+func (l *link) Exchange() *forwarder.Exchange { return l.exchange }
+
+// ServeHTTP takes one connection and serves it until it ends.
+func (k *Linker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, err := carrier.Accept(w, r)
+	if err != nil {
+		k.Logger.Debug("no connection with an agent", "error", err)
+		return
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
+	defer cancel()
+	l := &link{Linker: k, conn: conn, exchange: forwarder.NewExchange(), queue: make(chan *message.Frame, queueSize)}
+	if !k.hold(l) {
+		return
+	}
+	defer k.drop(l)
+	hello, err := l.hello(ctx)
+	if err != nil {
+		k.Logger.Warn("an agent did not say who it is", "error", err)
+		return
+	}
+	go l.send(ctx)
+	l.serve(ctx, hello)
+}
+
+func (k *Linker) hold(l *link) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.links == nil {
+		k.links = map[*link]struct{}{}
+	}
+	k.links[l] = struct{}{}
+	return !k.ended
+}
+
+func (k *Linker) drop(l *link) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.links, l)
+}
+
+// Close ends all connections.
+func (k *Linker) Close() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ended = true
+	for l := range k.links {
+		l.conn.Close()
+	}
+}
+
+func (l *link) hello(ctx context.Context) (*message.Hello, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	f, err := l.conn.Receive(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if f.Hello == nil || f.Hello.VM == "" {
+		return nil, errNoHello
+	}
+	return f.Hello, nil
+}
+
+// send writes queued frames.
+func (l *link) send(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-l.queue:
+			if l.Send(f) != nil {
+				return
+			}
+		}
+	}
+}
+
+// serve adds the member and handles its frames until the connection ends.
+func (l *link) serve(ctx context.Context, hello *message.Hello) {
+	now := time.Now()
+	l.member = &tracker.Member{Hello: *hello, Caller: l, Since: now}
+	l.member.Candidate.VM = hello.VM
+	l.member.Candidate.Near = hello.Domain == l.Domain
+	if old := l.Tracker.Add(l.member); old != nil {
+		old.Caller.(*link).conn.Close()
+	}
+	l.Driver.Tell(now, scheduler.Linked{VM: hello.VM})
+	l.Logger.Info("agent connected", "vm", hello.VM, "domain", hello.Domain, "service", hello.Service)
+	err := l.receive(ctx)
+	l.exchange.Close()
+	if l.Tracker.Remove(l.member) {
+		l.Driver.Tell(time.Now(), scheduler.Unlinked{VM: hello.VM})
+	}
+	l.Logger.Info("agent disconnected", "vm", hello.VM, "error", err)
+}
+
+func (l *link) receive(ctx context.Context) error {
+	for {
+		call, cancel := context.WithTimeout(ctx, l.Silence)
+		f, err := l.conn.Receive(call)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if !l.handle(time.Now(), f) {
+			return errCredit
+		}
+	}
+}
+
+// handle takes one frame. It returns false if the agent broke the protocol.
+func (l *link) handle(now time.Time, f *message.Frame) bool {
+	vm := l.member.Hello.VM
+	switch {
+	case f.Answer != nil:
+		return l.exchange.Deliver(f.Answer)
+	case f.Heartbeat != nil:
+		l.beat(now, f.Heartbeat)
+	case f.Probe != nil:
+		if v := l.Driver.View(now, vm, f.Probe); v != nil {
+			l.Queue(&message.Frame{View: v})
+		}
+	case f.Started != nil:
+		l.Driver.Tell(now, scheduler.Acked{VM: vm, Attempts: f.Started.Attempts})
+	case f.Report != nil:
+		l.Driver.Tell(now, scheduler.Reported{VM: vm, Closes: f.Report.Closes})
+	case f.Rejoin != nil:
+		l.rejoin(now, f.Rejoin)
+	}
+	return true
+}
+
+func (l *link) beat(now time.Time, h *message.Heartbeat) {
+	if l.member.Beat(now, h) {
+		l.Tracker.Rebuild()
+	}
+	l.Driver.Tell(now, scheduler.Heard{VM: l.member.Hello.VM, Lease: h.Lease})
+	l.Queue(&message.Frame{Setting: l.setting(now)})
+}
+
+// setting returns the part of the configuration that the agent needs. The
+// entries alive go along when they have changed.
+func (l *link) setting(now time.Time) *message.Setting {
+	s := &message.Setting{}
+	if c := l.Catalog.Current(); c != nil {
+		s.Offset = c.Next
+		if spec := c.Service(l.member.Hello.Service); spec != nil {
+			s.Slots = spec.Slots
+			s.Connections = spec.Connections
+		}
+	}
+	entries := l.Driver.Entries(now)
+	slices.SortFunc(entries, netip.AddrPort.Compare)
+	if len(entries) > 0 && !slices.Equal(entries, l.entries) {
+		s.Entries = entries
+		l.entries = entries
+	}
+	return s
+}
+
+// rejoin offers a join record for an agent.
+func (l *link) rejoin(now time.Time, r *message.Rejoin) {
+	if now.Sub(l.joined) < rejoinPause {
+		return
+	}
+	l.joined = now
+	h := &l.member.Hello
+	l.Driver.Appender.Offer(message.Record{Join: &message.Join{
+		VM: h.VM, Boot: r.Boot, Lease: r.Lease, Agent: r.Agent, Size: r.Size, Rack: h.Rack, Domain: h.Domain, Held: r.Held,
+	}})
+}
--- /dev/null
+++ b/internal/platform/upstreamclient/upstream.go
@@ -0,0 +1,113 @@
+// Package upstreamclient reaches the upstream on the agent's own VM.
+package upstreamclient
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+
+	"github.com/gravitational/trace"
+
+	"knapweedspur/internal/wire/message"
+)
+
+// ErrNotSent means that the upstream never got the request.
+var ErrNotSent = errors.New("the upstream did not take the connection")
+
+// Response is the start of an answer. Close Body after use.
+type Response struct {
+	Status int
+	Header []message.Header
+	Body   io.ReadCloser
+}
+
+// Upstream is the narrow interface to the upstream. Another protocol means
+// another implementation of it.
+type Upstream interface {
+	// Do sends a request. An error that is ErrNotSent means that the upstream
+	// did not see it; after any other error the request may have run.
+	Do(ctx context.Context, r *message.Request) (*Response, error)
+	// Healthy returns nil if the upstream takes requests.
+	Healthy(ctx context.Context) error
+}
+
+// HTTP is an upstream over HTTP.
+type HTTP struct {
+	// Address is where the upstream listens.
+	Address netip.AddrPort
+	// Client sends the requests. It must not follow redirects.
+	Client *http.Client
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+}
+
+// ToHeaders returns the headers to pass on.
+func ToHeaders(h http.Header) []message.Header {
+	list := make([]message.Header, 0, len(h))
+	for name, values := range h {
+		if hopHeaders[name] {
+			continue
+		}
+		for _, v := range values {
+			list = append(list, message.Header{Name: name, Value: v})
+		}
+	}
+	return list
+}
+
+// Do sends a request.
+func (u *HTTP) Do(ctx context.Context, r *message.Request) (*Response, error) {
+	target, err := url.Parse("http://" + u.Address.String() + r.Path)
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, trace.BadParameter("path %q: %v", r.Path, err))
+	}
+	req := (&http.Request{Method: r.Method, URL: target, Host: target.Host, Header: make(http.Header, len(r.Header)), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}).WithContext(ctx)
+	for _, h := range r.Header {
+		req.Header.Add(h.Name, h.Value)
+	}
+	if len(r.Body) > 0 || r.Once {
+		// A body without GetBody keeps the transport from sending it again.
+		req.Body = io.NopCloser(bytes.NewReader(r.Body))
+		req.ContentLength = int64(len(r.Body))
+	}
+	resp, err := u.Client.Do(req)
+	if err != nil {
+		return nil, classify(err)
+	}
+	return &Response{Status: resp.StatusCode, Header: ToHeaders(resp.Header), Body: resp.Body}, nil
+}
+
+// classify tells a refused connection from a request that may have run.
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Join(ErrNotSent, err)
+	}
+	return err
+}
+
+// Healthy asks the upstream's health path.
+func (u *HTTP) Healthy(ctx context.Context) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Address.String()+"/healthz", nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	resp, err := u.Client.Do(req)
+	if err != nil {
+		return trace.ConnectionProblem(err, "check the upstream")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return trace.ConnectionProblem(nil, "upstream health: %s", resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/workerclient/http.go
@@ -0,0 +1,110 @@
+package workerclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"knapweedspur/internal/wire/message"
+)
+
+// Call is the body of a call to a worker over HTTP. Fields that a call does
+// not need are left out.
+type Call struct {
+	Agent      string            `json:"agent"`
+	Revision   int               `json:"revision,omitempty"`
+	Wait       time.Duration     `json:"wait,omitempty"`
+	Until      time.Duration     `json:"until,omitempty"`
+	Task       *Task             `json:"task,omitempty"`
+	Names      []message.Attempt `json:"names,omitempty"`
+	Checkpoint bool              `json:"checkpoint,omitempty"`
+}
+
+// The paths of the calls.
+const (
+	PathTake   = "/take"
+	PathWatch  = "/watch"
+	PathExtend = "/extend"
+	PathStart  = "/start"
+	PathStop   = "/stop"
+	PathForget = "/forget"
+)
+
+// HTTP is a worker over HTTP with JSON.
+type HTTP struct {
+	// Address is where the worker listens.
+	Address netip.AddrPort
+	// Client sends the calls.
+	Client *http.Client
+}
+
+func (h *HTTP) call(ctx context.Context, path string, call Call, into any) error {
+	body, err := json.Marshal(call)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.Address.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	resp, err := h.Client.Do(req)
+	if err != nil {
+		return trace.ConnectionProblem(err, "call the worker")
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return trace.ConnectionProblem(err, "call the worker")
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
+		return ErrSuperseded
+	default:
+		return trace.BadParameter("worker %s: %s: %s", path, resp.Status, answer)
+	}
+	if into == nil {
+		return nil
+	}
+	return trace.Wrap(json.Unmarshal(answer, into))
+}
+
+// Take makes the worker heed this agent process and no earlier one.
+func (h *HTTP) Take(ctx context.Context, agent string) (Status, error) {
+	var s Status
+	err := h.call(ctx, PathTake, Call{Agent: agent}, &s)
+	return s, err
+}
+
+// Watch waits for a status of another revision.
+func (h *HTTP) Watch(ctx context.Context, agent string, revision int, wait time.Duration) (Status, error) {
+	var s Status
+	err := h.call(ctx, PathWatch, Call{Agent: agent, Revision: revision, Wait: wait}, &s)
+	return s, err
+}
+
+// Extend lets tasks run until the worker's clock shows the stamp.
+func (h *HTTP) Extend(ctx context.Context, agent string, until time.Duration) error {
+	return h.call(ctx, PathExtend, Call{Agent: agent, Until: until}, nil)
+}
+
+// Start starts a task.
+func (h *HTTP) Start(ctx context.Context, agent string, t Task) error {
+	return h.call(ctx, PathStart, Call{Agent: agent, Task: &t}, nil)
+}
+
+// Stop ends a task.
+func (h *HTTP) Stop(ctx context.Context, agent string, name message.Attempt, checkpoint bool) error {
+	return h.call(ctx, PathStop, Call{Agent: agent, Names: []message.Attempt{name}, Checkpoint: checkpoint}, nil)
+}
+
+// Forget drops ended tasks.
+func (h *HTTP) Forget(ctx context.Context, agent string, names []message.Attempt) error {
+	return h.call(ctx, PathForget, Call{Agent: agent, Names: names}, nil)
+}
--- /dev/null
+++ b/internal/standin/commander/commander.go
@@ -0,0 +1,55 @@
+// Package commander is the command line of the stand-ins: one file per
+// command.
+package commander
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+type root struct {
+	Log      logCommand      `cmd:"" help:"Stand in for the log service."`
+	Worker   workerCommand   `cmd:"" help:"Stand in for a worker."`
+	Upstream upstreamCommand `cmd:"" help:"Stand in for an upstream."`
+	Load     loadCommand     `cmd:"" help:"Send a load and check the answers."`
+	Verify   verifyCommand   `cmd:"" help:"Check what workers and upstreams saw against the promises."`
+}
+
+type environment struct{ out, errs io.Writer }
+
+// Run runs one command and returns the exit code.
+func Run(args []string, out, errs io.Writer) int {
+	var r root
+	exited := -1
+	parser, err := kong.New(&r, kong.Name("standin"), kong.Writers(out, errs), kong.Exit(func(code int) { exited = code }))
+	if err != nil {
+		fmt.Fprintln(errs, "standin:", err)
+		return 1
+	}
+	parsed, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		fmt.Fprintln(errs, "standin:", err)
+		return 2
+	}
+	if err := parsed.Run(&environment{out: out, errs: errs}); err != nil {
+		fmt.Fprintln(errs, "standin:", err)
+		return 1
+	}
+	return 0
+}
+
+const headerTimeout = 5 * time.Second
+
+// serve serves until the process is ended.
+func serve(address netip.AddrPort, handler http.Handler) error {
+	s := &http.Server{Addr: address.String(), Handler: handler, ReadHeaderTimeout: headerTimeout}
+	return s.ListenAndServe()
+}
--- /dev/null
+++ b/internal/standin/commander/log.go
@@ -0,0 +1,19 @@
+package commander
+
+import (
+	"net/netip"
+
+	"knapweedspur/internal/standin/logkeeper"
+)
+
+type logCommand struct {
+	Listen netip.AddrPort `help:"Address to listen on." default:"127.0.0.1:9000"`
+	Rate   int            `help:"Most appends a second." default:"300"`
+	Keep   int            `help:"Values of a stream that are kept, 0 for all."`
+}
+
+// Run runs the log.
+func (c *logCommand) Run() error {
+	k := &logkeeper.Keeper{Rate: c.Rate, Keep: c.Keep}
+	return serve(c.Listen, k.Handler())
+}
--- /dev/null
+++ b/internal/standin/commander/verify.go
@@ -0,0 +1,70 @@
+package commander
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"knapweedspur/internal/standin/auditor"
+	"knapweedspur/internal/standin/taskrunner"
+)
+
+type verifyCommand struct {
+	Workers   []netip.AddrPort `help:"Workers to ask when which attempts ran."`
+	Upstreams []netip.AddrPort `help:"Upstreams to ask how often requests ran."`
+	Fates     []string         `help:"Files with the fates of POSTs."`
+}
+
+// Run checks the promises and prints a line for each.
+func (c *verifyCommand) Run(env *environment) error {
+	var intervals []taskrunner.Interval
+	for _, w := range c.Workers {
+		var list []taskrunner.Interval
+		if err := fetch(w, "/history", &list); err != nil {
+			return err
+		}
+		intervals = append(intervals, list...)
+	}
+	runs := map[string]int{}
+	for _, u := range c.Upstreams {
+		var counted map[string]int
+		if err := fetch(u, "/standin/runs", &counted); err != nil {
+			return err
+		}
+		for id, n := range counted {
+			runs[id] += n
+		}
+	}
+	fates := map[string]string{}
+	for _, file := range c.Fates {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(data, &fates); err != nil {
+			return err
+		}
+	}
+	faults := append(auditor.Tasks(intervals), auditor.Requests(runs, fates)...)
+	for _, f := range faults {
+		fmt.Fprintln(env.out, f)
+	}
+	fmt.Fprintf(env.out, "checked %d stretches of running tasks, %d requests that may run once: %d faults\n", len(intervals), len(fates), len(faults))
+	if len(faults) > 0 {
+		return fmt.Errorf("%d promises broken", len(faults))
+	}
+	return nil
+}
+
+func fetch(address netip.AddrPort, path string, into any) error {
+	client := &http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + address.String() + path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
--- /dev/null
+++ b/internal/standin/logkeeper/handler.go
@@ -0,0 +1,95 @@
+package logkeeper
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"knapweedspur/internal/platform/logclient"
+	"knapweedspur/internal/wire/encoder"
+)
+
+const (
+	maxValue = 4 << 20
+	maxWait  = 30 * time.Second
+)
+
+// Handler returns the log over HTTP.
+func (k *Keeper) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/streams/{stream}", k.serveAppend).Methods(http.MethodPost)
+	r.HandleFunc("/streams/{stream}", k.serveRead).Methods(http.MethodGet)
+	r.HandleFunc("/faults", k.serveFaults).Methods(http.MethodPost)
+	r.HandleFunc("/totals", k.serveTotals).Methods(http.MethodGet)
+	return r
+}
+
+func (k *Keeper) serveAppend(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(io.LimitReader(r.Body, maxValue))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	offset, err := k.Append(r.Context(), mux.Vars(r)["stream"], value)
+	switch {
+	case errors.Is(err, logclient.ErrRejected):
+		http.Error(w, "too many appends", http.StatusTooManyRequests)
+	case errors.Is(err, ErrLost):
+		// A connection that breaks is how a lost answer looks.
+		panic(http.ErrAbortHandler)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		fmt.Fprint(w, offset)
+	}
+}
+
+func (k *Keeper) serveRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from is not an offset", http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil || wait < 0 || wait > maxWait {
+		http.Error(w, "wait is not a time up to 30s", http.StatusBadRequest)
+		return
+	}
+	page, err := k.Read(r.Context(), mux.Vars(r)["stream"], from, wait)
+	var cut *logclient.CutError
+	if errors.As(err, &cut) {
+		w.WriteHeader(http.StatusGone)
+		fmt.Fprint(w, cut.Oldest)
+		return
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	data, err := encoder.Encode(&page)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (k *Keeper) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	k.SetFaults(f)
+}
+
+func (k *Keeper) serveTotals(w http.ResponseWriter, _ *http.Request) {
+	appends, bytes := k.Totals()
+	_ = json.NewEncoder(w).Encode(map[string]int{"appends": appends, "bytes": bytes})
+}
--- /dev/null
+++ b/internal/standin/responder/responder.go
@@ -0,0 +1,124 @@
+// Package responder stands in for an upstream in tests and the demo. Its
+// answers echo what the request asked, so that a mix-up shows.
+package responder
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// IDHeader names a request; the answer repeats it.
+const IDHeader = "Load-Id"
+
+// maxBody is the largest body that is echoed, in bytes.
+const maxBody = 16 << 20
+
+// Responder is an upstream. Set the exported fields before use.
+type Responder struct {
+	// Service is how long a request takes.
+	Service time.Duration
+	// Spread is the share of Service by which requests differ, 0 to 1.
+	Spread float64
+
+	mu     sync.Mutex
+	slow   float64
+	runs   map[string]int
+	active int
+	peak   int
+}
+
+// Runs returns how often each named request ran.
+func (u *Responder) Runs() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	runs := make(map[string]int, len(u.runs))
+	for id, n := range u.runs {
+		runs[id] = n
+	}
+	return runs
+}
+
+// Slow multiplies the service time from now on.
+func (u *Responder) Slow(factor float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.slow = factor
+}
+
+// Handler returns the upstream's routes.
+func (u *Responder) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	m.HandleFunc("/standin/runs", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(u.Runs()) })
+	m.HandleFunc("/standin/slow", func(w http.ResponseWriter, r *http.Request) {
+		var factor float64
+		_, _ = fmt.Sscan(r.URL.Query().Get("factor"), &factor)
+		u.Slow(factor)
+	})
+	m.HandleFunc("/", u.serve)
+	return m
+}
+
+func (u *Responder) serve(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(IDHeader)
+	took := u.begin(id)
+	defer u.end()
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if took > 0 {
+		select {
+		case <-time.After(took):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	w.Header().Set(IDHeader, id)
+	var size int
+	if n, _ := fmt.Sscan(r.URL.Query().Get("size"), &size); n == 1 && size > 0 && size <= maxBody {
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+		return
+	}
+	fmt.Fprintf(w, "%s %s %s ", r.Method, r.URL.Path, id)
+	_, _ = w.Write(body)
+}
+
+// begin notes a run and returns how long it takes.
+func (u *Responder) begin(id string) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.active++
+	u.peak = max(u.peak, u.active)
+	if id != "" {
+		if u.runs == nil {
+			u.runs = map[string]int{}
+		}
+		u.runs[id]++
+	}
+	took := float64(u.Service) * (1 + u.Spread*(2*rand.Float64()-1))
+	if u.slow > 0 {
+		took *= u.slow
+	}
+	return time.Duration(took)
+}
+
+func (u *Responder) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.active--
+}
+
+// Peak returns the most requests that ran at once.
+func (u *Responder) Peak() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.peak
+}
--- /dev/null
+++ b/internal/state/taskfolder/event.go
@@ -0,0 +1,86 @@
+package taskfolder
+
+import "knapweedspur/internal/wire/message"
+
+// Event tells what a record changed. The set of events is closed.
+type Event interface{ event() }
+
+// Submitted tells of a new run.
+type Submitted struct{ Run string }
+
+// CancelledRun tells of a cancelled run. Open are its attempts to stop.
+type CancelledRun struct {
+	Run  string
+	Open []message.Place
+}
+
+// Placed tells of an opened attempt.
+type Placed struct {
+	Place  message.Place
+	Writer string
+	Team   string
+	Size   message.Size
+}
+
+// Closed tells of a closed attempt and the phase that its task has now.
+type Closed struct {
+	Close message.Close
+	VM    string
+	Phase Phase
+	Job   string
+	Team  string
+	Size  message.Size
+}
+
+// Carried tells of an open attempt that goes on under a VM's new lease.
+type Carried struct {
+	Key Key
+	VM  string
+}
+
+// Joined tells of a VM's new lease.
+type Joined struct {
+	VM    string
+	Lease int
+}
+
+// Fenced tells of a fence.
+type Fenced struct {
+	VM     string
+	Lease  int
+	Offset uint64
+}
+
+// Drained tells that a VM takes new work or takes none.
+type Drained struct {
+	VM string
+	On bool
+}
+
+// Alive tells that an entry is at work.
+type Alive struct{ Entry string }
+
+// Ended tells that a run has no task left.
+type Ended struct{ Run string }
+
+// Forgotten tells of a VM that was dropped from the state.
+type Forgotten struct{ VM string }
+
+// Rejected tells of a record that does not count.
+type Rejected struct {
+	Record message.Record
+	Reason string
+}
+
+func (Submitted) event()    {}
+func (CancelledRun) event() {}
+func (Placed) event()       {}
+func (Closed) event()       {}
+func (Carried) event()      {}
+func (Joined) event()       {}
+func (Fenced) event()       {}
+func (Drained) event()      {}
+func (Alive) event()        {}
+func (Ended) event()        {}
+func (Forgotten) event()    {}
+func (Rejected) event()     {}
--- /dev/null
+++ b/internal/task/scheduler/kernel.go
@@ -0,0 +1,262 @@
+// Package scheduler is the kernel that owns tasks: a pure step from an event
+// to actions. It places pending tasks, sends starts and stops, records how
+// attempts ended, fences VMs that are lost and lapses what they held.
+//
+// Owners are soft. Any entry may offer any record; the order of the log
+// decides which one counts.
+package scheduler
+
+import (
+	"time"
+
+	"knapweedspur/internal/place/ranker"
+	"knapweedspur/internal/policy/placer"
+	"knapweedspur/internal/state/taskfolder"
+	"knapweedspur/internal/wire/message"
+)
+
+// Pauses and spans of the kernel.
+const (
+	// AliveSpan is how long an entry counts as alive after its last sign.
+	AliveSpan = 15 * time.Second
+	// ResendAfter is the time between two sendings of a start or stop.
+	ResendAfter = 2 * time.Second
+	// RankStep is how much longer an entry waits for each one ranked before it.
+	RankStep = time.Second
+	// ForgetAfter is how long a lost VM with nothing open is remembered.
+	ForgetAfter = time.Hour
+
+	// margin is the share of the hold time added for the drift of clocks.
+	margin = 20
+	// maxOffers is how many place records may be on their way.
+	maxOffers = 4096
+)
+
+// Kernel is the state of one entry's scheduling. It is not safe for
+// concurrent use. Set the exported fields, then Init.
+type Kernel struct {
+	// Entry is this entry's incarnation.
+	Entry string
+	// State is the fold of the task stream; the caller folds, then tells.
+	State *taskfolder.State
+	// Place picks VMs.
+	Place placer.Policy
+	// Quota returns a team's quota, and false if it has none.
+	Quota func(team string) (message.Size, bool)
+	// Hold is the hold time of leases.
+	Hold time.Duration
+	// Suspect is how long a VM may be silent before it is fenced.
+	Suspect time.Duration
+
+	began   time.Time
+	alive   map[string]time.Time
+	vms     map[string]*vm
+	runs    map[string]*backlog
+	order   []string
+	offered map[taskfolder.Key]offered
+	closing map[message.Attempt]time.Time
+	stops   map[taskfolder.Key]*resend
+	held    []Reported
+	heldAt  []time.Time
+	used    map[string]message.Size
+	failing map[string]map[string]bool
+	dirty   bool
+}
+
+// vm is what the kernel knows of a VM besides the fold.
+type vm struct {
+	placer.VM
+	linked   bool
+	offered  message.Size
+	good     time.Time
+	starts   map[taskfolder.Key]*resend
+	fencing  time.Time
+	fenced   time.Time
+	fence    uint64
+	lapsing  bool
+	asked    time.Time
+	barCount int
+}
+
+// offered is a place record on its way.
+type offered struct {
+	vm   string
+	size message.Size
+}
+
+// resend is a message that is sent until it has taken effect.
+type resend struct {
+	due   time.Time
+	stop  bool
+	check bool
+}
+
+// backlog is what waits of a run.
+type backlog struct {
+	tasks  []waiting
+	reason string
+}
+
+type waiting struct {
+	task  int
+	since time.Time
+}
+
+// Init reads the state as it is, after a snapshot for example.
+func (k *Kernel) Init(now time.Time) {
+	k.began = now
+	k.alive = map[string]time.Time{}
+	k.vms = map[string]*vm{}
+	k.runs = map[string]*backlog{}
+	k.order = nil
+	k.offered = map[taskfolder.Key]offered{}
+	k.closing = map[message.Attempt]time.Time{}
+	k.stops = map[taskfolder.Key]*resend{}
+	k.used = map[string]message.Size{}
+	k.failing = map[string]map[string]bool{}
+	for name := range k.State.VMs {
+		k.joined(now, name)
+	}
+	for name, run := range k.State.Runs {
+		k.adopt(now, name, run)
+	}
+	for name, v := range k.State.VMs {
+		if v.Fence != 0 {
+			k.vms[name].fenced = now
+			k.vms[name].fence = v.Fence
+		}
+	}
+}
+
+// adopt takes over a run of the state.
+func (k *Kernel) adopt(now time.Time, name string, run *taskfolder.Run) {
+	if run == nil {
+		return
+	}
+	for i := range run.Tasks {
+		task := &run.Tasks[i]
+		key := taskfolder.Key{Run: name, Task: i}
+		switch task.Phase {
+		case taskfolder.Pending:
+			k.wait(now, key)
+		case taskfolder.Open:
+			k.used[run.Team] = placer.Add(k.used[run.Team], run.Size)
+			if run.Cancelled {
+				k.stops[key] = &resend{due: now, stop: true}
+			}
+		}
+	}
+}
+
+// Step takes an event and returns what to do.
+func (k *Kernel) Step(now time.Time, event Event) []Action {
+	s := step{Kernel: k, now: now}
+	switch e := event.(type) {
+	case Folded:
+		s.foldedAll(e.Changes)
+	case Viewed:
+		s.viewed(e.Asked)
+	case Linked:
+		s.link(e.VM)
+	case Unlinked:
+		k.known(e.VM).linked = false
+	case Heard:
+		s.heard(e)
+	case Acked:
+		for _, a := range e.Attempts {
+			delete(k.known(e.VM).starts, taskfolder.Key{Run: a.Run, Task: a.Task})
+		}
+	case Reported:
+		s.reported(e)
+	case PeersAnswered:
+		s.peersAnswered(e)
+	case Ticked:
+		s.tick()
+	case Refused:
+		s.refused(e.Record)
+	}
+	s.schedule()
+	return s.actions
+}
+
+// step is one step of the kernel.
+type step struct {
+	*Kernel
+	now     time.Time
+	actions []Action
+}
+
+func (s *step) offer(r message.Record) { s.actions = append(s.actions, Offer{Record: r}) }
+
+func (s *step) send(vm string, f *message.Frame) {
+	s.actions = append(s.actions, Send{VM: vm, Frame: f})
+}
+
+// known returns what is known of a VM, and makes room for a new one.
+func (k *Kernel) known(name string) *vm {
+	v := k.vms[name]
+	if v == nil {
+		v = &vm{starts: map[taskfolder.Key]*resend{}}
+		v.Name = name
+		k.vms[name] = v
+	}
+	return v
+}
+
+// joined takes a VM's size and lease from the fold.
+func (k *Kernel) joined(now time.Time, name string) {
+	folded := k.State.VMs[name]
+	v := k.known(name)
+	v.Lease = folded.Lease
+	v.Rack = folded.Rack
+	v.Domain = folded.Domain
+	v.Size = folded.Size
+	k.recount(v)
+	v.good = now
+	v.fenced = time.Time{}
+	v.fencing = time.Time{}
+	v.fence = 0
+	v.lapsing = false
+	k.dirty = true
+}
+
+// recount works out what is free on a VM after what is open and offered there.
+func (k *Kernel) recount(v *vm) {
+	v.Free = placer.Sub(v.Size, v.offered)
+	k.State.OpenOn(v.Name, func(_ taskfolder.Key, run *taskfolder.Run, _ *taskfolder.Task) {
+		v.Free = placer.Sub(v.Free, run.Size)
+	})
+}
+
+// Alive returns the entries that count as alive, this one always.
+func (k *Kernel) Alive(now time.Time) []string {
+	list := []string{k.Entry}
+	for name, seen := range k.alive {
+		if name != k.Entry && now.Sub(seen) < AliveSpan {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// Waiting returns how many tasks of a run wait, and why the first does.
+func (k *Kernel) Waiting(run string) (int, string) {
+	b := k.runs[run]
+	if b == nil {
+		return 0, ""
+	}
+	return len(b.tasks), b.reason
+}
+
+// First reports whether this entry is ranked first for a key.
+func (k *Kernel) First(now time.Time, key string) bool {
+	return ranker.Rank(key, k.Entry, k.Alive(now)) == 0
+}
+
+// Barred returns until when a VM is set aside, zero for not at all.
+func (k *Kernel) Barred(name string) time.Time {
+	if v := k.vms[name]; v != nil {
+		return v.Barred
+	}
+	return time.Time{}
+}
