--- a/internal/cli/runner/cancel.go
+++ b/internal/cli/runner/cancel.go
@@ -26,6 +26,6 @@
 	if err := c.call(http.MethodDelete, "/v1/runs/"+url.PathEscape(c.Name)+"?who="+url.QueryEscape(c.who()), nil, &run); err != nil {
 		return err
 	}
-	fmt.Fprintf(env.out, "cancelled %s: %d done, %d cancelled, %d still stopping\n", run.Run, run.Done, run.Cancelled, run.Open)
+	fmt.Fprintf(env.out, "canceled %s: %d done, %d canceled, %d still stopping\n", run.Run, run.Done, run.Canceled, run.Open)
 	return nil
 }
--- a/internal/cli/runner/status.go
+++ b/internal/cli/runner/status.go
@@ -41,7 +41,7 @@
 	table(env.out, "DOMAIN\tRACK\tVM\tSERVICE\tREQUESTS\tTASKS\tLEASE\tOFFSET\tSTATE", agentRows(s.Agents))
 	if len(s.Runs) > 0 {
 		fmt.Fprintln(env.out)
-		table(env.out, "RUN\tTEAM\tPENDING\tOPEN\tDONE\tFAILED\tCANCELLED\tATTEMPTS\tREASON", runRows(s.Runs))
+		table(env.out, "RUN\tTEAM\tPENDING\tOPEN\tDONE\tFAILED\tCANCELED\tATTEMPTS\tREASON", runRows(s.Runs))
 	}
 	return nil
 }
@@ -75,7 +75,7 @@
 func runRows(runs []admin.Run) []string {
 	rows := make([]string, 0, len(runs))
 	for _, r := range runs {
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s", r.Run, r.Team, r.Pending, r.Open, r.Done, r.Failed, r.Cancelled, r.Attempts, r.Reason))
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s", r.Run, r.Team, r.Pending, r.Open, r.Done, r.Failed, r.Canceled, r.Attempts, r.Reason))
 	}
 	return rows
 }
--- a/internal/cli/runner/submit.go
+++ b/internal/cli/runner/submit.go
@@ -45,8 +45,8 @@
 		}
 	}
 	if c.Wait {
-		fmt.Fprintf(env.out, "%s ended: %d done, %d failed, %d cancelled\n", run.Run, run.Done, run.Failed, run.Cancelled)
-		if run.Failed+run.Cancelled > 0 {
+		fmt.Fprintf(env.out, "%s ended: %d done, %d failed, %d canceled\n", run.Run, run.Done, run.Failed, run.Canceled)
+		if run.Failed+run.Canceled > 0 {
 			return trace.Errorf("not all tasks are done")
 		}
 	}
--- a/internal/entry/driver/driver.go
+++ b/internal/entry/driver/driver.go
@@ -196,7 +196,7 @@
 		switch a := action.(type) {
 		case scheduler.Offer:
 			if d.Appender.Offer(a.Record) == nil {
-				d.run(now, d.Kernel.Step(now, scheduler.Refused{Record: a.Record}))
+				d.run(now, d.Kernel.Step(now, scheduler.Refused(a)))
 			}
 		case scheduler.Send:
 			if m := d.Tracker.Get(a.VM); m != nil {
--- a/internal/entry/linker/linker.go
+++ b/internal/entry/linker/linker.go
@@ -58,7 +58,6 @@
 	member   *tracker.Member
 	joined   time.Time
 	entries  []netip.AddrPort
-	offset   uint64
 }
 
 // Send sends a frame at once.
--- a/internal/entry/summarizer/summarizer.go
+++ b/internal/entry/summarizer/summarizer.go
@@ -29,8 +29,8 @@
 			sum.Done++
 		case taskfolder.Failed:
 			sum.Failed++
-		case taskfolder.Cancelled:
-			sum.Cancelled++
+		case taskfolder.Canceled:
+			sum.Canceled++
 		}
 	}
 	_, sum.Reason = k.Waiting(name)
@@ -67,8 +67,8 @@
 
 func whyRun(k *scheduler.Kernel, name string, run *taskfolder.Run) []string {
 	sum := Run(k, name)
-	lines := []string{fmt.Sprintf("run of job %s of team %s: %d tasks pending, %d open, %d done, %d failed, %d cancelled",
-		run.Job, run.Team, sum.Pending, sum.Open, sum.Done, sum.Failed, sum.Cancelled)}
+	lines := []string{fmt.Sprintf("run of job %s of team %s: %d tasks pending, %d open, %d done, %d failed, %d canceled",
+		run.Job, run.Team, sum.Pending, sum.Open, sum.Done, sum.Failed, sum.Canceled)}
 	if sum.Pending > 0 {
 		reason := sum.Reason
 		if reason == "" {
--- a/internal/link/carrier/carrier.go
+++ b/internal/link/carrier/carrier.go
@@ -33,7 +33,7 @@
 // Dial connects to an entry.
 func Dial(ctx context.Context, client *http.Client, scheme string, address netip.AddrPort, header http.Header) (*Conn, error) {
 	opts := &websocket.DialOptions{HTTPClient: client, HTTPHeader: header, CompressionMode: websocket.CompressionDisabled}
-	ws, resp, err := websocket.Dial(ctx, scheme+"://"+address.String()+Path, opts)
+	ws, resp, err := websocket.Dial(ctx, scheme+"://"+address.String()+Path, opts) //nolint:bodyclose // the library closes it
 	if err != nil {
 		if resp != nil && resp.StatusCode == http.StatusUnauthorized {
 			return nil, trace.AccessDenied("entry %s does not take this agent's token", address)
--- a/internal/platform/upstreamclient/upstream.go
+++ b/internal/platform/upstreamclient/upstream.go
@@ -79,7 +79,7 @@
 		req.Body = io.NopCloser(bytes.NewReader(r.Body))
 		req.ContentLength = int64(len(r.Body))
 	}
-	resp, err := u.Client.Do(req)
+	resp, err := u.Client.Do(req) //nolint:bodyclose // the caller of Do closes it
 	if err != nil {
 		return nil, classify(err)
 	}
--- a/internal/state/taskfolder/event.go
+++ b/internal/state/taskfolder/event.go
@@ -8,8 +8,8 @@
 // Submitted tells of a new run.
 type Submitted struct{ Run string }
 
-// CancelledRun tells of a cancelled run. Open are its attempts to stop.
-type CancelledRun struct {
+// CanceledRun tells of a canceled run. Open are its attempts to stop.
+type CanceledRun struct {
 	Run  string
 	Open []message.Place
 }
@@ -72,15 +72,15 @@
 	Reason string
 }
 
-func (Submitted) event()    {}
-func (CancelledRun) event() {}
-func (Placed) event()       {}
-func (Closed) event()       {}
-func (Carried) event()      {}
-func (Joined) event()       {}
-func (Fenced) event()       {}
-func (Drained) event()      {}
-func (Alive) event()        {}
-func (Ended) event()        {}
-func (Forgotten) event()    {}
-func (Rejected) event()     {}
+func (Submitted) event()   {}
+func (CanceledRun) event() {}
+func (Placed) event()      {}
+func (Closed) event()      {}
+func (Carried) event()     {}
+func (Joined) event()      {}
+func (Fenced) event()      {}
+func (Drained) event()     {}
+func (Alive) event()       {}
+func (Ended) event()       {}
+func (Forgotten) event()   {}
+func (Rejected) event()    {}
--- a/internal/state/taskfolder/fold.go
+++ b/internal/state/taskfolder/fold.go
@@ -157,16 +157,16 @@
 	if run == nil {
 		return "no such run"
 	}
-	if run.Cancelled || run.Left == 0 {
-		return "the run has ended or is cancelled already"
+	if run.Canceled || run.Left == 0 {
+		return "the run has ended or is canceled already"
 	}
-	run.Cancelled = true
-	event := CancelledRun{Run: r.Run}
+	run.Canceled = true
+	event := CanceledRun{Run: r.Run}
 	for i := range run.Tasks {
 		task := &run.Tasks[i]
 		switch task.Phase {
 		case Pending:
-			task.Phase = Cancelled
+			task.Phase = Canceled
 			run.Left--
 		case Open:
 			event.Open = append(event.Open, message.Place{
@@ -249,8 +249,8 @@
 	if r.How == HowDone {
 		return Done
 	}
-	if run.Cancelled {
-		return Cancelled
+	if run.Canceled {
+		return Canceled
 	}
 	if r.How == HowFailed {
 		task.Failures++
--- a/internal/state/taskfolder/state.go
+++ b/internal/state/taskfolder/state.go
@@ -37,13 +37,13 @@
 	Done
 	// Failed means that the task was given up.
 	Failed
-	// Cancelled means that the run was cancelled.
-	Cancelled
+	// Canceled means that the run was canceled.
+	Canceled
 )
 
 // String returns the name of the phase.
 func (p Phase) String() string {
-	return [...]string{"pending", "open", "done", "failed", "cancelled"}[p]
+	return [...]string{"pending", "open", "done", "failed", "canceled"}[p]
 }
 
 // Task is one task of a run.
@@ -65,7 +65,7 @@
 	Expect    time.Duration `cbor:"5,keyasint"`
 	Urgent    bool          `cbor:"6,keyasint"`
 	Evict     bool          `cbor:"7,keyasint"`
-	Cancelled bool          `cbor:"8,keyasint"`
+	Canceled  bool          `cbor:"8,keyasint"`
 	Left      int           `cbor:"9,keyasint"`
 	Tasks     []Task        `cbor:"10,keyasint"`
 	Submitted time.Time     `cbor:"11,keyasint"`
--- a/internal/task/scheduler/dispatch.go
+++ b/internal/task/scheduler/dispatch.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		r.due = s.now.Add(ResendAfter)
-		if run.Cancelled {
+		if run.Canceled {
 			continue
 		}
 		s.send(v.Name, &message.Frame{Start: &message.Start{
--- a/internal/task/scheduler/fold.go
+++ b/internal/task/scheduler/fold.go
@@ -52,8 +52,8 @@
 	switch c := change.(type) {
 	case taskfolder.Submitted:
 		s.adopt(s.now, c.Run, s.State.Runs[c.Run])
-	case taskfolder.CancelledRun:
-		s.cancelled(c)
+	case taskfolder.CanceledRun:
+		s.canceled(c)
 	case taskfolder.Placed:
 		s.placed(c)
 	case taskfolder.Closed:
@@ -92,7 +92,7 @@
 	k.dirty = true
 }
 
-func (s *step) cancelled(c taskfolder.CancelledRun) {
+func (s *step) canceled(c taskfolder.CanceledRun) {
 	s.forgetRun(c.Run)
 	for _, place := range c.Open {
 		key := taskfolder.Key{Run: place.Run, Task: place.Task}
--- a/internal/task/scheduler/kernel.go
+++ b/internal/task/scheduler/kernel.go
@@ -141,7 +141,7 @@
 			k.wait(now, key)
 		case taskfolder.Open:
 			k.used[run.Team] = placer.Add(k.used[run.Team], run.Size)
-			if run.Cancelled {
+			if run.Canceled {
 				k.stops[key] = &resend{due: now, stop: true}
 			}
 		}
--- a/internal/task/scheduler/schedule.go
+++ b/internal/task/scheduler/schedule.go
@@ -11,7 +11,7 @@
 	"knapweedspur/internal/wire/message"
 )
 
-// block is how many neighbouring tasks of a run have the same owner.
+// block is how many neighboring tasks of a run have the same owner.
 const block = 64
 
 // schedule places what waits, teams with the least of their quota in use first.
--- a/internal/wire/admin/admin.go
+++ b/internal/wire/admin/admin.go
@@ -100,8 +100,8 @@
 	// Attempts corresponds to the JSON schema field "attempts".
 	Attempts int `json:"attempts" cbor:"attempts" yaml:"attempts"`
 
-	// Cancelled corresponds to the JSON schema field "cancelled".
-	Cancelled int `json:"cancelled" cbor:"cancelled" yaml:"cancelled"`
+	// Canceled corresponds to the JSON schema field "canceled".
+	Canceled int `json:"canceled" cbor:"canceled" yaml:"canceled"`
 
 	// Done corresponds to the JSON schema field "done".
 	Done int `json:"done" cbor:"done" yaml:"done"`
