--- a/internal/agent/assembler/agent.go
+++ b/internal/agent/assembler/agent.go
@@ -1,9 +1,14 @@
 package assembler
 
 import (
+	"context"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"knapweedspur/internal/agent/admitter"
 	"knapweedspur/internal/agent/announcer"
 	"knapweedspur/internal/agent/runner"
@@ -11,9 +16,19 @@
 	"knapweedspur/internal/wire/message"
 )
 
-// agent joins the parts: it tells entries of them, and hands frames on to them.
-type agent struct {
+// Agent joins the parts: it tells entries of them, and hands frames on to them.
+type Agent struct {
+	// Done is closed when the agent has stopped.
+	Done chan struct{}
+	// Ended tells why the agent can't go on.
+	Ended chan error
+
 	settings  *Settings
+	platform  Platform
+	logger    hclog.Logger
+	cancel    context.CancelFunc
+	group     sync.WaitGroup
+	metrics   *http.Server
 	name      string
 	admitter  *admitter.Admitter
 	server    *server.Server
@@ -22,11 +37,11 @@
 	offset    atomic.Uint64
 }
 
-func (a *agent) hello() *message.Hello {
+func (a *Agent) hello() *message.Hello {
 	return &message.Hello{VM: a.settings.VM, Agent: a.name, Rack: a.settings.Rack, Domain: a.settings.Domain, Service: a.settings.Service}
 }
 
-func (a *agent) heartbeat() *message.Heartbeat {
+func (a *Agent) heartbeat() *message.Heartbeat {
 	load := a.admitter.Load()
 	h := &message.Heartbeat{
 		Running: load.Running + load.Queued, Leaving: load.Leaving,
@@ -45,12 +60,12 @@
 
 // handler hands on the frames of one connection.
 type handler struct {
-	agent *agent
+	agent *Agent
 	link  *announcer.Link
 	calls *server.Link
 }
 
-func (a *agent) connected(link *announcer.Link) announcer.Handler {
+func (a *Agent) connected(link *announcer.Link) announcer.Handler {
 	return &handler{agent: a, link: link, calls: a.server.NewLink(link)}
 }
 
@@ -92,7 +107,7 @@
 func (h *handler) Close() { h.calls.Close() }
 
 // set puts a setting in force, unless a newer one is.
-func (a *agent) set(now time.Time, s *message.Setting) {
+func (a *Agent) set(now time.Time, s *message.Setting) {
 	if len(s.Entries) > 0 {
 		a.announcer.Learn(s.Entries)
 	}
--- a/internal/cli/runner/agent.go
+++ b/internal/cli/runner/agent.go
@@ -1,6 +1,11 @@
 package runner
 
-import "knapweedspur/internal/agent/assembler"
+import (
+	"go.uber.org/fx"
+
+	"knapweedspur/internal/agent/assembler"
+	"knapweedspur/internal/link/connector"
+)
 
 // agentCommand runs an agent.
 type agentCommand struct {
@@ -20,5 +25,6 @@
 		return usageError{err}
 	}
 	logger := env.logger.With("vm", c.VM)
-	return runApp(assembler.Options(&c.Settings, logger, assembler.HTTP(&c.Settings)), c.Grace)
+	options := assembler.Options(&c.Settings, logger, assembler.HTTP(&c.Settings, connector.System{}))
+	return runApp(fx.Options(options, fx.Invoke(assembler.Hook)), c.Grace)
 }
--- a/internal/cli/runner/entry.go
+++ b/internal/cli/runner/entry.go
@@ -4,8 +4,10 @@
 	"net/http"
 
 	"github.com/hashicorp/go-hclog"
+	"go.uber.org/fx"
 
 	"knapweedspur/internal/entry/assembler"
+	"knapweedspur/internal/link/connector"
 	"knapweedspur/internal/platform/logclient"
 )
 
@@ -26,8 +28,10 @@
 	if err := c.Validate(); err != nil {
 		return usageError{err}
 	}
-	log := &logclient.HTTP{Address: c.Log, Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+	network := connector.System{}
+	log := &logclient.HTTP{Address: c.Log, Client: &http.Client{Transport: connector.Transport(network)}}
 	logger := env.logger.With("domain", c.Domain)
 	hclog.SetDefault(logger)
-	return runApp(assembler.Options(&c.Settings, logger, log), c.Grace)
+	options := assembler.Options(&c.Settings, logger, assembler.Platform{Log: log, Network: network})
+	return runApp(fx.Options(options, fx.Invoke(assembler.Hook)), c.Grace)
 }
--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -5,10 +5,8 @@
 	"crypto/rand"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -23,6 +21,7 @@
 	"knapweedspur/internal/entry/publisher"
 	"knapweedspur/internal/entry/server"
 	"knapweedspur/internal/entry/tracker"
+	"knapweedspur/internal/link/connector"
 	"knapweedspur/internal/log/appender"
 	"knapweedspur/internal/platform/logclient"
 	"knapweedspur/internal/policy/chooser"
@@ -55,20 +54,27 @@
 // NewIncarnation makes a name that is never used twice.
 func NewIncarnation(prefix string) Incarnation { return Incarnation(prefix + "-" + rand.Text()[:16]) }
 
+// Platform is how an entry reaches what is outside of it.
+type Platform struct {
+	Log     logclient.Log
+	Network connector.Connector
+}
+
 // Options returns the parts of an entry for fx.
-func Options(s *Settings, logger hclog.Logger, log logclient.Log) fx.Option {
+func Options(s *Settings, logger hclog.Logger, p Platform) fx.Option {
 	return fx.Options(
 		fx.Supply(s),
 		fx.Provide(
 			func() hclog.Logger { return logger },
-			func() logclient.Log { return log },
+			func() logclient.Log { return p.Log },
+			func() connector.Connector { return p.Network },
 			func() Incarnation { return NewIncarnation("entry") },
 			func() *cataloger.Cataloger { return &cataloger.Cataloger{} },
 			tracker.New,
 			func() *budgeter.Budget { return &budgeter.Budget{} },
-			newKernel, newDriver, newPublisher, newForwarder, newLinker, newBookkeeper, newServer, newController,
+			newKernel, newDriver, newPublisher, newForwarder, newLinker, newBookkeeper, newServer, newController, newEntry,
 		),
-		fx.Invoke(run, export),
+		fx.Invoke(export),
 	)
 }
 
@@ -92,9 +98,9 @@
 	return &appender.Appender{Log: log, Stream: stream, Writer: string(in), Gap: s.Group, Timeout: appendTimeout, Logger: logger.Named("appender")}
 }
 
-func newDriver(s *Settings, in Incarnation, log logclient.Log, k *scheduler.Kernel, t *tracker.Tracker, logger hclog.Logger) *driver.Driver {
+func newDriver(s *Settings, in Incarnation, log logclient.Log, network connector.Connector, k *scheduler.Kernel, t *tracker.Tracker, logger hclog.Logger) *driver.Driver {
 	stream := TaskStream + s.Region
-	peers := &peers{token: s.Token, client: &http.Client{Timeout: peerTimeout}}
+	peers := &peers{token: s.Token, client: &http.Client{Timeout: peerTimeout, Transport: connector.Transport(network)}}
 	return &driver.Driver{
 		Kernel: k, Log: log, Stream: stream, Wait: logWait, Appender: newAppender(s, in, log, stream, logger), Tracker: t,
 		Address: s.advertised(), AskPeers: peers.heard,
@@ -102,12 +108,12 @@
 	}
 }
 
-func newPublisher(s *Settings, in Incarnation, log logclient.Log, c *cataloger.Cataloger, d *driver.Driver, logger hclog.Logger) *publisher.Publisher {
-	peers := &peers{token: s.Token, client: &http.Client{Timeout: peerTimeout}}
+func newPublisher(s *Settings, in Incarnation, log logclient.Log, network connector.Connector, c *cataloger.Cataloger, d *driver.Driver, logger hclog.Logger) *publisher.Publisher {
+	peers := &peers{token: s.Token, client: &http.Client{Timeout: peerTimeout, Transport: connector.Transport(network)}}
 	return &publisher.Publisher{
 		Log: log, Stream: ConfigStream, Wait: logWait, Appender: newAppender(s, in, log, ConfigStream, logger), Catalog: c,
 		Peers: s.Peers, AskPeer: peers.snapshot,
-		First:         func(now time.Time) bool { return d.First(now, ConfigStream) },
+		First:         func() bool { return d.First(ConfigStream) },
 		SnapshotEvery: s.SnapshotEvery, SnapshotRecords: uint64(s.SnapshotRecords), Logger: logger.Named("publisher"),
 	}
 }
@@ -138,76 +144,6 @@
 	}
 }
 
-// parts are what run starts and stops.
-type parts struct {
-	fx.In
-	Settings   *Settings
-	Driver     *driver.Driver
-	Publisher  *publisher.Publisher
-	Linker     *linker.Linker
-	Server     *server.Server
-	Controller *controller.Controller
-	Forwarder  *forwarder.Forwarder
-	Logger     hclog.Logger
-}
-
-// run starts the parts with the application and stops them with it: the
-// readiness check fails first, then requests in flight end, then the rest.
-func run(lc fx.Lifecycle, p parts) {
-	ctx, cancel := context.WithCancel(context.Background())
-	callers := &http.Server{Handler: p.Server.Handler(), ReadHeaderTimeout: appendTimeout}
-	control := &http.Server{Handler: p.Controller.Handler(), ReadHeaderTimeout: appendTimeout}
-	var group sync.WaitGroup
-	background := func(f func(context.Context)) { group.Go(func() { f(ctx) }) }
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			if err := serve(control, p.Settings.Control, p.Logger); err != nil {
-				return err
-			}
-			if err := serve(callers, p.Settings.Listen, p.Logger); err != nil {
-				return err
-			}
-			background(p.Driver.Appender.Run)
-			background(p.Publisher.Appender.Run)
-			background(p.Driver.Run)
-			background(p.Publisher.Run)
-			p.Logger.Info("entry runs", "callers", p.Settings.Listen, "control", p.Settings.Control)
-			return nil
-		},
-		OnStop: func(stop context.Context) error {
-			p.Server.Stop()
-			p.Logger.Info("entry stops; waiting for the balancer, then for requests in flight")
-			wait(stop, p.Settings.Settle)
-			err := callers.Shutdown(stop)
-			p.Linker.Close()
-			cancel()
-			_ = control.Close()
-			group.Wait()
-			return trace.Wrap(err)
-		},
-	})
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
-func serve(s *http.Server, address netip.AddrPort, logger hclog.Logger) error {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return trace.Wrap(err, "listen on %s; is another process there?", address)
-	}
-	go func() {
-		if err := s.Serve(listener); err != nil && err != http.ErrServerClosed {
-			logger.Error("server ended", "address", address, "error", err)
-		}
-	}()
-	return nil
-}
-
 // peers asks other entries.
 type peers struct {
 	token  string
--- a/internal/entry/controller/controller.go
+++ b/internal/entry/controller/controller.go
@@ -106,7 +106,7 @@
 		s.Agents = append(s.Agents, agent(m))
 	}
 	c.Driver.Read(func(k *scheduler.Kernel) {
-		s.Entries = c.entries(now, k)
+		s.Entries = c.entries(k)
 		s.Runs = summarizer.Runs(k)
 		for i := range s.Agents {
 			if vm := k.State.VMs[s.Agents[i].VM]; vm != nil {
@@ -119,8 +119,8 @@
 }
 
 // entries returns the entries alive by name.
-func (c *Controller) entries(now time.Time, k *scheduler.Kernel) []admin.Entry {
-	names := k.Alive(now)
+func (c *Controller) entries(k *scheduler.Kernel) []admin.Entry {
+	names := k.Alive()
 	sort.Strings(names)
 	list := make([]admin.Entry, 0, len(names))
 	for _, name := range names {
--- a/internal/entry/driver/driver.go
+++ b/internal/entry/driver/driver.go
@@ -203,16 +203,16 @@
 				_ = m.Caller.Queue(a.Frame)
 			}
 		case scheduler.AskPeers:
-			entries := d.peers(now)
+			entries := d.peers()
 			go d.ask(a.VM, entries)
 		}
 	}
 }
 
 // peers returns the addresses of the other entries alive.
-func (d *Driver) peers(now time.Time) []netip.AddrPort {
+func (d *Driver) peers() []netip.AddrPort {
 	var list []netip.AddrPort
-	for _, name := range d.Kernel.Alive(now) {
+	for _, name := range d.Kernel.Alive() {
 		if e, ok := d.Kernel.State.Entries[name]; ok && name != d.Kernel.Entry {
 			list = append(list, e.Address)
 		}
@@ -220,14 +220,15 @@
 	return list
 }
 
-// Entries returns the addresses of all entries alive.
-func (d *Driver) Entries(now time.Time) []netip.AddrPort {
+// Entries returns the addresses of all entries alive, or nil while this entry
+// does not know them yet.
+func (d *Driver) Entries() []netip.AddrPort {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.ready {
+	if !d.ready || !d.Kernel.Settled() {
 		return nil
 	}
-	return append(d.peers(now), d.Address)
+	return append(d.peers(), d.Address)
 }
 
 func (d *Driver) ask(vm string, entries []netip.AddrPort) {
@@ -259,7 +260,7 @@
 func (d *Driver) snapshot(ctx context.Context, now time.Time) {
 	d.mu.Lock()
 	state := d.Kernel.State
-	due := d.Kernel.First(now, d.Stream) && snapshotter.Due(now, d.last, state.Next, d.lastAt, d.SnapshotEvery, d.SnapshotRecords)
+	due := d.Kernel.First(d.Stream) && snapshotter.Due(now, d.last, state.Next, d.lastAt, d.SnapshotEvery, d.SnapshotRecords)
 	var s snapshotter.Snapshot
 	var err error
 	if due {
@@ -357,8 +358,8 @@
 }
 
 // First reports whether this entry is ranked first for a key.
-func (d *Driver) First(now time.Time, key string) bool {
+func (d *Driver) First(key string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.ready && d.Kernel.First(now, key)
+	return d.ready && d.Kernel.First(key)
 }
--- a/internal/entry/linker/linker.go
+++ b/internal/entry/linker/linker.go
@@ -219,12 +219,12 @@
 		l.Tracker.Rebuild()
 	}
 	l.Driver.Tell(now, scheduler.Heard{VM: l.member.Hello.VM, Lease: h.Lease})
-	l.Queue(&message.Frame{Setting: l.setting(now)})
+	l.Queue(&message.Frame{Setting: l.setting()})
 }
 
 // setting returns the part of the configuration that the agent needs. The
 // entries alive go along when they have changed.
-func (l *link) setting(now time.Time) *message.Setting {
+func (l *link) setting() *message.Setting {
 	s := &message.Setting{}
 	if c := l.Catalog.Current(); c != nil {
 		s.Offset = c.Next
@@ -233,7 +233,7 @@
 			s.Connections = spec.Connections
 		}
 	}
-	entries := l.Driver.Entries(now)
+	entries := l.Driver.Entries()
 	slices.SortFunc(entries, netip.AddrPort.Compare)
 	if len(entries) > 0 && !slices.Equal(entries, l.entries) {
 		s.Entries = entries
--- a/internal/entry/publisher/publisher.go
+++ b/internal/entry/publisher/publisher.go
@@ -47,7 +47,7 @@
 	// AskPeer returns the configuration snapshot of another entry.
 	AskPeer func(ctx context.Context, peer netip.AddrPort) (snapshotter.Snapshot, error)
 	// First reports whether this entry is the one to write snapshots.
-	First func(now time.Time) bool
+	First func() bool
 	// SnapshotEvery and SnapshotRecords bound the time and the records between
 	// two snapshots.
 	SnapshotEvery   time.Duration
@@ -185,7 +185,7 @@
 }
 
 func (p *Publisher) snapshot(ctx context.Context, now time.Time) {
-	if !p.First(now) {
+	if !p.First() {
 		return
 	}
 	p.mu.Lock()
--- a/internal/platform/upstreamclient/upstream.go
+++ b/internal/platform/upstreamclient/upstream.go
@@ -44,6 +44,11 @@
 	Client *http.Client
 }
 
+// NewClient returns a client that passes redirects on and follows none.
+func NewClient(transport http.RoundTripper) *http.Client {
+	return &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
 // hopHeaders belong to one connection and are not passed on.
 var hopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true,
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -31,6 +31,7 @@
 	runs   map[string]int
 	active int
 	peak   int
+	last   time.Time
 }
 
 // Runs returns how often each named request ran.
@@ -97,6 +98,7 @@
 	defer u.mu.Unlock()
 	u.active++
 	u.peak = max(u.peak, u.active)
+	u.last = time.Now()
 	if id != "" {
 		if u.runs == nil {
 			u.runs = map[string]int{}
@@ -122,3 +124,10 @@
 	defer u.mu.Unlock()
 	return u.peak
 }
+
+// Last returns when the last request came.
+func (u *Responder) Last() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.last
+}
--- a/internal/task/scheduler/dispatch.go
+++ b/internal/task/scheduler/dispatch.go
@@ -106,6 +106,7 @@
 
 // viewed settles the reports that came before the read of the view was sent.
 func (s *step) viewed(asked time.Time) {
+	s.viewAt = asked
 	n := 0
 	for n < len(s.held) && s.heldAt[n].Before(asked) {
 		s.settle(s.held[n])
@@ -139,10 +140,10 @@
 // tick sends what is due, and looks after the VMs that are lost.
 func (s *step) tick() {
 	s.resendStops()
-	entries := s.Alive(s.now)
+	entries := s.Alive()
 	for name, v := range s.vms {
 		s.resendStarts(v)
-		if folded := s.State.VMs[name]; folded != nil {
+		if folded := s.State.VMs[name]; folded != nil && s.fresh(s.now) {
 			s.guard(v, folded, entries)
 		}
 	}
--- a/internal/task/scheduler/fold.go
+++ b/internal/task/scheduler/fold.go
@@ -70,7 +70,9 @@
 	case taskfolder.Drained:
 		s.drained(c)
 	case taskfolder.Alive:
-		s.alive[c.Entry] = s.now
+		if c.Entry == s.Entry {
+			s.sign()
+		}
 	case taskfolder.Ended:
 		s.forgetRun(c.Run)
 	case taskfolder.Forgotten:
--- a/internal/task/scheduler/kernel.go
+++ b/internal/task/scheduler/kernel.go
@@ -17,8 +17,8 @@
 
 // Pauses and spans of the kernel.
 const (
-	// AliveSpan is how long an entry counts as alive after its last sign.
-	AliveSpan = 15 * time.Second
+	// FreshSpan is how old the view of the log may be for placing and fencing.
+	FreshSpan = 5 * time.Second
 	// ResendAfter is the time between two sendings of a start or stop.
 	ResendAfter = 2 * time.Second
 	// RankStep is how much longer an entry waits for each one ranked before it.
@@ -28,6 +28,9 @@
 
 	// margin is the share of the hold time added for the drift of clocks.
 	margin = 20
+	// signsMissed is how many signs of its own an entry sees without one of
+	// another before the other counts as dead.
+	signsMissed = 3
 	// maxOffers is how many place records may be on their way.
 	maxOffers = 4096
 )
@@ -49,7 +52,8 @@
 	Suspect time.Duration
 
 	began   time.Time
-	alive   map[string]time.Time
+	signs   []uint64
+	viewAt  time.Time
 	vms     map[string]*vm
 	runs    map[string]*backlog
 	order   []string
@@ -105,7 +109,7 @@
 // Init reads the state as it is, after a snapshot for example.
 func (k *Kernel) Init(now time.Time) {
 	k.began = now
-	k.alive = map[string]time.Time{}
+	k.signs = nil
 	k.vms = map[string]*vm{}
 	k.runs = map[string]*backlog{}
 	k.order = nil
@@ -228,17 +232,38 @@
 	})
 }
 
-// Alive returns the entries that count as alive, this one always.
-func (k *Kernel) Alive(now time.Time) []string {
+// Alive returns the entries that count as alive, this one always. Another one
+// is dead when several of this entry's own signs of life are in the log since
+// its last: an outage of the log, which silences all, makes nobody dead.
+func (k *Kernel) Alive() []string {
 	list := []string{k.Entry}
-	for name, seen := range k.alive {
-		if name != k.Entry && now.Sub(seen) < AliveSpan {
+	oldest := uint64(0)
+	if len(k.signs) == signsMissed {
+		oldest = k.signs[0]
+	}
+	for name, e := range k.State.Entries {
+		if name != k.Entry && e.Offset >= oldest {
 			list = append(list, name)
 		}
 	}
 	return list
 }
 
+// sign notes one of this entry's own signs of life.
+func (k *Kernel) sign() {
+	k.signs = append(k.signs, k.State.Entries[k.Entry].Offset)
+	if len(k.signs) > signsMissed {
+		k.signs = k.signs[1:]
+	}
+}
+
+// Settled reports whether this entry has been there long enough to know the
+// others.
+func (k *Kernel) Settled() bool { return len(k.signs) > 1 }
+
+// fresh reports whether the view of the log is new enough to place and fence.
+func (k *Kernel) fresh(now time.Time) bool { return now.Sub(k.viewAt) < FreshSpan }
+
 // Waiting returns how many tasks of a run wait, and why the first does.
 func (k *Kernel) Waiting(run string) (int, string) {
 	b := k.runs[run]
@@ -249,8 +274,8 @@
 }
 
 // First reports whether this entry is ranked first for a key.
-func (k *Kernel) First(now time.Time, key string) bool {
-	return ranker.Rank(key, k.Entry, k.Alive(now)) == 0
+func (k *Kernel) First(key string) bool {
+	return ranker.Rank(key, k.Entry, k.Alive()) == 0
 }
 
 // Barred returns until when a VM is set aside, zero for not at all.
--- a/internal/task/scheduler/schedule.go
+++ b/internal/task/scheduler/schedule.go
@@ -16,15 +16,17 @@
 
 // schedule places what waits, teams with the least of their quota in use first.
 func (s *step) schedule() {
-	if !s.dirty || len(s.order) == 0 {
+	if !s.dirty || len(s.order) == 0 || !s.fresh(s.now) {
 		return
 	}
 	s.dirty = false
-	p := pass{step: s, list: s.candidates(), entries: s.Alive(s.now), full: map[message.Size]bool{}}
+	p := pass{step: s, list: s.candidates(), entries: s.Alive(), full: map[message.Size]bool{}, reserved: map[string]bool{}}
 	urgent, normal := s.split()
 	for _, name := range urgent {
-		p.run(name, true)
+		p.run(name)
+		p.reserve(name)
 	}
+	p.withoutReserved()
 	s.byShare(normal)
 	var over []string
 	for _, name := range normal {
@@ -32,11 +34,11 @@
 			over = append(over, name)
 			continue
 		}
-		p.run(name, false)
+		p.run(name)
 	}
 	// What is left over of the quotas is lent.
 	for _, name := range over {
-		p.run(name, false)
+		p.run(name)
 	}
 }
 
@@ -95,10 +97,12 @@
 	list    []*placer.VM
 	entries []string
 	full    map[message.Size]bool
+	// reserved are the VMs kept for urgent tasks, whichever entry owns those.
+	reserved map[string]bool
 }
 
 // run places what it can of one run.
-func (p *pass) run(name string, urgent bool) {
+func (p *pass) run(name string) {
 	b := p.runs[name]
 	run := p.State.Runs[name]
 	if p.full[run.Size] {
@@ -119,10 +123,6 @@
 	b.tasks = kept
 	if len(kept) == 0 {
 		p.forgetRun(name)
-		return
-	}
-	if urgent && p.full[run.Size] {
-		p.displace(run, len(kept))
 	}
 }
 
@@ -193,24 +193,30 @@
 // displaceLimit is how many tasks one pass may displace for urgent work.
 const displaceLimit = 64
 
-// displace stops evictable tasks, after a checkpoint, to make room for urgent
-// tasks that fit nowhere. What stops already is counted on.
-func (p *pass) displace(run *taskfolder.Run, n int) {
+// reserve keeps VMs for the urgent tasks of a run that still wait, so that
+// nothing else takes the room made for them. The tasks' owner makes that room:
+// it stops evictable tasks there, after a checkpoint.
+func (p *pass) reserve(name string) {
+	b := p.runs[name]
+	if b == nil {
+		return
+	}
+	run := p.State.Runs[name]
+	n := len(b.tasks)
+	owner := p.full[run.Size]
 	stopped := 0
 	for _, vm := range p.list {
-		if n == 0 || stopped >= displaceLimit {
-			return
-		}
-		if !placer.Fits(run.Size, vm.Size) {
-			continue
+		if n == 0 {
+			break
 		}
 		victims, room := p.victims(vm, run.Size)
-		if !room {
+		if p.reserved[vm.Name] || !room {
 			continue
 		}
 		n--
+		p.reserved[vm.Name] = true
 		for _, key := range victims {
-			if p.stops[key] == nil {
+			if owner && p.stops[key] == nil && stopped < displaceLimit {
 				p.stops[key] = &resend{due: p.now, stop: true, check: true}
 				stopped++
 			}
@@ -219,6 +225,21 @@
 	p.resendStops()
 }
 
+// withoutReserved leaves only the VMs that are not kept for urgent tasks.
+func (p *pass) withoutReserved() {
+	if len(p.reserved) == 0 {
+		return
+	}
+	kept := p.list[:0]
+	for _, vm := range p.list {
+		if !p.reserved[vm.Name] {
+			kept = append(kept, vm)
+		}
+	}
+	p.list = kept
+	p.full = map[message.Size]bool{}
+}
+
 // victims returns the evictable tasks whose stop makes room on a VM, and
 // whether there are enough.
 func (p *pass) victims(vm *placer.VM, size message.Size) ([]taskfolder.Key, bool) {
--- /dev/null
+++ b/test/stage_test.go
@@ -0,0 +1,556 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/fx"
+
+	agents "knapweedspur/internal/agent/assembler"
+	"knapweedspur/internal/config/parser"
+	entries "knapweedspur/internal/entry/assembler"
+	"knapweedspur/internal/link/connector"
+	"knapweedspur/internal/platform/logclient"
+	"knapweedspur/internal/platform/upstreamclient"
+	"knapweedspur/internal/platform/workerclient"
+	"knapweedspur/internal/standin/auditor"
+	"knapweedspur/internal/standin/loader"
+	"knapweedspur/internal/standin/logkeeper"
+	"knapweedspur/internal/standin/responder"
+	"knapweedspur/internal/standin/taskrunner"
+	"knapweedspur/internal/wire/admin"
+	"knapweedspur/internal/wire/message"
+)
+
+const (
+	hold    = 10 * time.Second
+	suspect = 3 * time.Second
+	beat    = time.Second
+	// inForce and newWork are the bounds of the promises.
+	inForce = 14 * time.Second
+	newWork = 3 * time.Second
+)
+
+// stage is a whole deployment inside a bubble of virtual time.
+type stage struct {
+	t       *testing.T
+	net     *network
+	log     *logkeeper.Keeper
+	entries map[int]*entryProcess
+	vms     map[int]*vmProcess
+	client  *http.Client
+	sizes   map[string]message.Size
+	posted  map[string]string
+	mu      sync.Mutex
+	loads   sync.WaitGroup
+}
+
+type entryProcess struct {
+	*entries.Entry
+	host *host
+	gate *gate
+}
+
+type vmProcess struct {
+	name     string
+	worker   *taskrunner.Runner
+	upstream *responder.Responder
+	agent    *agents.Agent
+	host     *host
+	gate     *gate
+	service  string
+}
+
+// play runs a scenario in a bubble, checks the promises at its end, and stops
+// everything.
+func play(t *testing.T, entryCount int, services []string, scenario func(s *stage)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &stage{
+			t: t, net: newNetwork(), log: &logkeeper.Keeper{Rate: 300}, entries: map[int]*entryProcess{}, vms: map[int]*vmProcess{},
+			sizes: map[string]message.Size{}, posted: map[string]string{},
+		}
+		transport := connector.Transport(s.net.host("callers"))
+		s.client = &http.Client{Transport: transport}
+		defer func() {
+			s.close()
+			transport.CloseIdleConnections()
+			time.Sleep(time.Minute)
+		}()
+		for i := range entryCount {
+			s.startEntry(i)
+		}
+		for i, service := range services {
+			s.startVM(i, service)
+		}
+		scenario(s)
+		s.loads.Wait()
+		s.verify()
+	})
+}
+
+func logger(name string) hclog.Logger {
+	if os.Getenv("STAGE_LOG") == "" {
+		return hclog.NewNullLogger()
+	}
+	return hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Debug, TimeFormat: "04:05.000"})
+}
+
+func address(kind, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(kind), 0, byte(i + 1)}), 80)
+}
+
+const (
+	callersNet = iota + 1
+	controlNet
+	upstreamNet
+)
+
+var domains = []string{"alpha", "beta", "gamma"}
+
+func (s *stage) controls() []netip.AddrPort {
+	return []netip.AddrPort{address(controlNet, 0), address(controlNet, 1), address(controlNet, 2)}
+}
+
+// gate stands between a process and the platform. A frozen process gets no
+// answers, and what it asked for takes effect when it thaws; a killed one's
+// calls fail.
+type gate struct {
+	mu     sync.Mutex
+	thawed chan struct{}
+	killed bool
+}
+
+var errKilled = fmt.Errorf("the process was killed")
+
+func (g *gate) pass(ctx context.Context) error {
+	g.mu.Lock()
+	thawed, killed := g.thawed, g.killed
+	g.mu.Unlock()
+	if killed {
+		return errKilled
+	}
+	if thawed == nil {
+		return nil
+	}
+	<-thawed
+	return g.pass(ctx)
+}
+
+func (g *gate) freeze(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if on && g.thawed == nil {
+		g.thawed = make(chan struct{})
+	}
+	if !on && g.thawed != nil {
+		close(g.thawed)
+		g.thawed = nil
+	}
+}
+
+func (g *gate) kill() {
+	g.mu.Lock()
+	g.killed = true
+	g.mu.Unlock()
+	g.freeze(false)
+}
+
+type gatedLog struct {
+	logclient.Log
+	gate *gate
+}
+
+func (l gatedLog) Append(ctx context.Context, stream string, value []byte) (uint64, error) {
+	if err := l.gate.pass(ctx); err != nil {
+		return 0, err
+	}
+	return l.Log.Append(ctx, stream, value)
+}
+
+func (l gatedLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (logclient.Page, error) {
+	if err := l.gate.pass(ctx); err != nil {
+		return logclient.Page{}, err
+	}
+	page, err := l.Log.Read(ctx, stream, from, wait)
+	if err := l.gate.pass(ctx); err != nil {
+		return logclient.Page{}, err
+	}
+	return page, err
+}
+
+type gatedWorker struct {
+	workerclient.Worker
+	gate *gate
+}
+
+func (w gatedWorker) Watch(ctx context.Context, agent string, revision int, wait time.Duration) (workerclient.Status, error) {
+	if err := w.gate.pass(ctx); err != nil {
+		return workerclient.Status{}, err
+	}
+	status, err := w.Worker.Watch(ctx, agent, revision, wait)
+	if err := w.gate.pass(ctx); err != nil {
+		return workerclient.Status{}, err
+	}
+	return status, err
+}
+
+func (w gatedWorker) Extend(ctx context.Context, agent string, until time.Duration) error {
+	if err := w.gate.pass(ctx); err != nil {
+		return err
+	}
+	return w.Worker.Extend(ctx, agent, until)
+}
+
+func (w gatedWorker) Start(ctx context.Context, agent string, t workerclient.Task) error {
+	if err := w.gate.pass(ctx); err != nil {
+		return err
+	}
+	return w.Worker.Start(ctx, agent, t)
+}
+
+func (s *stage) startEntry(i int) {
+	s.t.Helper()
+	p := &entryProcess{host: s.net.host(fmt.Sprintf("entry-%d", i)), gate: &gate{}}
+	settings := &entries.Settings{
+		Listen: address(callersNet, i), Control: address(controlNet, i), Domain: domains[i%3], Region: "main", Insecure: true,
+		Peers: s.controls(),
+		Hold:  hold, Suspect: suspect, Beat: beat, Group: 20 * time.Millisecond, Grace: 30 * time.Second, Settle: 3 * time.Second,
+		Routing: "sampled", Placement: "spread", SnapshotEvery: time.Minute, SnapshotRecords: 100,
+	}
+	platform := entries.Platform{Log: gatedLog{s.log, p.gate}, Network: p.host}
+	app := fx.New(entries.Options(settings, logger(p.host.name), platform), fx.Populate(&p.Entry), fx.NopLogger)
+	if err := app.Err(); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := p.Start(context.Background()); err != nil {
+		s.t.Fatal(err)
+	}
+	s.entries[i] = p
+}
+
+func (s *stage) startVM(i int, service string) {
+	name := fmt.Sprintf("vm-%d", i)
+	v := &vmProcess{
+		name: name, service: service,
+		worker: &taskrunner.Runner{VM: name, Size: message.Size{Millis: 16000, Memory: 60 << 30}, Duration: map[string]time.Duration{
+			"proofs": 20 * time.Second, "season": 30 * time.Second, "quick": time.Second,
+		}},
+		upstream: &responder.Responder{Service: 5 * time.Millisecond, Spread: 0.5},
+	}
+	v.worker.Boot(time.Now())
+	s.vms[i] = v
+	upstreamHost := s.net.host("upstream-" + name)
+	listener, err := upstreamHost.Listen(address(upstreamNet, i))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	server := &http.Server{Handler: v.upstream.Handler()}
+	go func() { _ = server.Serve(listener) }()
+	s.startAgent(i)
+}
+
+func (s *stage) startAgent(i int) {
+	v := s.vms[i]
+	v.host = s.net.host(fmt.Sprintf("agent-%d", i))
+	v.gate = &gate{}
+	settings := &agents.Settings{
+		Entries: s.controls(), VM: v.name, Rack: fmt.Sprintf("rack-%d", i/3), Domain: domains[i%3], Service: v.service,
+		Upstream: address(upstreamNet, i), Insecure: true, Links: 3, Beat: beat, Probe: time.Second, Grace: 30 * time.Second,
+	}
+	platform := agents.Platform{
+		Upstream: &upstreamclient.HTTP{Address: settings.Upstream, Client: upstreamclient.NewClient(connector.Transport(v.host))},
+		Worker:   gatedWorker{v.worker, v.gate}, Network: v.host,
+	}
+	app := fx.New(agents.Options(settings, logger(v.host.name), platform), fx.Populate(&v.agent), fx.NopLogger)
+	if err := app.Err(); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := v.agent.Start(context.Background()); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// killEntry ends an entry as SIGKILL does.
+func (s *stage) killEntry(i int) {
+	p := s.entries[i]
+	delete(s.entries, i)
+	s.reapEntry(p)
+}
+
+func (s *stage) reapEntry(p *entryProcess) {
+	p.host.kill()
+	p.gate.kill()
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = p.Stop(gone)
+}
+
+// killAgent ends an agent as SIGKILL does; the worker and upstream go on.
+func (s *stage) killAgent(i int) {
+	v := s.vms[i]
+	v.host.kill()
+	v.gate.kill()
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = v.agent.Stop(gone)
+	v.agent = nil
+}
+
+// killVM ends a whole VM.
+func (s *stage) killVM(i int) {
+	s.vms[i].worker.Kill(time.Now())
+	s.killAgent(i)
+}
+
+// killUpstream ends the upstream of a VM.
+func (s *stage) killUpstream(i int) {
+	s.net.mu.Lock()
+	l := s.net.listeners[address(upstreamNet, i)]
+	s.net.mu.Unlock()
+	if l != nil {
+		l.host.kill()
+	}
+}
+
+// freeze stops a process from doing anything that others see.
+func (s *stage) freeze(name string, on bool) {
+	others := []string{"callers"}
+	for i := range s.entries {
+		others = append(others, fmt.Sprintf("entry-%d", i))
+		if s.entries[i].host.name == name {
+			s.entries[i].gate.freeze(on)
+		}
+	}
+	for i, v := range s.vms {
+		others = append(others, fmt.Sprintf("agent-%d", i), "upstream-"+v.name)
+		if v.host.name == name {
+			v.gate.freeze(on)
+		}
+	}
+	for _, other := range others {
+		s.net.cutOff(name, other, on)
+		s.net.cutOff(other, name, on)
+	}
+}
+
+// cut cuts two hosts off from each other.
+func (s *stage) cut(a, b string, on bool) {
+	s.net.cutOff(a, b, on)
+	s.net.cutOff(b, a, on)
+}
+
+func (s *stage) close() {
+	for i := range s.entries {
+		s.killEntry(i)
+	}
+	for i, v := range s.vms {
+		if v.agent != nil {
+			s.killAgent(i)
+		}
+		v.worker.Kill(time.Now())
+	}
+	s.net.mu.Lock()
+	var hosts []*host
+	for _, l := range s.net.listeners {
+		hosts = append(hosts, l.host)
+	}
+	s.net.mu.Unlock()
+	for _, h := range hosts {
+		h.kill()
+	}
+}
+
+// call calls an entry's control address, any that is there for -1.
+func (s *stage) call(i int, method, path string, body, into any) (int, string) {
+	s.t.Helper()
+	reader := io.Reader(nil)
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		reader = strings.NewReader(string(data))
+	}
+	if i < 0 {
+		for i = range s.entries {
+			break
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address(controlNet, i).String()+path, reader)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	if into != nil && resp.StatusCode < 300 {
+		if err := json.Unmarshal(data, into); err != nil {
+			s.t.Fatalf("%s %s: %v in %q", method, path, err, data)
+		}
+	}
+	return resp.StatusCode, resp.Header.Get("Knapweedspur-Verdict") + " " + strings.TrimSpace(string(data))
+}
+
+// declarations are what each scenario begins with.
+var declarations = map[string]string{
+	"judging":    "kind: team\nname: judging\nquota:\n  processors: 200\n  memory: 800GiB\n",
+	"thumbnails": "kind: service\nname: thumbnails\nteam: judging\ndeadline: 2s\n",
+	"routes":     "kind: service\nname: routes\nteam: judging\ndeadline: 2s\n",
+	"proofs":     "kind: job\nname: proofs\nteam: judging\ntasks: 12\nneeds:\n  processors: 4\n  memory: 6GiB\ntreat:\n  evict: true\n",
+	"season":     "kind: job\nname: season\nteam: judging\ntasks: 8\nneeds:\n  processors: 6\n  memory: 8GiB\n",
+	"quick":      "kind: job\nname: quick\nteam: judging\ntasks: 20\n",
+	"rescue":     "kind: job\nname: rescue\nteam: judging\ntasks: 4\nurgency: urgent\nneeds:\n  processors: 8\n  memory: 8GiB\n",
+	"giant":      "kind: job\nname: giant\nteam: judging\nneeds:\n  processors: 999\n",
+}
+
+// publish publishes declarations as they are and waits until they are in
+// force everywhere.
+func (s *stage) publish(bodies map[string]string) {
+	s.t.Helper()
+	change := &message.Change{ID: fmt.Sprint("change-", time.Now().UnixNano()), Who: "test"}
+	for name, body := range bodies {
+		spec, problems := parser.Parse(name, []byte(body))
+		if len(problems) > 0 {
+			s.t.Fatal(problems)
+		}
+		s.sizes[name] = spec.Size
+		change.Edits = append(change.Edits, message.Edit{Name: name, Body: body})
+	}
+	s.eventually(inForce, "an entry takes the change", func() bool {
+		status, _ := s.call(0, http.MethodPost, "/v1/changes", change, nil)
+		return status == http.StatusOK
+	})
+	s.eventually(inForce, "all agents are ready", func() bool { return s.ready() == len(s.vms) })
+}
+
+// ready returns how many agents are ready at the worst entry.
+func (s *stage) ready() int {
+	worst := len(s.vms)
+	for i := range s.entries {
+		var status admin.Status
+		if code, _ := s.call(i, http.MethodGet, "/v1/status", nil, &status); code != http.StatusOK {
+			return 0
+		}
+		n := 0
+		for _, a := range status.Agents {
+			if a.Lease > 0 && (a.Service == "" || a.Open) {
+				n++
+			}
+		}
+		worst = min(worst, n)
+	}
+	return worst
+}
+
+// eventually waits for a condition for as long as the bound.
+func (s *stage) eventually(bound time.Duration, what string, done func() bool) time.Duration {
+	s.t.Helper()
+	begin := time.Now()
+	for !done() {
+		if time.Since(begin) > bound {
+			s.t.Fatalf("%s: not within %v", what, bound)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
+
+// submit submits a run of a job at any entry.
+func (s *stage) submit(job, run string) {
+	s.t.Helper()
+	s.submitTo(-1, job, run)
+}
+
+// submitTo submits a run of a job at one entry, again until it is taken.
+func (s *stage) submitTo(i int, job, run string) {
+	s.t.Helper()
+	s.eventually(time.Minute, "an entry takes the run", func() bool {
+		status, text := s.call(i, http.MethodPost, "/v1/runs", admin.Submission{Job: job, Run: run, Who: "test"}, nil)
+		return status == http.StatusCreated || strings.Contains(text, "exists")
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sizes[run] = s.sizes[job]
+}
+
+// run returns the state of a run as some entry sees it.
+func (s *stage) run(name string) admin.Run {
+	var run admin.Run
+	s.call(-1, http.MethodGet, "/v1/runs/"+name, nil, &run)
+	return run
+}
+
+// ended waits until all tasks of a run are done.
+func (s *stage) ended(bound time.Duration, name string) time.Duration {
+	s.t.Helper()
+	return s.eventually(bound, name+" ends", func() bool {
+		run := s.run(name)
+		return run.Done > 0 && run.Pending+run.Open == 0
+	})
+}
+
+// load sends requests in the background and adds what became of the POSTs to
+// what is checked at the end.
+func (s *stage) load(name, path string, rate float64, span time.Duration, once float64) *loader.Result {
+	l := &loader.Load{Path: path, Rate: rate, Span: span, Once: once, Seed: 7, Name: name, Client: s.client}
+	for i := range s.entries {
+		l.Targets = append(l.Targets, address(callersNet, i))
+	}
+	result := &loader.Result{}
+	s.loads.Go(func() {
+		*result = *l.Run(context.Background())
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for id, fate := range result.Fate {
+			s.posted[id] = fate
+		}
+		if result.Wrong > 0 {
+			s.t.Errorf("%s: %d answers did not match their requests", name, result.Wrong)
+		}
+	})
+	return result
+}
+
+// verify checks the promises on what workers and upstreams saw.
+func (s *stage) verify() {
+	s.t.Helper()
+	var intervals []taskrunner.Interval
+	runs := map[string]int{}
+	for _, v := range s.vms {
+		intervals = append(intervals, v.worker.History(time.Now())...)
+		for id, n := range v.upstream.Runs() {
+			runs[id] += n
+		}
+		if peak := v.upstream.Peak(); peak > 8 {
+			s.t.Errorf("%s ran %d requests at once on 8 slots", v.name, peak)
+		}
+	}
+	faults := append(auditor.Tasks(intervals), auditor.Requests(runs, s.posted)...)
+	for _, v := range s.vms {
+		faults = append(faults, auditor.Capacity(v.name, v.worker.Size, s.sizes, intervals)...)
+	}
+	if diff := cmp.Diff([]string(nil), faults); diff != "" {
+		s.t.Errorf("broken promises (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/test/task_test.go
@@ -0,0 +1,312 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"knapweedspur/internal/standin/logkeeper"
+	"knapweedspur/internal/wire/admin"
+)
+
+// recovery bounds the time from the loss of a VM until its tasks run again.
+const recovery = suspect + hold + hold/20 + 10*time.Second
+
+func TestAgentRestartsWhileTasksRun(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		s.submit("proofs", "proofs-1")
+		time.Sleep(5 * time.Second)
+		for i := range 3 {
+			s.killAgent(i)
+			time.Sleep(time.Second)
+			s.startAgent(i)
+		}
+		s.ended(time.Minute, "proofs-1")
+		if run := s.run("proofs-1"); run.Attempts != 12 {
+			t.Errorf("12 tasks took %d attempts; an agent's restart must not cost one", run.Attempts)
+		}
+	})
+}
+
+func TestVMDies(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		s.submit("proofs", "proofs-1")
+		s.submit("season", "season-1")
+		time.Sleep(5 * time.Second)
+		s.killVM(0)
+		s.killVM(3)
+		s.ended(recovery+time.Minute, "proofs-1")
+		s.ended(recovery+time.Minute, "season-1")
+	})
+}
+
+func TestVMBootsAnew(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		s.submit("proofs", "proofs-1")
+		time.Sleep(5 * time.Second)
+		s.killVM(0)
+		s.vms[0].worker.Boot(time.Now())
+		s.startAgent(0)
+		// A new boot needs no wait for the lease.
+		s.eventually(suspect, "the tasks of the old boot run again", func() bool {
+			run := s.run("proofs-1")
+			return run.Attempts > 12 && run.Pending == 0
+		})
+		s.ended(time.Minute, "proofs-1")
+	})
+}
+
+func TestAgentFreezesLongerThanItsLease(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		s.submit("proofs", "proofs-1")
+		s.submit("season", "season-1")
+		time.Sleep(5 * time.Second)
+		s.freeze("agent-1", true)
+		time.Sleep(recovery)
+		s.freeze("agent-1", false)
+		s.ended(2*time.Minute, "proofs-1")
+		s.ended(2*time.Minute, "season-1")
+	})
+}
+
+func TestAgentCutOffFromAllEntries(t *testing.T) {
+	for _, span := range []time.Duration{2 * time.Second, suspect + 2*time.Second, recovery + 5*time.Second} {
+		t.Run(span.String(), func(t *testing.T) {
+			play(t, 3, five, func(s *stage) {
+				s.publish(declarations)
+				s.submit("proofs", "proofs-1")
+				time.Sleep(4 * time.Second)
+				for i := range 3 {
+					s.cut("agent-0", fmt.Sprintf("entry-%d", i), true)
+				}
+				time.Sleep(span)
+				for i := range 3 {
+					s.cut("agent-0", fmt.Sprintf("entry-%d", i), false)
+				}
+				s.ended(2*time.Minute, "proofs-1")
+			})
+		})
+	}
+}
+
+func TestAgentCutOffInOneDirection(t *testing.T) {
+	for _, out := range []bool{true, false} {
+		t.Run(fmt.Sprint("out=", out), func(t *testing.T) {
+			play(t, 3, five, func(s *stage) {
+				s.publish(declarations)
+				s.submit("proofs", "proofs-1")
+				time.Sleep(4 * time.Second)
+				for i := range 3 {
+					from, to := "agent-0", fmt.Sprintf("entry-%d", i)
+					if !out {
+						from, to = to, from
+					}
+					s.net.cutOff(from, to, true)
+				}
+				time.Sleep(recovery + 5*time.Second)
+				for i := range 3 {
+					s.cut("agent-0", fmt.Sprintf("entry-%d", i), false)
+				}
+				s.ended(2*time.Minute, "proofs-1")
+			})
+		})
+	}
+}
+
+func TestAgentCutOffFromOneEntryIsNotFenced(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		s.submit("proofs", "proofs-1")
+		time.Sleep(4 * time.Second)
+		s.cut("agent-0", "entry-0", true)
+		s.ended(2*time.Minute, "proofs-1")
+		if run := s.run("proofs-1"); run.Attempts != 12 {
+			t.Errorf("12 tasks took %d attempts; a VM that two entries hear must not be fenced", run.Attempts)
+		}
+	})
+}
+
+func TestEntriesDieAndAreReplaced(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		s.submit("season", "season-1")
+		s.submit("proofs", "proofs-1")
+		for i := range 3 {
+			s.killEntry(i)
+			time.Sleep(3 * time.Second)
+			s.startEntry(i)
+			time.Sleep(3 * time.Second)
+		}
+		s.ended(2*time.Minute, "proofs-1")
+		s.ended(2*time.Minute, "season-1")
+	})
+}
+
+func TestEntryFreezesAndActsOnOldKnowledge(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		s.submit("season", "season-1")
+		s.freeze("entry-0", true)
+		s.killVM(1)
+		s.submitTo(1, "proofs", "proofs-1")
+		time.Sleep(recovery)
+		s.freeze("entry-0", false)
+		s.ended(2*time.Minute, "proofs-1")
+		s.ended(2*time.Minute, "season-1")
+	})
+}
+
+func TestLogDownLongerThanTheHoldTime(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		s.submit("proofs", "proofs-1")
+		time.Sleep(5 * time.Second)
+		s.log.SetFaults(logkeeper.Faults{Down: true})
+		requests := s.load("check", "/routes/check", 50, 2*hold, 0.2)
+		time.Sleep(2 * time.Second)
+		code, text := s.call(0, http.MethodPost, "/v1/runs", admin.Submission{Job: "quick", Run: "quick-1", Who: "test"}, nil)
+		if code != http.StatusServiceUnavailable || strings.HasPrefix(text, "ran") {
+			t.Errorf("a submission during an outage got %d %q", code, text)
+		}
+		refused := strings.HasPrefix(text, "unrun")
+		s.loads.Wait()
+		s.log.SetFaults(logkeeper.Faults{})
+		if requests.Answered != requests.Sent {
+			t.Errorf("%d of %d requests were answered during the outage", requests.Answered, requests.Sent)
+		}
+		s.ended(time.Minute, "proofs-1")
+		if run := s.run("quick-1"); refused && run.Run != "" {
+			t.Errorf("a submission refused as not run did run: %+v", run)
+		}
+		if run := s.run("proofs-1"); run.Attempts != 12 {
+			t.Errorf("12 tasks took %d attempts; an outage pauses tasks and loses none", run.Attempts)
+		}
+	})
+}
+
+func TestLogLosesAnswers(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.log.SetFaults(logkeeper.Faults{Lose: 2})
+		s.publish(declarations)
+		s.submit("proofs", "proofs-1")
+		s.submit("quick", "quick-1")
+		s.killVM(2)
+		s.ended(2*time.Minute, "proofs-1")
+		s.ended(2*time.Minute, "quick-1")
+	})
+}
+
+func TestLogIsSlow(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		s.log.SetFaults(logkeeper.Faults{Delay: 3 * time.Second})
+		s.submit("proofs", "proofs-1")
+		s.ended(2*time.Minute, "proofs-1")
+		s.log.SetFaults(logkeeper.Faults{Delay: 20 * time.Second})
+		time.Sleep(time.Minute)
+		s.log.SetFaults(logkeeper.Faults{})
+		s.submit("quick", "quick-1")
+		s.ended(2*time.Minute, "quick-1")
+	})
+}
+
+func TestCancelsInABurst(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		for i := range 8 {
+			s.submit("proofs", fmt.Sprint("proofs-", i))
+		}
+		time.Sleep(3 * time.Second)
+		for i := range 8 {
+			code, text := s.call(i%3, http.MethodDelete, fmt.Sprintf("/v1/runs/proofs-%d?who=test", i), nil, nil)
+			if code != http.StatusOK {
+				t.Errorf("cancel: %d %s", code, text)
+			}
+		}
+		s.eventually(10*time.Second, "all runs have ended", func() bool {
+			for i := range 8 {
+				if run := s.run(fmt.Sprint("proofs-", i)); run.Pending+run.Open > 0 {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+func TestVMThatFailsEverythingIsSetAside(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.vms[0].worker.Fail = true
+		s.publish(declarations)
+		s.submit("quick", "quick-1")
+		s.submit("proofs", "proofs-1")
+		s.ended(3*time.Minute, "proofs-1")
+		s.ended(3*time.Minute, "quick-1")
+		if run := s.run("quick-1"); run.Failed > 0 {
+			t.Errorf("%d tasks were given up though four VMs are sound", run.Failed)
+		}
+	})
+}
+
+func TestJobThatFitsNowhereIsToldSo(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		s.submit("giant", "giant-1")
+		s.eventually(5*time.Second, "the run says why it waits", func() bool {
+			return strings.Contains(s.run("giant-1").Reason, "fits on no VM")
+		})
+		s.submit("quick", "quick-1")
+		s.ended(time.Minute, "quick-1")
+	})
+}
+
+func TestUrgentWorkStartsWhenAllIsFull(t *testing.T) {
+	const urgent = 3100 * time.Millisecond
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		for i := range 3 {
+			s.submit("proofs", fmt.Sprint("proofs-", i))
+		}
+		s.eventually(10*time.Second, "all VMs are full", func() bool {
+			open := 0
+			for i := range 3 {
+				open += s.run(fmt.Sprint("proofs-", i)).Open
+			}
+			return open == 20
+		})
+		s.submit("rescue", "rescue-1")
+		took := s.eventually(urgent, "urgent tasks start", func() bool { return s.run("rescue-1").Open == 4 })
+		t.Logf("urgent tasks open after %v", took)
+		s.ended(3*time.Minute, "rescue-1")
+		for i := range 3 {
+			s.ended(5*time.Minute, fmt.Sprint("proofs-", i))
+		}
+	})
+}
+
+func TestDrainMovesTasksWithTheirCheckpoints(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		s.submit("proofs", "proofs-1")
+		time.Sleep(10 * time.Second)
+		before := len(s.vms[0].worker.History(time.Now()))
+		if code, text := s.call(1, http.MethodPost, "/v1/vms/vm-0/drain?who=test", nil, nil); code != http.StatusNoContent {
+			t.Fatalf("drain: %d %s", code, text)
+		}
+		time.Sleep(newWork)
+		settled := len(s.vms[0].worker.History(time.Now()))
+		s.ended(time.Minute, "proofs-1")
+		if after := len(s.vms[0].worker.History(time.Now())); after != settled {
+			t.Errorf("a drained VM began %d tasks", after-settled)
+		}
+		if before > 0 && s.run("proofs-1").Attempts <= 12 {
+			t.Errorf("no task was moved off the drained VM")
+		}
+	})
+}
