--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 
 clean:
 	rm -rf bin
+
+spec:
+	./script/spec
--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -103,7 +103,7 @@
 	peers := &peers{token: s.Token, client: &http.Client{Timeout: peerTimeout, Transport: connector.Transport(network)}}
 	return &driver.Driver{
 		Kernel: k, Log: log, Stream: stream, Wait: logWait, Appender: newAppender(s, in, log, stream, logger), Tracker: t,
-		Address: s.advertised(), AskPeers: peers.heard,
+		Address: s.advertised(), AskPeers: peers.heard, Peers: s.Peers, AskPeer: peers.snapshot,
 		SnapshotEvery: s.SnapshotEvery, SnapshotRecords: uint64(s.SnapshotRecords), Logger: logger.Named("driver"),
 	}
 }
@@ -179,9 +179,9 @@
 	return false
 }
 
-func (p *peers) snapshot(ctx context.Context, peer netip.AddrPort) (snapshotter.Snapshot, error) {
+func (p *peers) snapshot(ctx context.Context, peer netip.AddrPort, stream string) (snapshotter.Snapshot, error) {
 	var s snapshotter.Snapshot
-	body, err := p.get(ctx, peer, "/v1/snapshot")
+	body, err := p.get(ctx, peer, "/v1/snapshots/"+stream)
 	if err != nil {
 		return s, err
 	}
--- a/internal/entry/controller/controller.go
+++ b/internal/entry/controller/controller.go
@@ -73,7 +73,7 @@
 	r.HandleFunc("/v1/audit", c.audit).Methods(http.MethodGet)
 	r.HandleFunc("/v1/vms/{vm}/drain", c.drain).Methods(http.MethodPost, http.MethodDelete)
 	r.HandleFunc("/v1/vms/{vm}/heard", c.heard).Methods(http.MethodGet)
-	r.HandleFunc("/v1/snapshot", c.snapshot).Methods(http.MethodGet)
+	r.HandleFunc("/v1/snapshots/{stream}", c.snapshot).Methods(http.MethodGet)
 	r.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
 	return r
 }
@@ -256,9 +256,13 @@
 	send(w, answer)
 }
 
-// snapshot sends the configuration to an entry that starts in an outage.
-func (c *Controller) snapshot(w http.ResponseWriter, _ *http.Request) {
-	s, err := c.Publisher.Snapshot()
+// snapshot sends a stream's state to an entry that cannot get it from the log.
+func (c *Controller) snapshot(w http.ResponseWriter, r *http.Request) {
+	take := c.Publisher.Snapshot
+	if mux.Vars(r)["stream"] != c.Publisher.Stream {
+		take = c.Driver.Snapshot
+	}
+	s, err := take()
 	if err != nil {
 		missing(err.Error()).Write(w)
 		return
--- a/internal/entry/driver/driver.go
+++ b/internal/entry/driver/driver.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/hashicorp/go-hclog"
 
 	"knapweedspur/internal/entry/tracker"
@@ -45,6 +46,10 @@
 	Address netip.AddrPort
 	// AskPeers finds out whether another entry hears a VM.
 	AskPeers func(ctx context.Context, vm string, entries []netip.AddrPort) bool
+	// Peers are entries to take the state from if the log has cut too much.
+	Peers []netip.AddrPort
+	// AskPeer returns another entry's snapshot of a stream.
+	AskPeer func(ctx context.Context, peer netip.AddrPort, stream string) (snapshotter.Snapshot, error)
 	// SnapshotEvery and SnapshotRecords bound the time and the records between
 	// two snapshots.
 	SnapshotEvery   time.Duration
@@ -140,7 +145,10 @@
 		return from, err
 	}
 	if state.Next <= from {
-		return from, errors.New("the log has cut records that no snapshot holds")
+		state = d.newestOfPeers(ctx)
+	}
+	if state == nil || state.Next <= from {
+		return from, trace.NotFound("the log has cut records from offset %d on that no snapshot and no peer holds; see docs/OPERATIONS.md, 'Records were cut'", from)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -149,6 +157,35 @@
 	return state.Next, nil
 }
 
+// newestOfPeers returns the newest state that another entry has, or nil.
+func (d *Driver) newestOfPeers(ctx context.Context) *taskfolder.State {
+	var best *taskfolder.State
+	for _, peer := range d.Peers {
+		call, cancel := context.WithTimeout(ctx, d.Appender.Timeout)
+		s, err := d.AskPeer(call, peer, d.Stream)
+		cancel()
+		if err != nil {
+			continue
+		}
+		state, err := taskfolder.Restore(s.Data)
+		if err == nil && (best == nil || state.Next > best.Next) {
+			best = state
+		}
+	}
+	return best
+}
+
+// Snapshot returns the state as other entries take it.
+func (d *Driver) Snapshot() (snapshotter.Snapshot, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.ready {
+		return snapshotter.Snapshot{}, snapshotter.ErrNone
+	}
+	data, err := d.Kernel.State.Snapshot()
+	return snapshotter.Snapshot{Next: d.Kernel.State.Next, Data: data}, err
+}
+
 // apply folds one value and tells the kernel.
 func (d *Driver) apply(now time.Time, offset uint64, value []byte) {
 	d.mu.Lock()
--- a/internal/entry/publisher/publisher.go
+++ b/internal/entry/publisher/publisher.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/hashicorp/go-hclog"
 
 	"knapweedspur/internal/config/cataloger"
@@ -44,8 +45,8 @@
 	Catalog *cataloger.Cataloger
 	// Peers are entries to take the configuration from while the log is down.
 	Peers []netip.AddrPort
-	// AskPeer returns the configuration snapshot of another entry.
-	AskPeer func(ctx context.Context, peer netip.AddrPort) (snapshotter.Snapshot, error)
+	// AskPeer returns another entry's snapshot of a stream.
+	AskPeer func(ctx context.Context, peer netip.AddrPort, stream string) (snapshotter.Snapshot, error)
 	// First reports whether this entry is the one to write snapshots.
 	First func() bool
 	// SnapshotEvery and SnapshotRecords bound the time and the records between
@@ -111,7 +112,7 @@
 	var best *configfolder.State
 	for _, peer := range p.Peers {
 		call, cancel := context.WithTimeout(ctx, p.Appender.Timeout)
-		s, err := p.AskPeer(call, peer)
+		s, err := p.AskPeer(call, peer, p.Stream)
 		cancel()
 		if err != nil {
 			continue
@@ -147,7 +148,10 @@
 		return from, err
 	}
 	if state.Next <= from {
-		return from, errors.New("the log has cut records that no snapshot holds")
+		state = p.newestOfPeers(ctx)
+	}
+	if state == nil || state.Next <= from {
+		return from, trace.NotFound("the log has cut records from offset %d on that no snapshot and no peer holds; see docs/OPERATIONS.md, 'Records were cut'", from)
 	}
 	p.adopt(time.Now(), state, false)
 	return state.Next, nil
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -20,7 +20,7 @@
 func (s *stage) watch(ctx context.Context) {
 	highest := map[string]uint64{}
 	for ctx.Err() == nil {
-		for i := range s.entries {
+		for _, i := range s.alive() {
 			var status admin.Status
 			if code, _ := s.call(i, http.MethodGet, "/v1/status", nil, &status); code != http.StatusOK {
 				continue
@@ -40,24 +40,17 @@
 	}
 }
 
-// alive returns the first entry alive from i on.
-func (s *stage) alive(i int) int {
-	for s.entries[i%3] == nil {
-		i++
-	}
-	return i % 3
-}
-
 func change(id, who string, base uint64, deadline string) *message.Change {
 	body := strings.Replace(declarations["thumbnails"], "2s", deadline, 1)
 	return &message.Change{ID: id, Who: who, Edits: []message.Edit{{Name: "thumbnails", Base: base, Body: body}}}
 }
 
-func (s *stage) version(name string) uint64 {
+// version returns the version of thumbnails in force.
+func (s *stage) version() uint64 {
 	var list []admin.Version
 	s.call(-1, http.MethodGet, "/v1/declarations", nil, &list)
 	for _, v := range list {
-		if v.Name == name {
+		if v.Name == "thumbnails" {
 			return v.Version
 		}
 	}
@@ -66,7 +59,7 @@
 
 // everywhere reports whether all entries and agents have a version in force.
 func (s *stage) everywhere(version uint64) bool {
-	for i := range s.entries {
+	for _, i := range s.alive() {
 		var status admin.Status
 		if code, _ := s.call(i, http.MethodGet, "/v1/status", nil, &status); code != http.StatusOK || status.Offset < version {
 			return false
@@ -83,7 +76,7 @@
 func TestOneOfRacingOperatorsWins(t *testing.T) {
 	play(t, 3, five, func(s *stage) {
 		s.publish(declarations)
-		base := s.version("thumbnails")
+		base := s.version()
 		var mu sync.Mutex
 		var won, lost []string
 		var group sync.WaitGroup
@@ -108,7 +101,7 @@
 				t.Errorf("a loser is not told by whom it lost: %q", text)
 			}
 		}
-		took := s.eventually(inForce, "the change is in force everywhere", func() bool { return s.everywhere(s.version("thumbnails")) })
+		took := s.eventually(inForce, "the change is in force everywhere", func() bool { return s.everywhere(s.version()) })
 		t.Logf("in force everywhere after %v", took)
 	})
 }
@@ -123,7 +116,7 @@
 		accepted := ""
 		for i := range 90 {
 			deadline := fmt.Sprintf("%dms", 500+i)
-			code, text := s.call(s.alive(i), http.MethodPost, "/v1/changes", change(fmt.Sprint("step-", i), "anna", s.version("thumbnails"), deadline), nil)
+			code, text := s.call(s.alive()[i%len(s.alive())], http.MethodPost, "/v1/changes", change(fmt.Sprint("step-", i), "anna", s.version(), deadline), nil)
 			if code == http.StatusOK {
 				accepted = deadline
 			} else if !strings.Contains(text, "unrun") {
@@ -148,10 +141,10 @@
 			}
 			time.Sleep(time.Second)
 		}
-		s.eventually(inForce, "the last change is in force everywhere", func() bool { return s.everywhere(s.version("thumbnails")) })
+		s.eventually(inForce, "the last change is in force everywhere", func() bool { return s.everywhere(s.version()) })
 		stop()
 		group.Wait()
-		for i := range s.entries {
+		for _, i := range s.alive() {
 			var list []admin.Version
 			s.call(i, http.MethodGet, "/v1/declarations", nil, &list)
 			for _, v := range list {
@@ -166,7 +159,7 @@
 func TestEntryStartsDuringAnOutage(t *testing.T) {
 	play(t, 3, five, func(s *stage) {
 		s.publish(declarations)
-		version := s.version("thumbnails")
+		version := s.version()
 		s.log.SetFaults(logkeeper.Faults{Down: true})
 		s.killEntry(1)
 		s.startEntry(1)
--- a/test/request_test.go
+++ b/test/request_test.go
@@ -87,7 +87,9 @@
 		if err := <-stopped; err != nil {
 			t.Error(err)
 		}
+		s.mu.Lock()
 		delete(s.entries, 0)
+		s.mu.Unlock()
 	})
 }
 
--- a/test/stage_test.go
+++ b/test/stage_test.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -135,7 +137,7 @@
 
 var errKilled = fmt.Errorf("the process was killed")
 
-func (g *gate) pass(ctx context.Context) error {
+func (g *gate) pass() error {
 	g.mu.Lock()
 	thawed, killed := g.thawed, g.killed
 	g.mu.Unlock()
@@ -146,7 +148,7 @@
 		return nil
 	}
 	<-thawed
-	return g.pass(ctx)
+	return g.pass()
 }
 
 func (g *gate) freeze(on bool) {
@@ -174,18 +176,18 @@
 }
 
 func (l gatedLog) Append(ctx context.Context, stream string, value []byte) (uint64, error) {
-	if err := l.gate.pass(ctx); err != nil {
+	if err := l.gate.pass(); err != nil {
 		return 0, err
 	}
 	return l.Log.Append(ctx, stream, value)
 }
 
 func (l gatedLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (logclient.Page, error) {
-	if err := l.gate.pass(ctx); err != nil {
+	if err := l.gate.pass(); err != nil {
 		return logclient.Page{}, err
 	}
 	page, err := l.Log.Read(ctx, stream, from, wait)
-	if err := l.gate.pass(ctx); err != nil {
+	if err := l.gate.pass(); err != nil {
 		return logclient.Page{}, err
 	}
 	return page, err
@@ -197,25 +199,25 @@
 }
 
 func (w gatedWorker) Watch(ctx context.Context, agent string, revision int, wait time.Duration) (workerclient.Status, error) {
-	if err := w.gate.pass(ctx); err != nil {
+	if err := w.gate.pass(); err != nil {
 		return workerclient.Status{}, err
 	}
 	status, err := w.Worker.Watch(ctx, agent, revision, wait)
-	if err := w.gate.pass(ctx); err != nil {
+	if err := w.gate.pass(); err != nil {
 		return workerclient.Status{}, err
 	}
 	return status, err
 }
 
 func (w gatedWorker) Extend(ctx context.Context, agent string, until time.Duration) error {
-	if err := w.gate.pass(ctx); err != nil {
+	if err := w.gate.pass(); err != nil {
 		return err
 	}
 	return w.Worker.Extend(ctx, agent, until)
 }
 
 func (w gatedWorker) Start(ctx context.Context, agent string, t workerclient.Task) error {
-	if err := w.gate.pass(ctx); err != nil {
+	if err := w.gate.pass(); err != nil {
 		return err
 	}
 	return w.Worker.Start(ctx, agent, t)
@@ -238,6 +240,8 @@
 	if err := p.Start(context.Background()); err != nil {
 		s.t.Fatal(err)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.entries[i] = p
 }
 
@@ -285,8 +289,10 @@
 
 // killEntry ends an entry as SIGKILL does.
 func (s *stage) killEntry(i int) {
+	s.mu.Lock()
 	p := s.entries[i]
 	delete(s.entries, i)
+	s.mu.Unlock()
 	s.reapEntry(p)
 }
 
@@ -325,6 +331,13 @@
 	}
 }
 
+// alive returns the entries that run.
+func (s *stage) alive() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.entries))
+}
+
 // freeze stops a process from doing anything that others see.
 func (s *stage) freeze(name string, on bool) {
 	others := []string{"callers"}
@@ -346,14 +359,15 @@
 	}
 }
 
-// cut cuts two hosts off from each other.
-func (s *stage) cut(a, b string, on bool) {
+// cut cuts agent 0 and an entry off from each other.
+func (s *stage) cut(entry int, on bool) {
+	a, b := "agent-0", fmt.Sprintf("entry-%d", entry)
 	s.net.cutOff(a, b, on)
 	s.net.cutOff(b, a, on)
 }
 
 func (s *stage) close() {
-	for i := range s.entries {
+	for _, i := range s.alive() {
 		s.killEntry(i)
 	}
 	for i, v := range s.vms {
@@ -385,9 +399,7 @@
 		reader = strings.NewReader(string(data))
 	}
 	if i < 0 {
-		for i = range s.entries {
-			break
-		}
+		i = s.alive()[0]
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
@@ -447,7 +459,7 @@
 // ready returns how many agents are ready at the worst entry.
 func (s *stage) ready() int {
 	worst := len(s.vms)
-	for i := range s.entries {
+	for _, i := range s.alive() {
 		var status admin.Status
 		if code, _ := s.call(i, http.MethodGet, "/v1/status", nil, &status); code != http.StatusOK {
 			return 0
@@ -502,9 +514,9 @@
 }
 
 // ended waits until all tasks of a run are done.
-func (s *stage) ended(bound time.Duration, name string) time.Duration {
+func (s *stage) ended(bound time.Duration, name string) {
 	s.t.Helper()
-	return s.eventually(bound, name+" ends", func() bool {
+	s.eventually(bound, name+" ends", func() bool {
 		run := s.run(name)
 		return run.Done > 0 && run.Pending+run.Open == 0
 	})
@@ -514,7 +526,7 @@
 // what is checked at the end.
 func (s *stage) load(name, path string, rate float64, span time.Duration, once float64) *loader.Result {
 	l := &loader.Load{Path: path, Rate: rate, Span: span, Once: once, Seed: 7, Name: name, Client: s.client}
-	for i := range s.entries {
+	for _, i := range s.alive() {
 		l.Targets = append(l.Targets, address(callersNet, i))
 	}
 	result := &loader.Result{}
--- a/test/task_test.go
+++ b/test/task_test.go
@@ -83,11 +83,11 @@
 				s.submit("proofs", "proofs-1")
 				time.Sleep(4 * time.Second)
 				for i := range 3 {
-					s.cut("agent-0", fmt.Sprintf("entry-%d", i), true)
+					s.cut(i, true)
 				}
 				time.Sleep(span)
 				for i := range 3 {
-					s.cut("agent-0", fmt.Sprintf("entry-%d", i), false)
+					s.cut(i, false)
 				}
 				s.ended(2*time.Minute, "proofs-1")
 			})
@@ -111,7 +111,7 @@
 				}
 				time.Sleep(recovery + 5*time.Second)
 				for i := range 3 {
-					s.cut("agent-0", fmt.Sprintf("entry-%d", i), false)
+					s.cut(i, false)
 				}
 				s.ended(2*time.Minute, "proofs-1")
 			})
@@ -124,7 +124,7 @@
 		s.publish(declarations)
 		s.submit("proofs", "proofs-1")
 		time.Sleep(4 * time.Second)
-		s.cut("agent-0", "entry-0", true)
+		s.cut(0, true)
 		s.ended(2*time.Minute, "proofs-1")
 		if run := s.run("proofs-1"); run.Attempts != 12 {
 			t.Errorf("12 tasks took %d attempts; a VM that two entries hear must not be fenced", run.Attempts)
