Watch connections with one timer instead of one for each frame

Each frame made a context with a timeout, a timer and a hook into the connection, and a fresh buffer.

Change: one timer per connection looks for silence and for a frame stuck on its way out; frames are encoded into pooled buffers.

Ruled out: routing and admission, which do not show in the profile.

The agent's HTTP client is the next cost.

--- a/internal/agent/announcer/announcer.go
+++ b/internal/agent/announcer/announcer.go
@@ -240,12 +240,13 @@
 
 func (a *Announcer) connect(ctx context.Context, entry netip.AddrPort, l *loop) error {
 	dial, cancel := context.WithTimeout(ctx, dialTimeout)
-	conn, err := carrier.Dial(dial, a.Client, a.Scheme, entry, a.Header)
+	conn, err := carrier.Dial(dial, a.Client, a.Scheme, entry, a.Header, silence*a.Every)
 	cancel()
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
+	defer context.AfterFunc(ctx, conn.Close)()
 	link := &Link{conn: conn, Entry: entry}
 	if err := link.Send(&message.Frame{Hello: a.Hello()}); err != nil {
 		return err
@@ -257,7 +258,7 @@
 	defer handler.Close()
 	a.set(l, link)
 	defer a.set(l, nil)
-	return a.receive(ctx, conn, handler)
+	return a.receive(conn, handler)
 }
 
 func (a *Announcer) set(l *loop, link *Link) {
@@ -266,12 +267,10 @@
 	l.link = link
 }
 
-// receive hands on frames until the entry has been silent for too long.
-func (a *Announcer) receive(ctx context.Context, conn *carrier.Conn, handler Handler) error {
+// receive hands on frames until the connection ends.
+func (a *Announcer) receive(conn *carrier.Conn, handler Handler) error {
 	for {
-		call, cancel := context.WithTimeout(ctx, silence*a.Every)
-		f, err := conn.Receive(call)
-		cancel()
+		f, err := conn.Receive()
 		if err != nil {
 			return err
 		}
--- a/internal/entry/linker/linker.go
+++ b/internal/entry/linker/linker.go
@@ -84,7 +84,7 @@
 
 // ServeHTTP takes one connection and serves it until it ends.
 func (k *Linker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	conn, err := carrier.Accept(w, r)
+	conn, err := carrier.Accept(w, r, k.Silence)
 	if err != nil {
 		k.Logger.Debug("no connection with an agent", "error", err)
 		return
@@ -97,13 +97,13 @@
 		return
 	}
 	defer k.drop(l)
-	hello, err := l.hello(ctx)
+	hello, err := l.hello()
 	if err != nil {
 		k.Logger.Warn("an agent did not say who it is", "error", err)
 		return
 	}
 	go l.send(ctx)
-	l.serve(ctx, hello)
+	l.serve(hello)
 }
 
 func (k *Linker) hold(l *link) bool {
@@ -132,10 +132,9 @@
 	}
 }
 
-func (l *link) hello(ctx context.Context) (*message.Hello, error) {
-	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
-	defer cancel()
-	f, err := l.conn.Receive(ctx)
+func (l *link) hello() (*message.Hello, error) {
+	defer time.AfterFunc(helloTimeout, l.conn.Close).Stop()
+	f, err := l.conn.Receive()
 	if err != nil {
 		return nil, err
 	}
@@ -160,7 +159,7 @@
 }
 
 // serve adds the member and handles its frames until the connection ends.
-func (l *link) serve(ctx context.Context, hello *message.Hello) {
+func (l *link) serve(hello *message.Hello) {
 	now := time.Now()
 	l.member = &tracker.Member{Hello: *hello, Caller: l, Since: now}
 	l.member.Candidate.VM = hello.VM
@@ -170,7 +169,7 @@
 	}
 	l.Driver.Tell(now, scheduler.Linked{VM: hello.VM})
 	l.Logger.Info("agent connected", "vm", hello.VM, "domain", hello.Domain, "service", hello.Service)
-	err := l.receive(ctx)
+	err := l.receive()
 	l.exchange.Close()
 	if l.Tracker.Remove(l.member) {
 		l.Driver.Tell(time.Now(), scheduler.Unlinked{VM: hello.VM})
@@ -178,11 +177,9 @@
 	l.Logger.Info("agent disconnected", "vm", hello.VM, "error", err)
 }
 
-func (l *link) receive(ctx context.Context) error {
+func (l *link) receive() error {
 	for {
-		call, cancel := context.WithTimeout(ctx, l.Silence)
-		f, err := l.conn.Receive(call)
-		cancel()
+		f, err := l.conn.Receive()
 		if err != nil {
 			return err
 		}
--- a/internal/link/carrier/carrier.go
+++ b/internal/link/carrier/carrier.go
@@ -3,9 +3,12 @@
 package carrier
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -24,14 +27,58 @@
 	writeTimeout = 10 * time.Second
 )
 
+// traffic is what all connections of the process carried.
+var traffic struct{ sent, received, frames atomic.Int64 }
+
+// Traffic returns the bytes sent and received, and the frames of both, since
+// the process started.
+func Traffic() (sent, received, frames int64) {
+	return traffic.sent.Load(), traffic.received.Load(), traffic.frames.Load()
+}
+
+// buffers hold frames on their way out.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
 // Conn is one connection. Send may be called from any goroutine, Receive from
 // one at a time.
 type Conn struct {
 	ws *websocket.Conn
+	// received and writing are times in nanoseconds: of the last frame that
+	// came, and of the start of the frame that is being written, 0 for none.
+	received atomic.Int64
+	writing  atomic.Int64
+	watch    *time.Timer
+	closed   atomic.Bool
 }
 
-// Dial connects to an entry.
-func Dial(ctx context.Context, client *http.Client, scheme string, address netip.AddrPort, header http.Header) (*Conn, error) {
+// newConn returns a connection that ends itself after too long a silence. One
+// timer for all frames costs less than a timer for each.
+func newConn(ws *websocket.Conn, silence time.Duration) *Conn {
+	ws.SetReadLimit(MaxFrame)
+	c := &Conn{ws: ws}
+	c.received.Store(time.Now().UnixNano())
+	c.watch = time.AfterFunc(silence/2, func() { c.check(time.Now(), silence) })
+	return c
+}
+
+// check closes the connection if nothing came for the silence, or if a frame
+// has been on its way out for too long.
+func (c *Conn) check(now time.Time, silence time.Duration) {
+	if c.closed.Load() {
+		return
+	}
+	writing := c.writing.Load()
+	stuck := writing != 0 && now.UnixNano()-writing > int64(writeTimeout)
+	if stuck || now.UnixNano()-c.received.Load() > int64(silence) {
+		c.Close()
+		return
+	}
+	c.watch.Reset(silence / 2)
+}
+
+// Dial connects to an entry. The connection ends after the silence without a
+// frame.
+func Dial(ctx context.Context, client *http.Client, scheme string, address netip.AddrPort, header http.Header, silence time.Duration) (*Conn, error) {
 	opts := &websocket.DialOptions{HTTPClient: client, HTTPHeader: header, CompressionMode: websocket.CompressionDisabled}
 	ws, resp, err := websocket.Dial(ctx, scheme+"://"+address.String()+Path, opts) //nolint:bodyclose // the library closes it
 	if err != nil {
@@ -40,44 +87,51 @@
 		}
 		return nil, trace.ConnectionProblem(err, "connect to entry %s", address)
 	}
-	ws.SetReadLimit(MaxFrame)
-	return &Conn{ws: ws}, nil
+	return newConn(ws, silence), nil
 }
 
-// Accept takes a connection that an agent opened.
-func Accept(w http.ResponseWriter, r *http.Request) (*Conn, error) {
+// Accept takes a connection that an agent opened. It ends after the silence
+// without a frame.
+func Accept(w http.ResponseWriter, r *http.Request, silence time.Duration) (*Conn, error) {
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	ws.SetReadLimit(MaxFrame)
-	return &Conn{ws: ws}, nil
+	return newConn(ws, silence), nil
 }
 
 // Send writes one frame. After an error the connection is of no more use, and
 // the frame may have arrived.
 func (c *Conn) Send(f *message.Frame) error {
-	data, err := encoder.Encode(f)
-	if err != nil {
+	buffer := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(buffer)
+	buffer.Reset()
+	if err := encoder.EncodeTo(buffer, f); err != nil {
 		return trace.Wrap(err)
 	}
-	if len(data) > MaxFrame {
-		return trace.LimitExceeded("frame of %d bytes", len(data))
+	if buffer.Len() > MaxFrame {
+		return trace.LimitExceeded("frame of %d bytes", buffer.Len())
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-	defer cancel()
-	if err := c.ws.Write(ctx, websocket.MessageBinary, data); err != nil {
+	c.writing.CompareAndSwap(0, time.Now().UnixNano())
+	err := c.ws.Write(context.Background(), websocket.MessageBinary, buffer.Bytes())
+	c.writing.Store(0)
+	if err != nil {
 		return trace.ConnectionProblem(err, "send a frame")
 	}
+	traffic.sent.Add(int64(buffer.Len()))
+	traffic.frames.Add(1)
 	return nil
 }
 
-// Receive reads the next frame.
-func (c *Conn) Receive(ctx context.Context) (*message.Frame, error) {
-	_, data, err := c.ws.Read(ctx)
+// Receive reads the next frame. Close ends it.
+func (c *Conn) Receive() (*message.Frame, error) {
+	_, data, err := c.ws.Read(context.Background())
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "receive a frame")
 	}
+	c.received.Store(time.Now().UnixNano())
+	traffic.received.Add(int64(len(data)))
+	traffic.frames.Add(1)
 	var f message.Frame
 	if err := encoder.Decode(data, &f); err != nil {
 		return nil, trace.Wrap(err)
@@ -87,5 +141,7 @@
 
 // Close ends the connection at once.
 func (c *Conn) Close() {
+	c.closed.Store(true)
+	c.watch.Stop()
 	_ = c.ws.CloseNow()
 }
--- a/internal/wire/encoder/encoder.go
+++ b/internal/wire/encoder/encoder.go
@@ -2,6 +2,8 @@
 package encoder
 
 import (
+	"bytes"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 )
@@ -21,11 +23,11 @@
 	whole  = mustDecode(maxSnapshotElements, maxSnapshotElements)
 )
 
-func mustEncode() cbor.EncMode {
+func mustEncode() cbor.UserBufferEncMode {
 	opts := cbor.CoreDetEncOptions()
 	opts.Time = cbor.TimeRFC3339Nano
 	opts.TextMarshaler = cbor.TextMarshalerTextString
-	mode, err := opts.EncMode()
+	mode, err := opts.UserBufferEncMode()
 	if err != nil {
 		panic(err)
 	}
@@ -57,6 +59,14 @@
 	return data, nil
 }
 
+// EncodeTo appends v as deterministic CBOR to a buffer.
+func EncodeTo(buffer *bytes.Buffer, v any) error {
+	if err := encode.MarshalToBuffer(v, buffer); err != nil {
+		return trace.Wrap(err, "encode %T", v)
+	}
+	return nil
+}
+
 // DecodeSnapshot reads v from data that a checksum vouches for, with wider limits.
 func DecodeSnapshot(data []byte, v any) error {
 	if err := whole.Unmarshal(data, v); err != nil {
--- /dev/null
+++ b/test/path_bench_test.go
@@ -0,0 +1,101 @@
+package test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/fx"
+
+	agents "knapweedspur/internal/agent/assembler"
+	entries "knapweedspur/internal/entry/assembler"
+	"knapweedspur/internal/link/connector"
+	"knapweedspur/internal/platform/upstreamclient"
+	"knapweedspur/internal/standin/logkeeper"
+	"knapweedspur/internal/standin/responder"
+	"knapweedspur/internal/wire/message"
+)
+
+// BenchmarkPath compares requests through entry and agent, in one process over
+// loopback, with the same requests to the upstream directly.
+func BenchmarkPath(b *testing.B) {
+	upstream := httptest.NewServer((&responder.Responder{}).Handler())
+	defer upstream.Close()
+	target := startPath(b, netip.MustParseAddrPort(upstream.Listener.Addr().String()))
+	b.Run("direct", func(b *testing.B) { hammer(b, upstream.URL+"/check") })
+	b.Run("through", func(b *testing.B) { hammer(b, "http://"+target.String()+"/thumbnails/check") })
+}
+
+func hammer(b *testing.B, url string) {
+	client := &http.Client{Transport: connector.Transport(connector.System{})}
+	b.SetParallelism(1)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			resp, err := client.Get(url)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				b.Errorf("status %s", resp.Status)
+				return
+			}
+		}
+	})
+}
+
+func startPath(b *testing.B, upstream netip.AddrPort) netip.AddrPort {
+	b.Helper()
+	network := connector.System{}
+	settings := &entries.Settings{
+		Listen: netip.MustParseAddrPort("127.0.0.1:18911"), Control: netip.MustParseAddrPort("127.0.0.1:18912"), Domain: "alpha", Region: "main",
+		Hold: hold, Suspect: suspect, Beat: beat, Routing: "sampled", Placement: "spread", SnapshotEvery: time.Hour, SnapshotRecords: 1 << 20,
+	}
+	var entry *entries.Entry
+	app := fx.New(entries.Options(settings, logger("entry"), entries.Platform{Log: &logkeeper.Keeper{}, Network: network}), fx.Populate(&entry), fx.NopLogger)
+	if err := app.Err(); err != nil {
+		b.Fatal(err)
+	}
+	if err := entry.Start(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+	agentSettings := &agents.Settings{
+		Entries: []netip.AddrPort{settings.Control}, VM: "vm-1", Rack: "r", Domain: "alpha", Service: "thumbnails", Upstream: upstream,
+		Links: 3, Beat: beat, Probe: time.Second,
+	}
+	platform := agents.Platform{Upstream: &upstreamclient.HTTP{Address: upstream, Client: upstreamclient.NewClient(connector.Transport(network))}, Network: network}
+	var agent *agents.Agent
+	app = fx.New(agents.Options(agentSettings, logger("agent"), platform), fx.Populate(&agent), fx.NopLogger)
+	if err := app.Err(); err != nil {
+		b.Fatal(err)
+	}
+	if err := agent.Start(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		gone, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = agent.Stop(gone)
+		_ = entry.Stop(gone)
+	})
+	publishTo(b, settings.Control, &message.Change{ID: "bench", Who: "bench", Edits: []message.Edit{{Name: "thumbnails", Body: declarations["thumbnails"]}}})
+	for range 100 {
+		resp, err := http.Get("http://" + settings.Listen.String() + "/thumbnails/check")
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return settings.Listen
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	b.Fatal("the path does not open")
+	return netip.AddrPort{}
+}
--- a/test/stage_test.go
+++ b/test/stage_test.go
@@ -566,3 +566,20 @@
 		s.t.Errorf("broken promises (-want +got):\n%s", diff)
 	}
 }
+
+// publishTo publishes a change at an entry on the machine's own network.
+func publishTo(t testing.TB, control netip.AddrPort, c *message.Change) {
+	t.Helper()
+	data, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Post("http://"+control.String()+"/v1/changes", "application/json", strings.NewReader(string(data)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatal(resp.Status)
+	}
+}
