Keep the list of VMs to place on instead of making it for each pass

The fold also copied its audit trail and list of finished runs, 512 and 1,000 long, for each new line.

Change: the list is made anew when a VM comes, goes or changes its standing, and once a tick; the fold trims its lists to half when they are full.

--- /dev/null
+++ b/internal/policy/placer/placer_test.go
@@ -0,0 +1,102 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedspur/internal/wire/message"
+)
+
+func vms(n int) []*VM {
+	list := make([]*VM, n)
+	for i := range list {
+		size := message.Size{Millis: 16000, Memory: 60 << 30}
+		list[i] = &VM{Name: fmt.Sprint("vm-", i), Rack: fmt.Sprint("rack-", i/3), Domain: fmt.Sprint("domain-", i%3), Size: size, Free: size}
+	}
+	return list
+}
+
+func want(millis int) Want {
+	return Want{Run: "run", Size: message.Size{Millis: millis, Memory: 1 << 30}, Racks: map[string]int{}, Domains: map[string]int{}}
+}
+
+func TestSpreadPutsARunOnAllDomains(t *testing.T) {
+	list := vms(9)
+	w := want(4000)
+	got := map[string]int{}
+	for range 9 {
+		vm := spread(time.Unix(1000, 0), w, list)
+		vm.Free = Sub(vm.Free, w.Size)
+		w.Domains[vm.Domain]++
+		w.Racks[vm.Rack]++
+		got[vm.Domain]++
+	}
+	if diff := cmp.Diff(map[string]int{"domain-0": 3, "domain-1": 3, "domain-2": 3}, got); diff != "" {
+		t.Errorf("tasks by domain (-want +got):\n%s", diff)
+	}
+}
+
+func TestPoliciesNeverOverfill(t *testing.T) {
+	for _, name := range Names() {
+		list := vms(3)
+		placed := 0
+		for {
+			vm := policies[name](time.Unix(1000, 0), want(5000), list)
+			if vm == nil {
+				break
+			}
+			vm.Free = Sub(vm.Free, want(5000).Size)
+			placed++
+		}
+		if placed != 9 {
+			t.Errorf("%s placed %d tasks; 3 fit on each of 3 VMs", name, placed)
+		}
+	}
+}
+
+func TestBarredVMGetsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := vms(1)
+	list[0].Barred = now.Add(time.Second)
+	if vm := spread(now, want(1), list); vm != nil {
+		t.Errorf("placed on %s while it is set aside", vm.Name)
+	}
+	if vm := spread(now.Add(time.Second), want(1), list); vm == nil {
+		t.Error("not tried again afterwards")
+	}
+}
+
+func TestAcceleratorsAreKeptForWhoNeedsThem(t *testing.T) {
+	list := vms(2)
+	list[0].Size.Accelerators = 4
+	list[0].Free.Accelerators = 4
+	for i := range 20 {
+		if vm := spread(time.Unix(int64(i), 0), want(1000), list); vm != list[1] {
+			t.Errorf("a task without accelerators was placed on %s", vm.Name)
+		}
+	}
+}
+
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{1000, 3000, 11000} {
+		list := vms(n)
+		for _, full := range []bool{false, true} {
+			for _, vm := range list {
+				vm.Free = vm.Size
+				if full {
+					vm.Free = message.Size{}
+				}
+			}
+			b.Run(fmt.Sprintf("vms=%d/full=%v", n, full), func(b *testing.B) {
+				w := want(1000)
+				now := time.Unix(1000, 0)
+				for i := range b.N {
+					spread(now.Add(time.Duration(i)*time.Microsecond), w, list)
+				}
+			})
+		}
+	}
+}
--- a/internal/state/configfolder/state.go
+++ b/internal/state/configfolder/state.go
@@ -12,7 +12,8 @@
 	"knapweedspur/internal/wire/message"
 )
 
-// Limits of the state.
+// Limits of the state: what is remembered at the least, and half of what is
+// remembered at the most.
 const (
 	maxAudit   = 512
 	maxWriters = 4096
@@ -91,9 +92,8 @@
 		s.Order = append(s.Order, batch.Writer)
 	}
 	s.Writers[batch.Writer] = batch.Number
-	if len(s.Order) > maxWriters {
-		delete(s.Writers, s.Order[0])
-		s.Order = append([]string(nil), s.Order[1:]...)
+	if len(s.Order) > 2*maxWriters {
+		s.Order = forget(s.Writers, s.Order, maxWriters)
 	}
 }
 
@@ -141,20 +141,27 @@
 		s.Items[e.Name] = Item{Version: outcome.Version, Body: e.Body, Who: c.Who, Time: batch.Time}
 	}
 	s.Audit = append(s.Audit, line)
-	if len(s.Audit) > maxAudit {
-		s.Audit = append([]message.Audit(nil), s.Audit[len(s.Audit)-maxAudit:]...)
+	if len(s.Audit) > 2*maxAudit {
+		s.Audit = append([]message.Audit(nil), s.Audit[maxAudit:]...)
 	}
 }
 
 func (s *State) note(id string, outcome Outcome) {
 	s.Changes[id] = outcome
 	s.Recent = append(s.Recent, id)
-	if len(s.Recent) > maxChanges {
-		delete(s.Changes, s.Recent[0])
-		s.Recent = append([]string(nil), s.Recent[1:]...)
+	if len(s.Recent) > 2*maxChanges {
+		s.Recent = forget(s.Changes, s.Recent, maxChanges)
 	}
 }
 
+// forget drops the n oldest keys of a map and returns the order of the rest.
+func forget[V any](m map[string]V, order []string, n int) []string {
+	for _, key := range order[:n] {
+		delete(m, key)
+	}
+	return append([]string(nil), order[n:]...)
+}
+
 // Snapshot returns the state as bytes. Equal states give equal bytes.
 func (s *State) Snapshot() ([]byte, error) {
 	return encoder.Encode(s)
--- a/internal/state/taskfolder/fold.go
+++ b/internal/state/taskfolder/fold.go
@@ -120,8 +120,8 @@
 	f.Audit = append(f.Audit, message.Audit{
 		Offset: f.offset, Time: f.batch.Time, Who: who, Action: action, Target: target, Outcome: outcome,
 	})
-	if len(f.Audit) > maxAudit {
-		f.Audit = append([]message.Audit(nil), f.Audit[len(f.Audit)-maxAudit:]...)
+	if len(f.Audit) > 2*maxAudit {
+		f.Audit = append([]message.Audit(nil), f.Audit[maxAudit:]...)
 	}
 	return reason
 }
@@ -268,11 +268,13 @@
 	}
 	f.emit(Ended{Run: name})
 	f.Finished = append(f.Finished, name)
-	if len(f.Finished) <= maxFinished {
+	if len(f.Finished) <= 2*maxFinished {
 		return
 	}
-	delete(f.Runs, f.Finished[0])
-	f.Finished = append([]string(nil), f.Finished[1:]...)
+	for _, old := range f.Finished[:maxFinished] {
+		delete(f.Runs, old)
+	}
+	f.Finished = append([]string(nil), f.Finished[maxFinished:]...)
 }
 
 func (f *fold) fence(r *message.Fence) string {
--- a/internal/state/taskfolder/state.go
+++ b/internal/state/taskfolder/state.go
@@ -16,12 +16,12 @@
 	MaxFailures = 5
 	// MaxTasks is the largest number of tasks in one run.
 	MaxTasks = 100_000
-	// maxFinished is how many finished runs are remembered.
+	// maxFinished is how many finished runs are remembered at the least, and
+	// half of how many at the most; so are audit lines.
 	maxFinished = 1000
 	// maxWriters is how many writers are remembered against repeated batches.
 	maxWriters = 4096
-	// maxAudit is how many audit lines are remembered.
-	maxAudit = 512
+	maxAudit   = 512
 )
 
 // Phase is where a task stands.
--- a/internal/task/scheduler/dispatch.go
+++ b/internal/task/scheduler/dispatch.go
@@ -13,6 +13,7 @@
 func (s *step) link(name string) {
 	v := s.known(name)
 	v.linked = true
+	s.listed = false
 	s.State.OpenOn(name, func(key taskfolder.Key, _ *taskfolder.Run, _ *taskfolder.Task) {
 		if v.starts[key] == nil {
 			v.starts[key] = &resend{due: s.now.Add(ResendAfter / 2)}
@@ -23,9 +24,13 @@
 
 func (s *step) heard(e Heard) {
 	v := s.known(e.VM)
-	if e.Lease > 0 && e.Lease == v.Lease {
-		v.good = s.now
+	if e.Lease == 0 || e.Lease != v.Lease {
+		return
+	}
+	if s.now.Sub(v.good) > s.Suspect/2 {
+		s.listed = false
 	}
+	v.good = s.now
 }
 
 // resendStarts sends the starts of a VM that are due.
@@ -148,6 +153,7 @@
 		}
 	}
 	s.dirty = true
+	s.listed = false
 }
 
 // guard fences a VM that is lost, and lapses what it held one hold time later.
--- a/internal/task/scheduler/fold.go
+++ b/internal/task/scheduler/fold.go
@@ -49,6 +49,10 @@
 
 // folded takes one change of the fold.
 func (s *step) folded(change taskfolder.Event) {
+	switch change.(type) {
+	case taskfolder.Joined, taskfolder.Fenced, taskfolder.Drained, taskfolder.Forgotten:
+		s.listed = false
+	}
 	switch c := change.(type) {
 	case taskfolder.Submitted:
 		s.adopt(s.now, c.Run, s.State.Runs[c.Run])
--- a/internal/task/scheduler/kernel.go
+++ b/internal/task/scheduler/kernel.go
@@ -65,6 +65,9 @@
 	used    map[string]message.Size
 	failing map[string]map[string]bool
 	dirty   bool
+	// list caches the VMs to place on while listed is true.
+	list   []*placer.VM
+	listed bool
 }
 
 // vm is what the kernel knows of a VM besides the fold.
@@ -110,6 +113,7 @@
 func (k *Kernel) Init(now time.Time) {
 	k.began = now
 	k.signs = nil
+	k.listed = false
 	k.vms = map[string]*vm{}
 	k.runs = map[string]*backlog{}
 	k.order = nil
@@ -164,6 +168,7 @@
 		s.link(e.VM)
 	case Unlinked:
 		k.known(e.VM).linked = false
+		k.listed = false
 	case Heard:
 		s.heard(e)
 	case Acked:
--- /dev/null
+++ b/internal/task/scheduler/kernel_test.go
@@ -0,0 +1,234 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedspur/internal/policy/placer"
+	"knapweedspur/internal/state/taskfolder"
+	"knapweedspur/internal/wire/encoder"
+	"knapweedspur/internal/wire/message"
+)
+
+// bench is a kernel with its log in memory: what it offers is folded at once.
+type bench struct {
+	t      testing.TB
+	kernel *Kernel
+	number uint64
+	now    time.Time
+	sent   []Send
+	asked  []string
+}
+
+func newBench(t testing.TB, vms int) *bench {
+	t.Helper()
+	place, err := placer.Lookup("spread")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, now: time.Unix(10_000, 0)}
+	b.kernel = &Kernel{
+		Entry: "entry-1", State: taskfolder.New(), Place: place, Hold: time.Minute, Suspect: 10 * time.Second,
+		Quota: func(string) (message.Size, bool) { return message.Size{}, false },
+	}
+	b.kernel.Init(b.now)
+	for i := range vms {
+		name := fmt.Sprintf("vm-%05d", i)
+		b.fold("agent", message.Record{Join: &message.Join{
+			VM: name, Boot: "boot", Lease: 1, Agent: name, Size: message.Size{Millis: 16000, Memory: 60 << 30},
+			Rack: fmt.Sprint(i / 3), Domain: fmt.Sprint(i % 3),
+		}})
+		b.do(Linked{VM: name})
+	}
+	b.alive()
+	return b
+}
+
+// alive makes the view fresh and all VMs heard.
+func (b *bench) alive() {
+	for name := range b.kernel.State.VMs {
+		b.do(Heard{VM: name, Lease: b.kernel.State.VMs[name].Lease})
+	}
+	b.do(Viewed{Asked: b.now})
+}
+
+// fold writes a record to the log and tells the kernel.
+func (b *bench) fold(writer string, r message.Record) {
+	b.number++
+	value, err := encoder.Encode(&message.Batch{Writer: writer, Number: b.number, Time: b.now, Records: []message.Record{r}})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.do(Folded{Changes: b.kernel.State.Fold(b.kernel.State.Next, value)})
+}
+
+// do steps the kernel and does what it asks for.
+func (b *bench) do(e Event) {
+	for _, action := range b.kernel.Step(b.now, e) {
+		switch a := action.(type) {
+		case Offer:
+			b.fold(b.kernel.Entry, a.Record)
+		case Send:
+			b.sent = append(b.sent, a)
+		case AskPeers:
+			b.asked = append(b.asked, a.VM)
+		}
+	}
+}
+
+func (b *bench) submit(run string, tasks, millis int) {
+	b.fold("caller", message.Record{Submit: &message.Submit{
+		Run: run, Job: run, Team: "team", Who: "test", Tasks: tasks, Size: message.Size{Millis: millis, Memory: 1 << 30},
+	}})
+}
+
+func (b *bench) phases(run string) map[string]int {
+	counts := map[string]int{}
+	for _, task := range b.kernel.State.Runs[run].Tasks {
+		counts[task.Phase.String()]++
+	}
+	return counts
+}
+
+func TestPlacesAndStarts(t *testing.T) {
+	b := newBench(t, 3)
+	b.submit("run", 6, 4000)
+	if diff := cmp.Diff(map[string]int{"open": 6}, b.phases("run")); diff != "" {
+		t.Errorf("phases (-want +got):\n%s", diff)
+	}
+	starts := 0
+	for _, s := range b.sent {
+		if s.Frame.Start != nil {
+			starts++
+		}
+	}
+	if starts != 6 {
+		t.Errorf("%d starts were sent for 6 tasks", starts)
+	}
+}
+
+func TestNothingIsPlacedOnAnOldView(t *testing.T) {
+	b := newBench(t, 3)
+	b.now = b.now.Add(FreshSpan + time.Second)
+	b.submit("run", 1, 1000)
+	if diff := cmp.Diff(map[string]int{"pending": 1}, b.phases("run")); diff != "" {
+		t.Errorf("phases (-want +got):\n%s", diff)
+	}
+	b.alive()
+	b.do(Ticked{})
+	if diff := cmp.Diff(map[string]int{"open": 1}, b.phases("run")); diff != "" {
+		t.Errorf("phases (-want +got):\n%s", diff)
+	}
+}
+
+func TestLostVMIsFencedThenLapsed(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("run", 1, 1000)
+	b.do(Unlinked{VM: "vm-00000"})
+	step := func(d time.Duration) {
+		b.now = b.now.Add(d)
+		b.do(Viewed{Asked: b.now})
+		b.do(Ticked{})
+	}
+	step(b.kernel.Suspect + time.Second)
+	if diff := cmp.Diff([]string{"vm-00000"}, b.asked); diff != "" {
+		t.Fatalf("peers asked about (-want +got):\n%s", diff)
+	}
+	b.do(PeersAnswered{VM: "vm-00000", Heard: false})
+	if b.kernel.State.VMs["vm-00000"].Fence == 0 {
+		t.Fatal("the VM is not fenced")
+	}
+	step(b.kernel.Hold)
+	if diff := cmp.Diff(map[string]int{"open": 1}, b.phases("run")); diff != "" {
+		t.Errorf("before the lease has surely run out (-want +got):\n%s", diff)
+	}
+	step(b.kernel.Hold / margin)
+	if diff := cmp.Diff(map[string]int{"pending": 1}, b.phases("run")); diff != "" {
+		t.Errorf("after the lease has run out (-want +got):\n%s", diff)
+	}
+}
+
+func TestVMThatAPeerHearsIsNotFenced(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("run", 1, 1000)
+	b.do(Unlinked{VM: "vm-00000"})
+	b.now = b.now.Add(b.kernel.Suspect + time.Second)
+	b.do(Viewed{Asked: b.now})
+	b.do(PeersAnswered{VM: "vm-00000", Heard: true})
+	if b.kernel.State.VMs["vm-00000"].Fence != 0 {
+		t.Error("a VM that a peer hears was fenced")
+	}
+}
+
+func TestReportWaitsForAFreshView(t *testing.T) {
+	b := newBench(t, 1)
+	taken := func() int {
+		n := 0
+		for _, s := range b.sent {
+			if s.Frame.Taken != nil {
+				n++
+			}
+		}
+		return n
+	}
+	b.do(Reported{VM: "vm-00000", Closes: []message.Close{{Run: "unknown", Attempt: 1, How: "done"}}})
+	if taken() != 0 {
+		t.Error("an attempt that this entry has not read of was called taken")
+	}
+	b.now = b.now.Add(time.Second)
+	b.do(Viewed{Asked: b.now})
+	if taken() != 1 {
+		t.Error("the agent was never told")
+	}
+}
+
+func TestQuotaIsLentAndLeastShareGoesFirst(t *testing.T) {
+	b := newBench(t, 1)
+	b.kernel.Quota = func(team string) (message.Size, bool) {
+		return message.Size{Millis: 4000, Memory: 60 << 30}, true
+	}
+	b.submit("run", 3, 4000)
+	if diff := cmp.Diff(map[string]int{"open": 3}, b.phases("run")); diff != "" {
+		t.Errorf("what is left over is not lent (-want +got):\n%s", diff)
+	}
+	b.submit("more", 2, 4000)
+	b.fold("caller", message.Record{Submit: &message.Submit{Run: "other", Job: "other", Team: "others", Tasks: 1, Size: message.Size{Millis: 4000, Memory: 1 << 30}}})
+	if b.phases("more")["open"] != 1 || b.phases("other")["open"] != 0 {
+		t.Fatalf("more %v, other %v", b.phases("more"), b.phases("other"))
+	}
+	b.fold("agent", message.Record{Close: &message.Close{Run: "run", Task: 0, Attempt: 1, How: "done"}})
+	b.do(Ticked{})
+	if b.phases("other")["open"] != 1 {
+		t.Error("room went to a team over its quota before one within")
+	}
+}
+
+func BenchmarkSchedule(b *testing.B) {
+	for _, n := range []int{500, 1833, 11000} {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			k := newBench(b, n)
+			b.ResetTimer()
+			for i := range b.N {
+				run := fmt.Sprint("run-", i)
+				k.submit(run, 1, 1)
+				k.fold("agent", message.Record{Close: &message.Close{Run: run, Task: 0, Attempt: 1, How: "done"}})
+				k.sent = k.sent[:0]
+			}
+		})
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{500, 1833, 11000} {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			k := newBench(b, n)
+			b.ResetTimer()
+			for range b.N {
+				k.do(Ticked{})
+			}
+		})
+	}
+}
--- a/internal/task/scheduler/schedule.go
+++ b/internal/task/scheduler/schedule.go
@@ -77,18 +77,26 @@
 	return float64(used) / float64(max(quota, 1))
 }
 
-// candidates returns the VMs that this entry may place on.
+// candidates returns the VMs that this entry may place on, by name. The list
+// is made anew when a VM has come, gone or changed its standing, and once a tick.
 func (s *step) candidates() []*placer.VM {
-	list := make([]*placer.VM, 0, len(s.vms))
+	if s.listed {
+		return s.list
+	}
+	s.list = s.list[:0]
 	for name, v := range s.vms {
-		folded := s.State.VMs[name]
-		if folded == nil || !v.linked || folded.Fence != 0 || folded.Drained || s.now.Sub(v.good) > s.Suspect/2 {
-			continue
+		if s.usable(name, v) {
+			s.list = append(s.list, &v.VM)
 		}
-		list = append(list, &v.VM)
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	return list
+	sort.Slice(s.list, func(i, j int) bool { return s.list[i].Name < s.list[j].Name })
+	s.listed = true
+	return s.list
+}
+
+func (s *step) usable(name string, v *vm) bool {
+	folded := s.State.VMs[name]
+	return folded != nil && v.linked && folded.Fence == 0 && !folded.Drained && s.now.Sub(v.good) <= s.Suspect/2
 }
 
 // pass is one pass over the backlogs.
@@ -230,7 +238,7 @@
 	if len(p.reserved) == 0 {
 		return
 	}
-	kept := p.list[:0]
+	var kept []*placer.VM
 	for _, vm := range p.list {
 		if !p.reserved[vm.Name] {
 			kept = append(kept, vm)
