--- a/internal/standin/commander/commander.go
+++ b/internal/standin/commander/commander.go
@@ -18,6 +18,7 @@
 	Upstream upstreamCommand `cmd:"" help:"Stand in for an upstream."`
 	Load     loadCommand     `cmd:"" help:"Send a load and check the answers."`
 	Slope    slopeCommand    `cmd:"" help:"Measure what a process spends at one size."`
+	State    stateCommand    `cmd:"" help:"Measure the folded state of many tasks."`
 	Fit      fitCommand      `cmd:"" help:"Fit lines through measured sizes."`
 	Verify   verifyCommand   `cmd:"" help:"Check what workers and upstreams saw against the promises."`
 }
--- /dev/null
+++ b/internal/state/taskfolder/fold_test.go
@@ -0,0 +1,247 @@
+package taskfolder
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"knapweedspur/internal/wire/encoder"
+	"knapweedspur/internal/wire/message"
+)
+
+// The same cases are drawn in every run.
+func init() {
+	if err := flag.Set("rapid.seed", "20261203"); err != nil {
+		panic(err)
+	}
+}
+
+// value encodes a batch.
+func value(t rapid.TB, writer string, number uint64, records ...message.Record) []byte {
+	data, err := encoder.Encode(&message.Batch{Writer: writer, Number: number, Time: time.Unix(1, 0).UTC(), Records: records})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+var (
+	runNames = []string{"a", "b"}
+	vmNames  = []string{"v", "w", "x"}
+	hows     = []string{HowDone, HowFailed, HowStopped, HowCheckpointed, HowRefused, HowLapsed}
+)
+
+// record draws any record, sensible or not.
+func record(t *rapid.T) message.Record {
+	run := rapid.SampledFrom(runNames).Draw(t, "run")
+	vm := rapid.SampledFrom(vmNames).Draw(t, "vm")
+	task := rapid.IntRange(-1, 3).Draw(t, "task")
+	attempt := rapid.IntRange(0, 4).Draw(t, "attempt")
+	lease := rapid.IntRange(0, 4).Draw(t, "lease")
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0:
+		return message.Record{Submit: &message.Submit{Run: run, Tasks: rapid.IntRange(0, 3).Draw(t, "tasks")}}
+	case 1:
+		return message.Record{Cancel: &message.Cancel{Run: run}}
+	case 2, 3, 4:
+		return message.Record{Place: &message.Place{Run: run, Task: task, Attempt: attempt, VM: vm, Lease: lease}}
+	case 5, 6:
+		how := rapid.SampledFrom(hows).Draw(t, "how")
+		return message.Record{Close: &message.Close{Run: run, Task: task, Attempt: attempt, How: how, Fence: rapid.Uint64Range(0, 40).Draw(t, "fence"), Checkpoint: "c"}}
+	case 7:
+		held := []message.Attempt{{Run: run, Task: task, Attempt: attempt}}
+		return message.Record{Join: &message.Join{VM: vm, Boot: rapid.SampledFrom([]string{"1", "2"}).Draw(t, "boot"), Lease: lease, Agent: vm, Held: held}}
+	case 8:
+		return message.Record{Fence: &message.Fence{VM: vm, Lease: lease}}
+	}
+	if rapid.Bool().Draw(t, "forget") {
+		return message.Record{Forget: &message.Forget{VM: vm, Lease: lease}}
+	}
+	return message.Record{Drain: &message.Drain{VM: vm, On: rapid.Bool().Draw(t, "on")}}
+}
+
+// checkState checks what must hold in every state.
+func checkState(t *rapid.T, s *State) {
+	open := map[Key]string{}
+	for name, run := range s.Runs {
+		left := 0
+		for i, task := range run.Tasks {
+			if task.Phase == Pending || task.Phase == Open {
+				left++
+			}
+			if task.Phase == Open {
+				open[Key{Run: name, Task: i}] = task.VM
+				if vm := s.VMs[task.VM]; vm == nil || vm.Lease != int(task.Lease) {
+					t.Fatalf("%s/%d is open on %s under lease %d, which the VM does not hold: %+v", name, i, task.VM, task.Lease, vm)
+				}
+			}
+		}
+		if left != run.Left {
+			t.Fatalf("%s has %d tasks left and says %d", name, left, run.Left)
+		}
+	}
+	held := map[Key]string{}
+	for name, vm := range s.VMs {
+		for key := range vm.open {
+			held[key] = name
+		}
+	}
+	if diff := cmp.Diff(open, held); diff != "" {
+		t.Fatalf("open attempts of tasks and of VMs differ (-tasks +VMs):\n%s", diff)
+	}
+}
+
+func snapshot(t *rapid.T, s *State) []byte {
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func TestFoldKeepsItsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 60).Draw(t, "values")
+		values := make([][]byte, n)
+		for i := range values {
+			values[i] = value(t, "writer", uint64(i+1), record(t), record(t))
+		}
+		cut := rapid.IntRange(0, n).Draw(t, "cut")
+		all, again, doubled := New(), New(), New()
+		offset := uint64(0)
+		for i, v := range values {
+			all.Fold(uint64(i), v)
+			checkState(t, all)
+			doubled.Fold(offset, v)
+			doubled.Fold(offset+1, v)
+			offset += 2
+			if i < cut {
+				again.Fold(uint64(i), v)
+			}
+		}
+		restored, err := Restore(snapshot(t, again))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := cut; i < n; i++ {
+			restored.Fold(uint64(i), values[i])
+		}
+		if diff := cmp.Diff(snapshot(t, all), snapshot(t, restored)); diff != "" {
+			t.Fatalf("the fold of a snapshot and the rest is not the fold of all:\n%s", diff)
+		}
+		for name, run := range all.Runs {
+			if diff := cmp.Diff(run.Tasks, doubled.Runs[name].Tasks); diff != "" && !usesFences(values) {
+				t.Fatalf("doubled values change the tasks of %s:\n%s", name, diff)
+			}
+		}
+	})
+}
+
+// usesFences reports whether a value names an offset, which doubling shifts.
+func usesFences(values [][]byte) bool {
+	for _, v := range values {
+		var b message.Batch
+		if encoder.Decode(v, &b) != nil {
+			return true
+		}
+		for _, r := range b.Records {
+			if r.Close != nil && r.Close.How == HowLapsed {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// begun returns a state in which a VM runs the first of two tasks.
+func begun(t *testing.T) (*State, func(...message.Record) []Event) {
+	s := New()
+	number := uint64(0)
+	fold := func(records ...message.Record) []Event {
+		number++
+		return s.Fold(s.Next, value(t, "writer", number, records...))
+	}
+	fold(message.Record{Join: &message.Join{VM: "v", Boot: "1", Lease: 1, Agent: "agent"}})
+	fold(message.Record{Submit: &message.Submit{Run: "run", Tasks: 2}})
+	fold(message.Record{Place: &message.Place{Run: "run", Task: 0, Attempt: 1, VM: "v", Lease: 1}})
+	return s, fold
+}
+
+func TestOneOfTwoPlacesCounts(t *testing.T) {
+	s, fold := begun(t)
+	events := fold(message.Record{Place: &message.Place{Run: "run", Task: 0, Attempt: 1, VM: "v", Lease: 1}})
+	if _, rejected := events[0].(Rejected); !rejected {
+		t.Errorf("a second place counted: %#v", events)
+	}
+	if got := s.Runs["run"].Tasks[0].Attempt; got != 1 {
+		t.Errorf("attempt %d is open", got)
+	}
+}
+
+func TestLapseNeedsTheFenceThatStands(t *testing.T) {
+	s, fold := begun(t)
+	lapse := func(fence uint64) message.Record {
+		return message.Record{Close: &message.Close{Run: "run", Task: 0, Attempt: 1, How: HowLapsed, Fence: fence}}
+	}
+	fold(lapse(0))
+	fold(message.Record{Fence: &message.Fence{VM: "v", Lease: 1}})
+	fence := s.VMs["v"].Fence
+	fold(lapse(fence + 1))
+	if s.Runs["run"].Tasks[0].Phase != Open {
+		t.Fatal("a lapse counted without its fence")
+	}
+	fold(message.Record{Join: &message.Join{VM: "v", Boot: "1", Lease: 2, Agent: "agent", Held: []message.Attempt{{Run: "run", Task: 0, Attempt: 1}}}})
+	fold(lapse(fence))
+	if s.Runs["run"].Tasks[0].Phase != Open {
+		t.Fatal("a lapse counted after the VM had joined anew with the attempt")
+	}
+}
+
+func TestNewBootClosesWhatTheOldOneHeld(t *testing.T) {
+	s, fold := begun(t)
+	fold(message.Record{Join: &message.Join{VM: "v", Boot: "2", Lease: 2, Agent: "agent", Held: []message.Attempt{{Run: "run", Task: 0, Attempt: 1}}}})
+	if got := s.Runs["run"].Tasks[0].Phase; got != Pending {
+		t.Errorf("after a new boot the task is %s", got)
+	}
+}
+
+func TestLateDoubleOfADrainChangesNothing(t *testing.T) {
+	s, _ := begun(t)
+	drain := value(t, "slow", 1, message.Record{Drain: &message.Drain{VM: "v", On: true}})
+	s.Fold(s.Next, drain)
+	s.Fold(s.Next, value(t, "other", 1, message.Record{Drain: &message.Drain{VM: "v", On: false}}))
+	s.Fold(s.Next, drain)
+	if s.VMs["v"].Drained {
+		t.Error("a repeated batch drained the VM again")
+	}
+}
+
+func TestLeaseNumbersDoNotStartAgainAfterForgetting(t *testing.T) {
+	s, fold := begun(t)
+	fold(message.Record{Fence: &message.Fence{VM: "v", Lease: 1}})
+	fold(message.Record{Close: &message.Close{Run: "run", Task: 0, Attempt: 1, How: HowLapsed, Fence: s.VMs["v"].Fence}})
+	fold(message.Record{Forget: &message.Forget{VM: "v", Lease: 1}})
+	fold(message.Record{Join: &message.Join{VM: "v", Boot: "2", Lease: 1, Agent: "agent"}})
+	if s.VMs["v"] != nil {
+		t.Error("lease 1 was given twice")
+	}
+	fold(message.Record{Join: &message.Join{VM: "v", Boot: "2", Lease: 2, Agent: "agent"}})
+	if s.VMs["v"] == nil {
+		t.Error("the VM cannot join again")
+	}
+}
+
+func TestFinishedRunsAreForgottenInTheEnd(t *testing.T) {
+	s, fold := begun(t)
+	for i := range 3 * maxFinished {
+		run := fmt.Sprint("run-", i)
+		fold(message.Record{Submit: &message.Submit{Run: run, Tasks: 1}}, message.Record{Cancel: &message.Cancel{Run: run}})
+	}
+	if n := len(s.Runs); n > 2*maxFinished+1 {
+		t.Errorf("%d runs are remembered", n)
+	}
+}
