Measure routing policies; try to take latencies of like size for the same, and give it up

Sampled holds the slow one off but looked slower when all are alike.

Tried: of three drawn, leave out those 2.5 times slower than the quickest and take the one with the fewest requests.

Conclusion: reverted.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 bench: build
 	$(GO) test -run none -bench . -benchtime 1s ./...
 	./script/bench-path
+	./script/bench-routing
 
 mutate:
 	./script/mutate
