Run failures against real processes on a schedule that a seed fixes

Until now only the demo did that, with two kills. Change: script/chaos (make chaos SEED=n). Ruled out: latencies of seconds as a fault of routing; they are requests sent to the stopped entry.

--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,6 @@
 	$(GO) test -run none -fuzz FuzzDecodeFrame -fuzztime $(FUZZTIME) ./internal/wire/encoder
 	$(GO) test -run none -fuzz FuzzDecodeBatch -fuzztime $(FUZZTIME) ./internal/wire/encoder
 	$(GO) test -run none -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/config/parser
+
+chaos: build
+	./script/chaos
