--- a/internal/agent/ledger/ledger.go
+++ b/internal/agent/ledger/ledger.go
@@ -3,6 +3,7 @@
 package ledger
 
 import (
+	"knapweedspur/internal/place/sizer"
 	"knapweedspur/internal/wire/message"
 )
 
@@ -63,10 +64,8 @@
 // Free returns what is left of the VM.
 func (l *Ledger) Free() message.Size {
 	free := l.Size
-	for _, s := range l.held {
-		free.Millis -= s.Millis
-		free.Memory -= s.Memory
-		free.Accelerators -= s.Accelerators
+	for _, size := range l.held {
+		free = sizer.Sub(free, size)
 	}
 	return free
 }
@@ -89,11 +88,6 @@
 	return list
 }
 
-// Fits reports whether size fits into free.
-func Fits(size, free message.Size) bool {
-	return size.Millis <= free.Millis && size.Memory <= free.Memory && size.Accelerators <= free.Accelerators
-}
-
 // Decide returns what becomes of a start message, and notes a Take or Refuse.
 func (l *Ledger) Decide(s *message.Start) Decision {
 	name := message.Attempt{Run: s.Run, Task: s.Task, Attempt: s.Attempt}
@@ -112,7 +106,7 @@
 	if s.Offset < l.floor {
 		return l.refuse(name, s, "the start is older than what the VM remembers")
 	}
-	if !Fits(s.Size, l.Free()) {
+	if !sizer.Fits(s.Size, l.Free()) {
 		return l.refuse(name, s, "the VM has no room")
 	}
 	l.held[name] = s.Size
--- a/internal/config/parser/spec.go
+++ b/internal/config/parser/spec.go
@@ -38,7 +38,7 @@
 
 func (r *reader) service(d *message.Declaration, s *Spec) {
 	r.owned(d, s)
-	r.without("service", d.Tasks != 0, "$.tasks", d.Duration != "", "$.duration", d.Quota != nil, "$.quota")
+	r.without("service", key{"$.tasks", d.Tasks != 0}, key{"$.duration", d.Duration != ""}, key{"$.quota", d.Quota != nil})
 	s.Deadline = r.duration("$.deadline", d.Deadline, defaultDeadline, MaxDeadline)
 	if d.Replicas < 0 || d.Replicas > MaxReplicas {
 		r.fault("$.replicas", "write 0 to 10000", "replicas %d is out of range", d.Replicas)
@@ -77,7 +77,7 @@
 
 func (r *reader) job(d *message.Declaration, s *Spec) {
 	r.owned(d, s)
-	r.without("job", d.Replicas != 0, "$.replicas", len(d.Routes) > 0, "$.routes", d.Deadline != "", "$.deadline", d.Quota != nil, "$.quota")
+	r.without("job", key{"$.replicas", d.Replicas != 0}, key{"$.routes", len(d.Routes) > 0}, key{"$.deadline", d.Deadline != ""}, key{"$.quota", d.Quota != nil})
 	if s.Tasks == 0 {
 		s.Tasks = 1
 	}
@@ -88,8 +88,9 @@
 }
 
 func (r *reader) team(d *message.Declaration, s *Spec) {
-	r.without("team", d.Team != "", "$.team", d.Needs != nil, "$.needs", d.Replicas != 0, "$.replicas", d.Tasks != 0, "$.tasks",
-		len(d.Routes) > 0, "$.routes", d.Treat != nil, "$.treat", d.Deadline != "", "$.deadline", d.Duration != "", "$.duration")
+	r.without("team",
+		key{"$.team", d.Team != ""}, key{"$.needs", d.Needs != nil}, key{"$.replicas", d.Replicas != 0}, key{"$.tasks", d.Tasks != 0},
+		key{"$.routes", len(d.Routes) > 0}, key{"$.treat", d.Treat != nil}, key{"$.deadline", d.Deadline != ""}, key{"$.duration", d.Duration != ""})
 	if d.Quota == nil {
 		r.fault("$.name", "add quota with processors, memory and accelerators", "a team needs a quota")
 		return
@@ -128,13 +129,17 @@
 	}
 }
 
-// without notes keys that a kind does not have. The pairs are whether a key is
-// there, and its path.
-func (r *reader) without(kind string, pairs ...any) {
-	for i := 0; i < len(pairs); i += 2 {
-		if pairs[i].(bool) {
-			path := pairs[i+1].(string)
-			r.fault(path, "leave it out", "a %s has no %s", kind, strings.TrimPrefix(path, "$."))
+// key is a key of a declaration and whether it is there.
+type key struct {
+	path string
+	set  bool
+}
+
+// without notes keys that a kind does not have.
+func (r *reader) without(kind string, keys ...key) {
+	for _, k := range keys {
+		if k.set {
+			r.fault(k.path, "leave it out", "a %s has no %s", kind, strings.TrimPrefix(k.path, "$."))
 		}
 	}
 }
--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -28,7 +28,10 @@
 	"knapweedspur/internal/policy/placer"
 	"knapweedspur/internal/route/budgeter"
 	"knapweedspur/internal/route/forwarder"
+	"knapweedspur/internal/state/configfolder"
+	"knapweedspur/internal/state/restorer"
 	"knapweedspur/internal/state/snapshotter"
+	"knapweedspur/internal/state/taskfolder"
 	"knapweedspur/internal/task/scheduler"
 	"knapweedspur/internal/wire/admin"
 	"knapweedspur/internal/wire/encoder"
@@ -105,7 +108,11 @@
 	records.Rate = s.Appends
 	d := &driver.Driver{
 		Kernel: k, Log: log, Stream: stream, Wait: logWait, Gap: s.Pace, Appender: records, Tracker: t,
-		Address: s.advertised(), AskPeers: peers.heard, Peers: s.Peers, AskPeer: peers.snapshot,
+		Address: s.advertised(), AskPeers: peers.heard,
+		Restorer: &restorer.Restorer[*taskfolder.State]{
+			Log: log, Stream: stream, New: taskfolder.New, Restore: taskfolder.Restore,
+			Peers: s.Peers, AskPeer: peers.snapshot, Timeout: appendTimeout,
+		},
 		SnapshotEvery: s.SnapshotEvery, SnapshotRecords: uint64(s.SnapshotRecords), Logger: logger.Named("driver"),
 	}
 	records.Writers = d.Writers
@@ -116,7 +123,10 @@
 	peers := &peers{token: s.Token, client: &http.Client{Timeout: peerTimeout, Transport: connector.Transport(network)}}
 	return &publisher.Publisher{
 		Log: log, Stream: ConfigStream, Wait: logWait, Gap: s.Pace, Appender: newAppender(s, in, log, ConfigStream, logger), Catalog: c,
-		Peers: s.Peers, AskPeer: peers.snapshot,
+		Restorer: &restorer.Restorer[*configfolder.State]{
+			Log: log, Stream: ConfigStream, New: configfolder.New, Restore: configfolder.Restore,
+			Peers: s.Peers, AskPeer: peers.snapshot, Timeout: appendTimeout,
+		},
 		First:         func() bool { return d.First(ConfigStream) },
 		SnapshotEvery: s.SnapshotEvery, SnapshotRecords: uint64(s.SnapshotRecords), Logger: logger.Named("publisher"),
 	}
--- a/internal/entry/driver/driver.go
+++ b/internal/entry/driver/driver.go
@@ -4,19 +4,17 @@
 
 import (
 	"context"
-	"errors"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/hashicorp/go-hclog"
 
 	"knapweedspur/internal/entry/tracker"
 	"knapweedspur/internal/log/appender"
 	"knapweedspur/internal/log/tailer"
 	"knapweedspur/internal/platform/logclient"
-	"knapweedspur/internal/state/snapshotter"
+	"knapweedspur/internal/state/restorer"
 	"knapweedspur/internal/state/taskfolder"
 	"knapweedspur/internal/task/scheduler"
 	"knapweedspur/internal/wire/message"
@@ -48,10 +46,8 @@
 	Address netip.AddrPort
 	// AskPeers finds out whether another entry hears a VM.
 	AskPeers func(ctx context.Context, vm string, entries []netip.AddrPort) bool
-	// Peers are entries to take the state from if the log has cut too much.
-	Peers []netip.AddrPort
-	// AskPeer returns another entry's snapshot of a stream.
-	AskPeer func(ctx context.Context, peer netip.AddrPort, stream string) (snapshotter.Snapshot, error)
+	// Restorer finds the state to begin from.
+	Restorer *restorer.Restorer[*taskfolder.State]
 	// SnapshotEvery and SnapshotRecords bound the time and the records between
 	// two snapshots.
 	SnapshotEvery   time.Duration
@@ -95,7 +91,7 @@
 // begin loads the newest snapshot, waiting for the log as long as it takes.
 func (d *Driver) begin(ctx context.Context) (uint64, bool) {
 	for {
-		state, err := d.load(ctx)
+		state, err := d.Restorer.FromLog(ctx)
 		if err == nil {
 			d.mu.Lock()
 			defer d.mu.Unlock()
@@ -111,19 +107,6 @@
 	}
 }
 
-func (d *Driver) load(ctx context.Context) (*taskfolder.State, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.Appender.Timeout)
-	defer cancel()
-	s, err := snapshotter.Read(ctx, d.Log, d.Stream)
-	if errors.Is(err, snapshotter.ErrNone) {
-		return taskfolder.New(), nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	return taskfolder.Restore(s.Data)
-}
-
 // reset begins anew from a state.
 func (d *Driver) reset(now time.Time, state *taskfolder.State) {
 	d.Kernel.State = state
@@ -142,16 +125,10 @@
 
 // recover goes on from a snapshot when the log has cut the records ahead.
 func (d *Driver) recover(ctx context.Context, from uint64) (uint64, error) {
-	state, err := d.load(ctx)
+	state, err := d.Restorer.Beyond(ctx, from)
 	if err != nil {
 		return from, err
 	}
-	if state.Next <= from {
-		state = d.newestOfPeers(ctx)
-	}
-	if state == nil || state.Next <= from {
-		return from, trace.NotFound("the log has cut records from offset %d on that no snapshot and no peer holds; see docs/OPERATIONS.md, 'Records were cut'", from)
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.Logger.Warn("records were cut; going on from a snapshot", "stream", d.Stream, "from", from, "next", state.Next)
@@ -159,35 +136,6 @@
 	return state.Next, nil
 }
 
-// newestOfPeers returns the newest state that another entry has, or nil.
-func (d *Driver) newestOfPeers(ctx context.Context) *taskfolder.State {
-	var best *taskfolder.State
-	for _, peer := range d.Peers {
-		call, cancel := context.WithTimeout(ctx, d.Appender.Timeout)
-		s, err := d.AskPeer(call, peer, d.Stream)
-		cancel()
-		if err != nil {
-			continue
-		}
-		state, err := taskfolder.Restore(s.Data)
-		if err == nil && (best == nil || state.Next > best.Next) {
-			best = state
-		}
-	}
-	return best
-}
-
-// Snapshot returns the state as other entries take it.
-func (d *Driver) Snapshot() (snapshotter.Snapshot, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.ready {
-		return snapshotter.Snapshot{}, snapshotter.ErrNone
-	}
-	data, err := d.Kernel.State.Snapshot()
-	return snapshotter.Snapshot{Next: d.Kernel.State.Next, Data: data}, err
-}
-
 // apply folds one value and tells the kernel.
 func (d *Driver) apply(now time.Time, offset uint64, value []byte) {
 	d.mu.Lock()
@@ -305,39 +253,6 @@
 	}
 }
 
-// snapshot writes a snapshot if one is due and this entry is the one to do it.
-func (d *Driver) snapshot(ctx context.Context, now time.Time) {
-	d.mu.Lock()
-	state := d.Kernel.State
-	due := d.Kernel.First(d.Stream) && snapshotter.Due(now, d.last, state.Next, d.lastAt, d.SnapshotEvery, d.SnapshotRecords)
-	var s snapshotter.Snapshot
-	var err error
-	if due {
-		s.Next = state.Next
-		s.Data, err = state.Snapshot()
-		d.last = now
-		d.lastAt = state.Next
-	}
-	d.mu.Unlock()
-	if !due {
-		return
-	}
-	if err == nil {
-		err = d.write(ctx, s)
-	}
-	if err != nil {
-		d.Logger.Warn("cannot write a snapshot; trying again later", "stream", d.Stream, "error", err)
-		return
-	}
-	d.Logger.Debug("wrote a snapshot", "stream", d.Stream, "next", s.Next, "bytes", len(s.Data))
-}
-
-func (d *Driver) write(ctx context.Context, s snapshotter.Snapshot) error {
-	ctx, cancel := context.WithTimeout(ctx, d.Appender.Timeout)
-	defer cancel()
-	return snapshotter.Write(ctx, d.Log, d.Stream, s)
-}
-
 // View returns an agent's view of its lease, or nil while this entry has none.
 func (d *Driver) View(now time.Time, vm string, probe *message.Probe) *message.View {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/entry/driver/snapshot.go
@@ -0,0 +1,52 @@
+package driver
+
+import (
+	"context"
+	"time"
+
+	"knapweedspur/internal/state/snapshotter"
+)
+
+// Snapshot returns the state as other entries take it.
+func (d *Driver) Snapshot() (snapshotter.Snapshot, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.ready {
+		return snapshotter.Snapshot{}, snapshotter.ErrNone
+	}
+	data, err := d.Kernel.State.Snapshot()
+	return snapshotter.Snapshot{Next: d.Kernel.State.Next, Data: data}, err
+}
+
+// snapshot writes a snapshot if one is due and this entry is the one to do it.
+func (d *Driver) snapshot(ctx context.Context, now time.Time) {
+	d.mu.Lock()
+	state := d.Kernel.State
+	due := d.Kernel.First(d.Stream) && snapshotter.Due(now, d.last, state.Next, d.lastAt, d.SnapshotEvery, d.SnapshotRecords)
+	var s snapshotter.Snapshot
+	var err error
+	if due {
+		s.Next = state.Next
+		s.Data, err = state.Snapshot()
+		d.last = now
+		d.lastAt = state.Next
+	}
+	d.mu.Unlock()
+	if !due {
+		return
+	}
+	if err == nil {
+		err = d.write(ctx, s)
+	}
+	if err != nil {
+		d.Logger.Warn("cannot write a snapshot; trying again later", "stream", d.Stream, "error", err)
+		return
+	}
+	d.Logger.Debug("wrote a snapshot", "stream", d.Stream, "next", s.Next, "bytes", len(s.Data))
+}
+
+func (d *Driver) write(ctx context.Context, s snapshotter.Snapshot) error {
+	ctx, cancel := context.WithTimeout(ctx, d.Appender.Timeout)
+	defer cancel()
+	return snapshotter.Write(ctx, d.Log, d.Stream, s)
+}
--- a/internal/entry/publisher/publisher.go
+++ b/internal/entry/publisher/publisher.go
@@ -4,12 +4,9 @@
 
 import (
 	"context"
-	"errors"
-	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/hashicorp/go-hclog"
 
 	"knapweedspur/internal/config/cataloger"
@@ -19,6 +16,7 @@
 	"knapweedspur/internal/log/tailer"
 	"knapweedspur/internal/platform/logclient"
 	"knapweedspur/internal/state/configfolder"
+	"knapweedspur/internal/state/restorer"
 	"knapweedspur/internal/state/snapshotter"
 	"knapweedspur/internal/wire/message"
 )
@@ -45,10 +43,8 @@
 	Appender *appender.Appender
 	// Catalog is kept current.
 	Catalog *cataloger.Cataloger
-	// Peers are entries to take the configuration from while the log is down.
-	Peers []netip.AddrPort
-	// AskPeer returns another entry's snapshot of a stream.
-	AskPeer func(ctx context.Context, peer netip.AddrPort, stream string) (snapshotter.Snapshot, error)
+	// Restorer finds the state to begin from.
+	Restorer *restorer.Restorer[*configfolder.State]
 	// First reports whether this entry is the one to write snapshots.
 	First func() bool
 	// SnapshotEvery and SnapshotRecords bound the time and the records between
@@ -80,12 +76,13 @@
 // peers, and waits until there is one.
 func (p *Publisher) begin(ctx context.Context) (uint64, bool) {
 	for {
-		state, err := p.load(ctx)
-		if err != nil {
+		state, err := p.Restorer.FromLog(ctx)
+		found := err == nil
+		if !found {
 			p.Logger.Warn("waiting for the log service", "stream", p.Stream, "error", err)
-			state = p.newestOfPeers(ctx)
+			state, found = p.Restorer.FromPeers(ctx)
 		}
-		if state != nil {
+		if found {
 			p.adopt(time.Now(), state, err != nil)
 			return state.Next, true
 		}
@@ -97,36 +94,6 @@
 	}
 }
 
-func (p *Publisher) load(ctx context.Context) (*configfolder.State, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.Appender.Timeout)
-	defer cancel()
-	s, err := snapshotter.Read(ctx, p.Log, p.Stream)
-	if errors.Is(err, snapshotter.ErrNone) {
-		return configfolder.New(), nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	return configfolder.Restore(s.Data)
-}
-
-func (p *Publisher) newestOfPeers(ctx context.Context) *configfolder.State {
-	var best *configfolder.State
-	for _, peer := range p.Peers {
-		call, cancel := context.WithTimeout(ctx, p.Appender.Timeout)
-		s, err := p.AskPeer(call, peer, p.Stream)
-		cancel()
-		if err != nil {
-			continue
-		}
-		state, err := configfolder.Restore(s.Data)
-		if err == nil && (best == nil || state.Next > best.Next) {
-			best = state
-		}
-	}
-	return best
-}
-
 // adopt takes a state. A snapshot of the log is put in force only when the
 // stream was read to its end; what a peer has is in force already.
 func (p *Publisher) adopt(now time.Time, state *configfolder.State, fromPeer bool) {
@@ -145,16 +112,10 @@
 }
 
 func (p *Publisher) recover(ctx context.Context, from uint64) (uint64, error) {
-	state, err := p.load(ctx)
+	state, err := p.Restorer.Beyond(ctx, from)
 	if err != nil {
 		return from, err
 	}
-	if state.Next <= from {
-		state = p.newestOfPeers(ctx)
-	}
-	if state == nil || state.Next <= from {
-		return from, trace.NotFound("the log has cut records from offset %d on that no snapshot and no peer holds; see docs/OPERATIONS.md, 'Records were cut'", from)
-	}
 	p.adopt(time.Now(), state, false)
 	return state.Next, nil
 }
--- a/internal/policy/chooser/chooser.go
+++ b/internal/policy/chooser/chooser.go
@@ -3,12 +3,11 @@
 package chooser
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"sort"
-	"strings"
 	"sync/atomic"
 	"time"
+
+	"knapweedspur/internal/policy/registrar"
 )
 
 const (
@@ -90,25 +89,13 @@
 // Policy returns the index of the candidate to use. There is at least one.
 type Policy func(now time.Time, candidates []*Candidate, random *rand.Rand) int
 
-var policies = map[string]Policy{}
+var policies = registrar.Registrar[Policy]{Kind: "routing"}
 
 // Register adds a policy. It is called from init functions.
-func Register(name string, p Policy) { policies[name] = p }
+func Register(name string, p Policy) { policies.Register(name, p) }
 
 // Lookup returns the policy of a name.
-func Lookup(name string) (Policy, error) {
-	if p, ok := policies[name]; ok {
-		return p, nil
-	}
-	return nil, fmt.Errorf("no routing policy %q; there are %s", name, strings.Join(Names(), ", "))
-}
+func Lookup(name string) (Policy, error) { return policies.Lookup(name) }
 
 // Names returns the names of all policies.
-func Names() []string {
-	names := make([]string, 0, len(policies))
-	for name := range policies {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
+func Names() []string { return policies.Names() }
--- a/internal/policy/chooser/chooser_test.go
+++ b/internal/policy/chooser/chooser_test.go
@@ -81,7 +81,10 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	list := candidates(1000)
 	for _, name := range Names() {
-		policy := policies[name]
+		policy, err := Lookup(name)
+		if err != nil {
+			b.Fatal(err)
+		}
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
 			for range b.N {
--- a/internal/policy/placer/placer.go
+++ b/internal/policy/placer/placer.go
@@ -3,11 +3,9 @@
 package placer
 
 import (
-	"fmt"
-	"sort"
-	"strings"
 	"time"
 
+	"knapweedspur/internal/policy/registrar"
 	"knapweedspur/internal/wire/message"
 )
 
@@ -37,40 +35,13 @@
 // Policy returns the VM for a task, or nil if it fits on none.
 type Policy func(now time.Time, want Want, vms []*VM) *VM
 
-var policies = map[string]Policy{}
+var policies = registrar.Registrar[Policy]{Kind: "placement"}
 
 // Register adds a policy. It is called from init functions.
-func Register(name string, p Policy) { policies[name] = p }
+func Register(name string, p Policy) { policies.Register(name, p) }
 
 // Lookup returns the policy of a name.
-func Lookup(name string) (Policy, error) {
-	if p, ok := policies[name]; ok {
-		return p, nil
-	}
-	return nil, fmt.Errorf("no placement policy %q; there are %s", name, strings.Join(Names(), ", "))
-}
+func Lookup(name string) (Policy, error) { return policies.Lookup(name) }
 
 // Names returns the names of all policies.
-func Names() []string {
-	names := make([]string, 0, len(policies))
-	for name := range policies {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
-// Fits reports whether a size fits into what is free.
-func Fits(size, free message.Size) bool {
-	return size.Millis <= free.Millis && size.Memory <= free.Memory && size.Accelerators <= free.Accelerators
-}
-
-// Add returns the sum of two sizes.
-func Add(a, b message.Size) message.Size {
-	return message.Size{Millis: a.Millis + b.Millis, Memory: a.Memory + b.Memory, Accelerators: a.Accelerators + b.Accelerators}
-}
-
-// Sub returns the difference of two sizes.
-func Sub(a, b message.Size) message.Size {
-	return message.Size{Millis: a.Millis - b.Millis, Memory: a.Memory - b.Memory, Accelerators: a.Accelerators - b.Accelerators}
-}
+func Names() []string { return policies.Names() }
--- a/internal/policy/placer/placer_test.go
+++ b/internal/policy/placer/placer_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"knapweedspur/internal/place/sizer"
 	"knapweedspur/internal/wire/message"
 )
 
@@ -29,7 +30,7 @@
 	got := map[string]int{}
 	for range 9 {
 		vm := spread(time.Unix(1000, 0), w, list)
-		vm.Free = Sub(vm.Free, w.Size)
+		vm.Free = sizer.Sub(vm.Free, w.Size)
 		w.Domains[vm.Domain]++
 		w.Racks[vm.Rack]++
 		got[vm.Domain]++
@@ -41,14 +42,18 @@
 
 func TestPoliciesNeverOverfill(t *testing.T) {
 	for _, name := range Names() {
+		policy, err := Lookup(name)
+		if err != nil {
+			t.Fatal(err)
+		}
 		list := vms(3)
 		placed := 0
 		for {
-			vm := policies[name](time.Unix(1000, 0), want(5000), list)
+			vm := policy(time.Unix(1000, 0), want(5000), list)
 			if vm == nil {
 				break
 			}
-			vm.Free = Sub(vm.Free, want(5000).Size)
+			vm.Free = sizer.Sub(vm.Free, want(5000).Size)
 			placed++
 		}
 		if placed != 9 {
--- a/internal/policy/placer/spread.go
+++ b/internal/policy/placer/spread.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"time"
+
+	"knapweedspur/internal/place/sizer"
 )
 
 const (
@@ -65,7 +67,7 @@
 }
 
 func usable(now time.Time, want Want, vm *VM) bool {
-	return !now.Before(vm.Barred) && Fits(want.Size, vm.Free)
+	return !now.Before(vm.Barred) && sizer.Fits(want.Size, vm.Free)
 }
 
 // firstFit takes the first VM that fits.
--- a/internal/state/configfolder/state.go
+++ b/internal/state/configfolder/state.go
@@ -64,6 +64,9 @@
 	return &State{Writers: map[string]uint64{}, Items: map[string]Item{}, Changes: map[string]Outcome{}}
 }
 
+// Offset returns the offset that the fold reads next.
+func (s *State) Offset() uint64 { return s.Next }
+
 // Fold takes the value at an offset and returns whether a declaration changed.
 func (s *State) Fold(offset uint64, value []byte) bool {
 	if offset < s.Next {
--- a/internal/state/taskfolder/state.go
+++ b/internal/state/taskfolder/state.go
@@ -132,6 +132,9 @@
 	}
 }
 
+// Offset returns the offset that the fold reads next.
+func (s *State) Offset() uint64 { return s.Next }
+
 // Task returns the run and the task that k names, or nil.
 func (s *State) Task(k Key) (*Run, *Task) {
 	run := s.Runs[k.Run]
--- a/internal/task/scheduler/fold.go
+++ b/internal/task/scheduler/fold.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"knapweedspur/internal/policy/placer"
+	"knapweedspur/internal/place/sizer"
 	"knapweedspur/internal/state/taskfolder"
 	"knapweedspur/internal/wire/message"
 )
@@ -141,7 +141,7 @@
 func (s *step) placed(c taskfolder.Placed) {
 	key := taskfolder.Key{Run: c.Place.Run, Task: c.Place.Task}
 	v := s.known(c.Place.VM)
-	s.used[c.Team] = placer.Add(s.used[c.Team], c.Size)
+	s.used[c.Team] = sizer.Add(s.used[c.Team], c.Size)
 	if !s.withdraw(key) {
 		s.unwait(key)
 	}
@@ -162,7 +162,7 @@
 	}
 	delete(k.offered, key)
 	if v := k.vms[o.vm]; v != nil {
-		v.offered = placer.Sub(v.offered, o.size)
+		v.offered = sizer.Sub(v.offered, o.size)
 		k.recount(v)
 	}
 	return true
@@ -174,7 +174,7 @@
 	delete(s.closing, message.Attempt{Run: c.Close.Run, Task: c.Close.Task, Attempt: c.Close.Attempt})
 	v := s.known(c.VM)
 	delete(v.starts, key)
-	s.used[c.Team] = placer.Sub(s.used[c.Team], c.Size)
+	s.used[c.Team] = sizer.Sub(s.used[c.Team], c.Size)
 	s.judge(v, c.Job, c.Close.How)
 	if v.linked {
 		s.taken(c.VM, []message.Close{c.Close})
--- a/internal/task/scheduler/kernel.go
+++ b/internal/task/scheduler/kernel.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"knapweedspur/internal/place/ranker"
+	"knapweedspur/internal/place/sizer"
 	"knapweedspur/internal/policy/placer"
 	"knapweedspur/internal/state/taskfolder"
 	"knapweedspur/internal/wire/message"
@@ -148,7 +149,7 @@
 		case taskfolder.Pending:
 			k.wait(now, key)
 		case taskfolder.Open:
-			k.used[run.Team] = placer.Add(k.used[run.Team], run.Size)
+			k.used[run.Team] = sizer.Add(k.used[run.Team], run.Size)
 			if run.Canceled {
 				k.stops[key] = &resend{due: now, stop: true}
 			}
@@ -231,9 +232,9 @@
 
 // recount works out what is free on a VM after what is open and offered there.
 func (k *Kernel) recount(v *vm) {
-	v.Free = placer.Sub(v.Size, v.offered)
+	v.Free = sizer.Sub(v.Size, v.offered)
 	k.State.OpenOn(v.Name, func(_ taskfolder.Key, run *taskfolder.Run, _ *taskfolder.Task) {
-		v.Free = placer.Sub(v.Free, run.Size)
+		v.Free = sizer.Sub(v.Free, run.Size)
 	})
 }
 
--- a/internal/task/scheduler/schedule.go
+++ b/internal/task/scheduler/schedule.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"knapweedspur/internal/place/ranker"
+	"knapweedspur/internal/place/sizer"
 	"knapweedspur/internal/policy/placer"
 	"knapweedspur/internal/state/taskfolder"
 	"knapweedspur/internal/wire/message"
@@ -154,9 +155,9 @@
 		return false
 	}
 	key := taskfolder.Key{Run: name, Task: w.task}
-	vm.Free = placer.Sub(vm.Free, run.Size)
+	vm.Free = sizer.Sub(vm.Free, run.Size)
 	v := p.vms[vm.Name]
-	v.offered = placer.Add(v.offered, run.Size)
+	v.offered = sizer.Add(v.offered, run.Size)
 	want.Racks[vm.Rack]++
 	want.Domains[vm.Domain]++
 	p.offered[key] = offered{vm: vm.Name, size: run.Size}
@@ -179,7 +180,7 @@
 	nearest := vms[0]
 	lack := missing(size, nearest.Size)
 	for _, vm := range vms {
-		if placer.Fits(size, vm.Size) {
+		if sizer.Fits(size, vm.Size) {
 			return "all VMs that are large enough are in use"
 		}
 		if m := missing(size, vm.Size); m < lack {
@@ -267,12 +268,12 @@
 		return keys[i].Run < keys[j].Run || keys[i].Run == keys[j].Run && keys[i].Task < keys[j].Task
 	})
 	for _, key := range keys {
-		if placer.Fits(size, free) {
+		if sizer.Fits(size, free) {
 			break
 		}
 		run, _ := p.State.Task(key)
-		free = placer.Add(free, run.Size)
+		free = sizer.Add(free, run.Size)
 		victims = append(victims, key)
 	}
-	return victims, placer.Fits(size, free)
+	return victims, sizer.Fits(size, free)
 }
--- a/test/stage_test.go
+++ b/test/stage_test.go
@@ -5,29 +5,21 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
 	"net/netip"
 	"os"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"github.com/hashicorp/go-hclog"
-	"go.uber.org/fx"
 
 	agents "knapweedspur/internal/agent/assembler"
 	"knapweedspur/internal/config/parser"
 	entries "knapweedspur/internal/entry/assembler"
 	"knapweedspur/internal/link/connector"
-	"knapweedspur/internal/platform/logclient"
-	"knapweedspur/internal/platform/upstreamclient"
-	"knapweedspur/internal/platform/workerclient"
-	"knapweedspur/internal/standin/auditor"
 	"knapweedspur/internal/standin/loader"
 	"knapweedspur/internal/standin/logkeeper"
 	"knapweedspur/internal/standin/responder"
@@ -126,267 +118,6 @@
 	return []netip.AddrPort{address(controlNet, 0), address(controlNet, 1), address(controlNet, 2)}
 }
 
-// gate stands between a process and the platform. A frozen process gets no
-// answers, and what it asked for takes effect when it thaws; a killed one's
-// calls fail.
-type gate struct {
-	mu     sync.Mutex
-	thawed chan struct{}
-	killed bool
-}
-
-var errKilled = fmt.Errorf("the process was killed")
-
-func (g *gate) pass() error {
-	g.mu.Lock()
-	thawed, killed := g.thawed, g.killed
-	g.mu.Unlock()
-	if killed {
-		return errKilled
-	}
-	if thawed == nil {
-		return nil
-	}
-	<-thawed
-	return g.pass()
-}
-
-func (g *gate) freeze(on bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if on && g.thawed == nil {
-		g.thawed = make(chan struct{})
-	}
-	if !on && g.thawed != nil {
-		close(g.thawed)
-		g.thawed = nil
-	}
-}
-
-func (g *gate) kill() {
-	g.mu.Lock()
-	g.killed = true
-	g.mu.Unlock()
-	g.freeze(false)
-}
-
-type gatedLog struct {
-	logclient.Log
-	gate *gate
-}
-
-func (l gatedLog) Append(ctx context.Context, stream string, value []byte) (uint64, error) {
-	if err := l.gate.pass(); err != nil {
-		return 0, err
-	}
-	return l.Log.Append(ctx, stream, value)
-}
-
-func (l gatedLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (logclient.Page, error) {
-	if err := l.gate.pass(); err != nil {
-		return logclient.Page{}, err
-	}
-	page, err := l.Log.Read(ctx, stream, from, wait)
-	if err := l.gate.pass(); err != nil {
-		return logclient.Page{}, err
-	}
-	return page, err
-}
-
-type gatedWorker struct {
-	workerclient.Worker
-	gate *gate
-}
-
-func (w gatedWorker) Watch(ctx context.Context, agent string, revision int, wait time.Duration) (workerclient.Status, error) {
-	if err := w.gate.pass(); err != nil {
-		return workerclient.Status{}, err
-	}
-	status, err := w.Worker.Watch(ctx, agent, revision, wait)
-	if err := w.gate.pass(); err != nil {
-		return workerclient.Status{}, err
-	}
-	return status, err
-}
-
-func (w gatedWorker) Extend(ctx context.Context, agent string, until time.Duration) error {
-	if err := w.gate.pass(); err != nil {
-		return err
-	}
-	return w.Worker.Extend(ctx, agent, until)
-}
-
-func (w gatedWorker) Start(ctx context.Context, agent string, t workerclient.Task) error {
-	if err := w.gate.pass(); err != nil {
-		return err
-	}
-	return w.Worker.Start(ctx, agent, t)
-}
-
-func (s *stage) startEntry(i int) {
-	s.t.Helper()
-	p := &entryProcess{host: s.net.host(fmt.Sprintf("entry-%d", i)), gate: &gate{}}
-	settings := &entries.Settings{
-		Listen: address(callersNet, i), Control: address(controlNet, i), Domain: domains[i%3], Region: "main", Insecure: true,
-		Peers: s.controls(),
-		Hold:  hold, Suspect: suspect, Beat: beat, Group: 20 * time.Millisecond, Pace: 50 * time.Millisecond, Grace: 30 * time.Second, Settle: 3 * time.Second,
-		Routing: "sampled", Placement: "spread", SnapshotEvery: time.Minute, SnapshotRecords: 100,
-	}
-	platform := entries.Platform{Log: gatedLog{s.log, p.gate}, Network: p.host}
-	app := fx.New(entries.Options(settings, logger(p.host.name), platform), fx.Populate(&p.Entry), fx.NopLogger)
-	if err := app.Err(); err != nil {
-		s.t.Fatal(err)
-	}
-	if err := p.Start(context.Background()); err != nil {
-		s.t.Fatal(err)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.entries[i] = p
-}
-
-func (s *stage) startVM(i int, service string) {
-	name := fmt.Sprintf("vm-%d", i)
-	v := &vmProcess{
-		name: name, service: service,
-		worker: &taskrunner.Runner{VM: name, Size: message.Size{Millis: 16000, Memory: 60 << 30}, Duration: map[string]time.Duration{
-			"proofs": 20 * time.Second, "season": 30 * time.Second, "quick": time.Second,
-		}},
-		upstream: &responder.Responder{Service: 5 * time.Millisecond, Spread: 0.5},
-	}
-	v.worker.Boot(time.Now())
-	s.vms[i] = v
-	upstreamHost := s.net.host("upstream-" + name)
-	listener, err := upstreamHost.Listen(address(upstreamNet, i))
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	server := &http.Server{Handler: v.upstream.Handler()}
-	go func() { _ = server.Serve(listener) }()
-	s.startAgent(i)
-}
-
-func (s *stage) startAgent(i int) {
-	v := s.vms[i]
-	v.host = s.net.host(fmt.Sprintf("agent-%d", i))
-	v.gate = &gate{}
-	settings := &agents.Settings{
-		Entries: s.controls(), VM: v.name, Rack: fmt.Sprintf("rack-%d", i/3), Domain: domains[i%3], Service: v.service,
-		Upstream: address(upstreamNet, i), Insecure: true, Links: 3, Beat: beat, Probe: time.Second, Grace: 30 * time.Second,
-	}
-	platform := agents.Platform{
-		Upstream: &upstreamclient.HTTP{Address: settings.Upstream, Client: upstreamclient.NewClient(connector.Transport(v.host))},
-		Worker:   gatedWorker{v.worker, v.gate}, Network: v.host,
-	}
-	app := fx.New(agents.Options(settings, logger(v.host.name), platform), fx.Populate(&v.agent), fx.NopLogger)
-	if err := app.Err(); err != nil {
-		s.t.Fatal(err)
-	}
-	if err := v.agent.Start(context.Background()); err != nil {
-		s.t.Fatal(err)
-	}
-}
-
-// killEntry ends an entry as SIGKILL does.
-func (s *stage) killEntry(i int) {
-	s.mu.Lock()
-	p := s.entries[i]
-	delete(s.entries, i)
-	s.mu.Unlock()
-	s.reapEntry(p)
-}
-
-func (s *stage) reapEntry(p *entryProcess) {
-	p.host.kill()
-	p.gate.kill()
-	gone, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = p.Stop(gone)
-}
-
-// killAgent ends an agent as SIGKILL does; the worker and upstream go on.
-func (s *stage) killAgent(i int) {
-	v := s.vms[i]
-	v.host.kill()
-	v.gate.kill()
-	gone, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = v.agent.Stop(gone)
-	v.agent = nil
-}
-
-// killVM ends a whole VM.
-func (s *stage) killVM(i int) {
-	s.vms[i].worker.Kill(time.Now())
-	s.killAgent(i)
-}
-
-// killUpstream ends the upstream of a VM.
-func (s *stage) killUpstream(i int) {
-	s.net.mu.Lock()
-	l := s.net.listeners[address(upstreamNet, i)]
-	s.net.mu.Unlock()
-	if l != nil {
-		l.host.kill()
-	}
-}
-
-// alive returns the entries that run.
-func (s *stage) alive() []int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Sorted(maps.Keys(s.entries))
-}
-
-// freeze stops a process from doing anything that others see.
-func (s *stage) freeze(name string, on bool) {
-	others := []string{"callers"}
-	for i := range s.entries {
-		others = append(others, fmt.Sprintf("entry-%d", i))
-		if s.entries[i].host.name == name {
-			s.entries[i].gate.freeze(on)
-		}
-	}
-	for i, v := range s.vms {
-		others = append(others, fmt.Sprintf("agent-%d", i), "upstream-"+v.name)
-		if v.host.name == name {
-			v.gate.freeze(on)
-		}
-	}
-	for _, other := range others {
-		s.net.cutOff(name, other, on)
-		s.net.cutOff(other, name, on)
-	}
-}
-
-// cut cuts agent 0 and an entry off from each other.
-func (s *stage) cut(entry int, on bool) {
-	a, b := "agent-0", fmt.Sprintf("entry-%d", entry)
-	s.net.cutOff(a, b, on)
-	s.net.cutOff(b, a, on)
-}
-
-func (s *stage) close() {
-	for _, i := range s.alive() {
-		s.killEntry(i)
-	}
-	for i, v := range s.vms {
-		if v.agent != nil {
-			s.killAgent(i)
-		}
-		v.worker.Kill(time.Now())
-	}
-	s.net.mu.Lock()
-	var hosts []*host
-	for _, l := range s.net.listeners {
-		hosts = append(hosts, l.host)
-	}
-	s.net.mu.Unlock()
-	for _, h := range hosts {
-		h.kill()
-	}
-}
-
 // call calls an entry's control address, any that is there for -1.
 func (s *stage) call(i int, method, path string, body, into any) (int, string) {
 	s.t.Helper()
@@ -544,39 +275,6 @@
 	return result
 }
 
-// closes returns how attempts closed, or nothing if the log has cut records.
-func (s *stage) closes() auditor.Closes {
-	s.log.SetFaults(logkeeper.Faults{})
-	page, err := s.log.Read(context.Background(), entries.TaskStream+"main", 0, 0)
-	if err != nil {
-		return nil
-	}
-	return auditor.Read(page.Items)
-}
-
-// verify checks the promises on what workers and upstreams saw.
-func (s *stage) verify() {
-	s.t.Helper()
-	var intervals []taskrunner.Interval
-	runs := map[string]int{}
-	for _, v := range s.vms {
-		intervals = append(intervals, v.worker.History(time.Now())...)
-		for id, n := range v.upstream.Runs() {
-			runs[id] += n
-		}
-		if peak := v.upstream.Peak(); peak > 8 {
-			s.t.Errorf("%s ran %d requests at once on 8 slots", v.name, peak)
-		}
-	}
-	faults := append(auditor.Tasks(intervals, s.closes()), auditor.Requests(runs, s.posted)...)
-	for _, v := range s.vms {
-		faults = append(faults, auditor.Capacity(v.name, v.worker.Size, s.sizes, intervals)...)
-	}
-	if diff := cmp.Diff([]string(nil), faults); diff != "" {
-		s.t.Errorf("broken promises (-want +got):\n%s", diff)
-	}
-}
-
 // publishTo publishes a change at an entry on the machine's own network.
 func publishTo(t testing.TB, control netip.AddrPort, c *message.Change) {
 	t.Helper()
--- a/test/task_test.go
+++ b/test/task_test.go
@@ -363,3 +363,19 @@
 		}
 	})
 }
+
+// TestSubmissionWhoseAppendIsOnItsWayIsUnknown has the log take a record
+// without ever answering: the caller must not be told that nothing was run.
+func TestSubmissionWhoseAppendIsOnItsWayIsUnknown(t *testing.T) {
+	play(t, 3, five, func(s *stage) {
+		s.publish(declarations)
+		s.log.SetFaults(logkeeper.Faults{Delay: time.Minute})
+		code, text := s.call(0, http.MethodPost, "/v1/runs", admin.Submission{Job: "quick", Run: "quick-1", Who: "test"}, nil)
+		if code != http.StatusServiceUnavailable || !strings.HasPrefix(text, "unknown") {
+			t.Errorf("got %d %q", code, text)
+		}
+		s.log.SetFaults(logkeeper.Faults{})
+		s.submit("quick", "quick-1")
+		s.ended(time.Minute, "quick-1")
+	})
+}
