Ask for the token to cancel a run on the callers' address too

Cause: read as a newcomer: publish, drain and cancel asked operators for a token, but DELETE on the callers' address canceled for anyone. Ruled out: taking the route away, which callers who follow their runs use. A refused token is not in the audit trail yet.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The only entry: `make` builds, `make test` checks, `make demo` shows.
-.PHONY: all build test fmt lint demo generate race fuzz spec bench slopes chaos clean
+.PHONY: all build test race fmt lint demo generate clean spec slopes bench mutate fuzz chaos
 
 GO ?= go
 FUZZTIME ?= 10s
--- a/internal/entry/assembler/assembler.go
+++ b/internal/entry/assembler/assembler.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 
 	"knapweedspur/internal/config/cataloger"
+	"knapweedspur/internal/entry/authorizer"
 	"knapweedspur/internal/entry/bookkeeper"
 	"knapweedspur/internal/entry/controller"
 	"knapweedspur/internal/entry/driver"
@@ -75,7 +76,7 @@
 			func() *cataloger.Cataloger { return &cataloger.Cataloger{} },
 			tracker.New,
 			func() *budgeter.Budget { return &budgeter.Budget{} },
-			newKernel, newDriver, newPublisher, newForwarder, newLinker, newBookkeeper, newServer, newController, newEntry,
+			newKernel, newDriver, newPublisher, newForwarder, newLinker, newAuthorizer, newBookkeeper, newServer, newController, newEntry,
 		),
 		fx.Invoke(export),
 	)
@@ -144,17 +145,19 @@
 	return &linker.Linker{Tracker: t, Driver: d, Catalog: c, Domain: s.Domain, Silence: beatsMissed * s.Beat, Logger: logger.Named("linker")}
 }
 
-func newBookkeeper(d *driver.Driver, c *cataloger.Cataloger) *bookkeeper.Bookkeeper {
-	return &bookkeeper.Bookkeeper{Driver: d, Catalog: c}
+func newAuthorizer(s *Settings) *authorizer.Authorizer { return &authorizer.Authorizer{Token: s.Token} }
+
+func newBookkeeper(d *driver.Driver, c *cataloger.Cataloger, a *authorizer.Authorizer) *bookkeeper.Bookkeeper {
+	return &bookkeeper.Bookkeeper{Driver: d, Catalog: c, Authorizer: a}
 }
 
 func newServer(f *forwarder.Forwarder, b *bookkeeper.Bookkeeper, c *cataloger.Cataloger) *server.Server {
 	return &server.Server{Forward: f, Runs: b, Catalog: c}
 }
 
-func newController(s *Settings, in Incarnation, l *linker.Linker, d *driver.Driver, p *publisher.Publisher, t *tracker.Tracker, c *cataloger.Cataloger, f *forwarder.Forwarder, b *bookkeeper.Bookkeeper) *controller.Controller {
+func newController(s *Settings, a *authorizer.Authorizer, in Incarnation, l *linker.Linker, d *driver.Driver, p *publisher.Publisher, t *tracker.Tracker, c *cataloger.Cataloger, f *forwarder.Forwarder, b *bookkeeper.Bookkeeper) *controller.Controller {
 	return &controller.Controller{
-		Entry: string(in), Domain: s.Domain, Token: s.Token, Link: l, Runs: b, Driver: d, Publisher: p, Tracker: t, Catalog: c, Forwarder: f,
+		Entry: string(in), Domain: s.Domain, Authorizer: a, Link: l, Runs: b, Driver: d, Publisher: p, Tracker: t, Catalog: c, Forwarder: f,
 	}
 }
 
--- a/internal/entry/bookkeeper/bookkeeper.go
+++ b/internal/entry/bookkeeper/bookkeeper.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"knapweedspur/internal/config/cataloger"
+	"knapweedspur/internal/entry/authorizer"
 	"knapweedspur/internal/entry/driver"
 	"knapweedspur/internal/entry/summarizer"
 	"knapweedspur/internal/fault/verdict"
@@ -38,13 +39,15 @@
 	Driver *driver.Driver
 	// Catalog holds the declarations.
 	Catalog *cataloger.Cataloger
+	// Authorizer checks the token of who cancels.
+	Authorizer *authorizer.Authorizer
 }
 
 // Register adds the routes below a prefix.
 func (b *Bookkeeper) Register(r *mux.Router, prefix string) {
 	r.HandleFunc(prefix, b.submit).Methods(http.MethodPost)
 	r.HandleFunc(prefix+"/{run}", b.follow).Methods(http.MethodGet)
-	r.HandleFunc(prefix+"/{run}", b.cancel).Methods(http.MethodDelete)
+	r.Handle(prefix+"/{run}", b.Authorizer.Wrap(http.HandlerFunc(b.cancel))).Methods(http.MethodDelete)
 }
 
 func (b *Bookkeeper) submit(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/controller/controller.go
+++ b/internal/entry/controller/controller.go
@@ -4,18 +4,17 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"encoding/json"
 	"expvar"
 	"net/http"
 	"sort"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
 
 	"knapweedspur/internal/config/cataloger"
+	"knapweedspur/internal/entry/authorizer"
 	"knapweedspur/internal/entry/bookkeeper"
 	"knapweedspur/internal/entry/driver"
 	"knapweedspur/internal/entry/publisher"
@@ -46,8 +45,8 @@
 	Entry string
 	// Domain is its failure domain.
 	Domain string
-	// Token is what operators, agents and entries must show, empty for none.
-	Token string
+	// Authorizer checks the token of operators, agents and entries.
+	Authorizer *authorizer.Authorizer
 	// Link takes the connections of agents.
 	Link http.Handler
 	// Runs answers about runs.
@@ -63,7 +62,7 @@
 // Handler returns the routes.
 func (c *Controller) Handler() http.Handler {
 	r := mux.NewRouter().UseEncodedPath()
-	r.Use(c.authorize)
+	r.Use(c.Authorizer.Wrap)
 	r.Handle(carrier.Path, c.Link)
 	r.HandleFunc("/v1/status", c.status).Methods(http.MethodGet)
 	r.HandleFunc("/v1/why/{name}", c.why).Methods(http.MethodGet)
@@ -78,18 +77,6 @@
 	return r
 }
 
-func (c *Controller) authorize(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if c.Token != "" && subtle.ConstantTimeCompare([]byte(token), []byte(c.Token)) != 1 {
-			w.Header().Set(verdict.Header, verdict.Unrun.String())
-			http.Error(w, "the token is missing or wrong; set --token or KNAPWEEDSPUR_TOKEN", http.StatusUnauthorized)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 func send(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
