--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The only entry: `make` builds, `make test` checks, `make demo` shows.
-.PHONY: all build test race fmt lint demo generate clean spec slopes bench mutate fuzz chaos
+.PHONY: all build test race race-path fmt lint demo generate clean spec slopes bench mutate fuzz chaos
 
 GO ?= go
 FUZZTIME ?= 10s
@@ -17,6 +17,9 @@
 race:
 	$(GO) test -race ./...
 
+race-path:
+	$(GO) test -race -run 'WholePath|VMDies|NeverGoesBack|Dies|Planned|LogDown|Racing|TasksEnd' ./test
+
 fmt:
 	gofmt -w .
 
--- a/internal/entry/linker/linker.go
+++ b/internal/entry/linker/linker.go
@@ -232,7 +232,8 @@
 	}
 	l.replied = now
 	if reply.View == nil && reply.Setting == nil {
-		reply.Setting = &l.last
+		unchanged := l.last
+		reply.Setting = &unchanged
 	}
 	l.Queue(reply)
 }
