--- a/test/request_test.go
+++ b/test/request_test.go
@@ -135,18 +135,21 @@
 	})
 }
 
+// large begins an answer of 16 MB and returns its body unread.
+func (s *stage) large() io.ReadCloser {
+	s.t.Helper()
+	resp, err := s.client.Get("http://" + address(callersNet, 0).String() + "/thumbnails/check?size=16000000")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return resp.Body
+}
+
 func TestSlowCallerDoesNotHoldUpOthers(t *testing.T) {
 	play(t, 1, []string{"thumbnails"}, func(s *stage) {
 		s.publish(declarations)
-		req, err := http.NewRequest(http.MethodGet, "http://"+address(callersNet, 0).String()+"/thumbnails/check?size=16000000", nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		resp, err := s.client.Do(req)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer resp.Body.Close()
+		body := s.large()
+		defer body.Close()
 		// The large answer is not read; others must still be answered.
 		result := s.load("check", "/thumbnails/check", 50, time.Second, 0)
 		s.loads.Wait()
@@ -170,17 +173,10 @@
 func TestCutAnswerNeverLooksWhole(t *testing.T) {
 	play(t, 1, []string{"thumbnails"}, func(s *stage) {
 		s.publish(declarations)
-		req, err := http.NewRequest(http.MethodGet, "http://"+address(callersNet, 0).String()+"/thumbnails/check?size=16000000", nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		resp, err := s.client.Do(req)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer resp.Body.Close()
+		body := s.large()
+		defer body.Close()
 		s.killAgent(0)
-		if data, err := io.ReadAll(resp.Body); err == nil {
+		if data, err := io.ReadAll(body); err == nil {
 			t.Errorf("an answer cut after %d of 16000000 bytes looked whole", len(data))
 		}
 		s.startAgent(0)
--- a/test/stage_test.go
+++ b/test/stage_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/hashicorp/go-hclog"
 
 	agents "knapweedspur/internal/agent/assembler"
@@ -253,6 +254,14 @@
 	})
 }
 
+// tookAttempts checks how many attempts a run took in all.
+func (s *stage) tookAttempts(name string, want int, rule string) {
+	s.t.Helper()
+	if diff := cmp.Diff(want, s.run(name).Attempts); diff != "" {
+		s.t.Errorf("attempts of %s; %s (-want +got):\n%s", name, rule, diff)
+	}
+}
+
 // load sends requests in the background and adds what became of the POSTs to
 // what is checked at the end.
 func (s *stage) load(name, path string, rate float64, span time.Duration, once float64) *loader.Result {
--- a/test/task_test.go
+++ b/test/task_test.go
@@ -25,9 +25,7 @@
 			s.startAgent(i)
 		}
 		s.ended(time.Minute, "proofs-1")
-		if run := s.run("proofs-1"); run.Attempts != 12 {
-			t.Errorf("12 tasks took %d attempts; an agent's restart must not cost one", run.Attempts)
-		}
+		s.tookAttempts("proofs-1", 12, "an agent's restart must not cost one")
 	})
 }
 
@@ -126,9 +124,7 @@
 		time.Sleep(4 * time.Second)
 		s.cut(0, true)
 		s.ended(2*time.Minute, "proofs-1")
-		if run := s.run("proofs-1"); run.Attempts != 12 {
-			t.Errorf("12 tasks took %d attempts; a VM that two entries hear must not be fenced", run.Attempts)
-		}
+		s.tookAttempts("proofs-1", 12, "a VM that two entries hear must not be fenced")
 	})
 }
 
@@ -184,9 +180,7 @@
 		if run := s.run("quick-1"); refused && run.Run != "" {
 			t.Errorf("a submission refused as not run did run: %+v", run)
 		}
-		if run := s.run("proofs-1"); run.Attempts != 12 {
-			t.Errorf("12 tasks took %d attempts; an outage pauses tasks and loses none", run.Attempts)
-		}
+		s.tookAttempts("proofs-1", 12, "an outage pauses tasks and loses none")
 	})
 }
 
@@ -359,9 +353,7 @@
 			s.startAgent(i)
 		}
 		s.ended(time.Minute, "quick-1")
-		if run := s.run("quick-1"); run.Attempts != 20 {
-			t.Errorf("20 tasks that ended took %d attempts", run.Attempts)
-		}
+		s.tookAttempts("quick-1", 20, "what has ended must not run again")
 	})
 }
 
