--- a/internal/cli/runner/runner.go
+++ b/internal/cli/runner/runner.go
@@ -25,6 +25,7 @@
 
 	Entry   entryCommand   `cmd:"" help:"Run an entry."`
 	Agent   agentCommand   `cmd:"" help:"Run the agent of a VM."`
+	Site    siteCommand    `cmd:"" help:"Run a process on the users' platform."`
 	Check   checkCommand   `cmd:"" help:"Check declaration files."`
 	Publish publishCommand `cmd:"" help:"Publish declaration files."`
 	Submit  submitCommand  `cmd:"" help:"Submit a run of a job."`
--- /dev/null
+++ b/internal/front/acceptor/acceptor.go
@@ -0,0 +1,241 @@
+// Package acceptor takes jobs from clients and tells them how their jobs
+// stand. A job is accepted once its record is in the log.
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"knapweedspur/internal/fault/verdict"
+	"knapweedspur/internal/front/cataloger"
+	"knapweedspur/internal/log/journal"
+	"knapweedspur/internal/wire/work"
+	"knapweedspur/internal/work/follower"
+	"knapweedspur/internal/work/keeper"
+)
+
+const (
+	// staleLimit is the oldest view that answers for work being absent, or
+	// counts it.
+	staleLimit = 1500 * time.Millisecond
+	// lostLimit is the age of the view beyond which the log is taken to be
+	// out of reach, so that a request is refused without a try.
+	lostLimit = 1200 * time.Millisecond
+	// comeBack is when a refused client may return: other entries may reach
+	// the log already.
+	comeBack = time.Second
+	// refusedTries are the tries of an append that the log refuses.
+	refusedTries = 3
+	// refusedPause is the pause between them.
+	refusedPause = 60 * time.Millisecond
+	// unknownLimit bounds the tries of an append without an answer.
+	unknownLimit = 2200 * time.Millisecond
+	// absentWait bounds the wait for a view that is young enough to say that
+	// a job is absent.
+	absentWait = time.Second
+)
+
+// The states of a job that has not ended.
+const (
+	Queued  = "queued"
+	Running = "running"
+)
+
+// Acceptor answers clients.
+type Acceptor struct {
+	Journal   journal.Journal
+	Follower  *follower.Follower
+	Cataloger *cataloger.Cataloger
+	// ConfigAge tells how old the knowledge of the configuration is.
+	ConfigAge func() time.Duration
+	Logger    hclog.Logger
+	// MaxRecord bounds the record of a job, in bytes.
+	MaxRecord int
+
+	leaving atomic.Bool
+}
+
+// Leave makes the entry not ready, so that the balancer sends no new clients.
+func (a *Acceptor) Leave() { a.leaving.Store(true) }
+
+// Leaving says whether the entry is about to stop.
+func (a *Acceptor) Leaving() bool { return a.leaving.Load() }
+
+// Ready says whether the entry can serve clients.
+func (a *Acceptor) Ready() bool {
+	return !a.leaving.Load() && a.Cataloger.Current() != nil && a.Follower.Age() < staleLimit
+}
+
+// Find returns the queue of a request.
+func (a *Acceptor) Find(host, path string) (*cataloger.Queue, int64, error) {
+	catalog := a.Cataloger.Current()
+	if catalog == nil {
+		return nil, 0, refuse("no configuration yet")
+	}
+	if q := catalog.Find(host, path); q != nil {
+		return q, catalog.Version, nil
+	}
+	if age := a.ConfigAge(); age > staleLimit {
+		return nil, 0, refuse("no such queue in a configuration that may be out of date")
+	}
+	return nil, 0, &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Missing, Reason: "no such queue"}
+}
+
+func refuse(reason string) error {
+	return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Outage, Reason: reason, After: comeBack}
+}
+
+// Submit accepts a job. A repeat of one that is known is accepted as well.
+func (a *Acceptor) Submit(ctx context.Context, q *cataloger.Queue, version int64, job *work.Job, now time.Time) error {
+	if a.known(job.ID) {
+		a.Logger.Info("accept", "job", job.ID, "queue", q.Name, "repeat", true)
+		return nil
+	}
+	job.Queue, job.Accepted = q.Queue, now
+	record := keeper.JobRecord(job)
+	if len(record.Value)+len(record.Key) >= a.MaxRecord {
+		return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Invalid, Reason: "the job is larger than a record of the log"}
+	}
+	err := a.append(ctx, record)
+	a.Logger.Info("accept", "job", job.ID, "queue", q.Name, "version", version, "outcome", outcome(err), "took", time.Since(now).String())
+	return err
+}
+
+func outcome(err error) string {
+	if err == nil {
+		return "done"
+	}
+	return err.Error()
+}
+
+func (a *Acceptor) known(id string) bool {
+	known := false
+	a.Follower.View(func(state *keeper.State, _ time.Duration) { known = state.Jobs[id].Known() })
+	return known
+}
+
+// append writes one record. It repeats an append without an answer, which is
+// harmless since a record of the same key says the same.
+func (a *Acceptor) append(ctx context.Context, record journal.Record) error {
+	if a.Follower.Age() > lostLimit {
+		return refuse("the log is out of reach from here")
+	}
+	began, unknown, refusals := time.Now(), false, 0
+	for {
+		_, err := a.Journal.Append(ctx, []journal.Record{record}, nil)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, journal.ErrRefused) {
+			refusals++
+			if refusals >= refusedTries && !unknown {
+				return refuse("the log refuses appends")
+			}
+		} else {
+			unknown = true
+		}
+		if ctx.Err() != nil || time.Since(began) > unknownLimit {
+			return &verdict.Error{Verdict: verdict.Unknown, Cause: verdict.Late, Reason: "the log gave no answer"}
+		}
+		wait(ctx, refusedPause)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// State returns the state of a job.
+func (a *Acceptor) State(ctx context.Context, id string) (string, error) {
+	if state := a.lookup(id); state != "" {
+		return state, nil
+	}
+	if err := a.catch(ctx); err != nil {
+		return "", err
+	}
+	if state := a.lookup(id); state != "" {
+		return state, nil
+	}
+	return "", absent()
+}
+
+func absent() error {
+	return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Missing, Reason: "no such job"}
+}
+
+// catch waits for a view that is younger than the request.
+func (a *Acceptor) catch(ctx context.Context) error {
+	if a.Follower.Age() > staleLimit {
+		return refuse("the view of the log is out of date")
+	}
+	ctx, cancel := context.WithTimeout(ctx, absentWait)
+	defer cancel()
+	if a.Follower.Catch(ctx) != nil {
+		return refuse("the log is out of reach from here")
+	}
+	return nil
+}
+
+// lookup returns the state of a job, empty for an unknown one.
+func (a *Acceptor) lookup(id string) string {
+	var found string
+	a.Follower.View(func(state *keeper.State, _ time.Duration) {
+		j := state.Jobs[id]
+		switch {
+		case !j.Known():
+		case j.Outcome != nil:
+			found = j.Outcome.State
+		case j.Cancel != nil:
+			found = keeper.Canceled
+		case j.Started():
+			found = Running
+		default:
+			found = Queued
+		}
+	})
+	return found
+}
+
+// Cancel cancels a job.
+func (a *Acceptor) Cancel(ctx context.Context, id string, now time.Time) error {
+	state := a.lookup(id)
+	if state == "" {
+		if err := a.catch(ctx); err != nil {
+			return err
+		}
+		state = a.lookup(id)
+	}
+	switch state {
+	case "":
+		return absent()
+	case Queued, Running:
+	default:
+		return nil
+	}
+	err := a.append(ctx, keeper.CancelRecord(id, &work.Cancel{Asked: now}))
+	a.Logger.Info("cancel accepted", "job", id, "outcome", outcome(err), "took", time.Since(now).String())
+	return err
+}
+
+// Pending counts the jobs of a queue that no run was started for.
+func (a *Acceptor) Pending(queue string) (int, error) {
+	if a.Follower.Age() > staleLimit {
+		return 0, refuse("the view of the log is out of date")
+	}
+	count := 0
+	a.Follower.View(func(state *keeper.State, _ time.Duration) {
+		for _, j := range state.Jobs {
+			if j.Record != nil && j.Outcome == nil && j.Cancel == nil && j.Record.Queue.Name == queue && !j.Started() {
+				count++
+			}
+		}
+	})
+	return count, nil
+}
--- /dev/null
+++ b/internal/front/switchboard/switchboard.go
@@ -0,0 +1,216 @@
+// Package switchboard holds an entry's connections to agents: it answers
+// heartbeats with what the log says of their sessions, and carries reports to
+// the leader and orders to the agents.
+package switchboard
+
+import (
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"knapweedspur/internal/link/carrier"
+	"knapweedspur/internal/wire/work"
+	"knapweedspur/internal/work/follower"
+	"knapweedspur/internal/work/keeper"
+	"knapweedspur/internal/work/leader"
+	"knapweedspur/internal/work/planner"
+)
+
+const (
+	// Silence ends a connection on which nothing came: several heartbeats.
+	Silence = 2 * time.Second
+	// queue is how many packets may wait for a connection.
+	queue = 256
+)
+
+// Switchboard holds the connections of agents.
+type Switchboard struct {
+	Follower *follower.Follower
+	Leader   *leader.Leader
+	Logger   hclog.Logger
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// link is the connection of one VM's agent.
+type link struct {
+	conn  *carrier.Conn
+	hello *work.Hello
+	out   chan *work.Packet
+	done  chan struct{}
+}
+
+// Init prepares the switchboard.
+func (s *Switchboard) Init() { s.links = map[string]*link{} }
+
+// ServeHTTP takes the connection of an agent and holds it until it ends.
+func (s *Switchboard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, err := carrier.Accept(w, r, Silence)
+	if err != nil {
+		s.Logger.Warn("no connection with an agent", "peer", r.RemoteAddr, "error", err.Error())
+		return
+	}
+	l := &link{conn: conn, out: make(chan *work.Packet, queue), done: make(chan struct{})}
+	go s.send(l)
+	s.receive(l)
+	close(l.done)
+	conn.Close()
+	s.remove(l)
+}
+
+func (s *Switchboard) send(l *link) {
+	for {
+		select {
+		case p := <-l.out:
+			if err := l.conn.SendValue(p); err != nil {
+				l.conn.Close()
+				return
+			}
+		case <-l.done:
+			return
+		}
+	}
+}
+
+func (s *Switchboard) receive(l *link) {
+	for {
+		var p work.Packet
+		if err := l.conn.ReceiveValue(&p); err != nil {
+			if l.hello != nil {
+				s.Logger.Info("agent lost", "vm", l.hello.Vitals.VM, "error", err.Error())
+			}
+			return
+		}
+		s.handle(l, &p)
+	}
+}
+
+func (s *Switchboard) handle(l *link, p *work.Packet) {
+	if p.Hello != nil {
+		s.greet(l, p.Hello)
+	}
+	if p.Beat != nil {
+		s.beat(l, p.Beat)
+	}
+	if p.Report != nil && l.hello != nil {
+		s.Leader.With(func(b *planner.Book, now time.Time) { b.Report(l.hello.Vitals.VM, p.Report, now) })
+	}
+}
+
+// greet takes the introduction of an agent. The newest connection of a VM counts.
+func (s *Switchboard) greet(l *link, h *work.Hello) {
+	s.mu.Lock()
+	if l.hello != nil && s.links[l.hello.Vitals.VM] == l {
+		delete(s.links, l.hello.Vitals.VM)
+	}
+	l.hello = h
+	old := s.links[h.Vitals.VM]
+	s.links[h.Vitals.VM] = l
+	s.mu.Unlock()
+	if old != nil && old != l {
+		old.conn.Close()
+	}
+	s.Logger.Info("agent linked", "vm", h.Vitals.VM, "born", h.Vitals.Born, "agent", h.Agent)
+	s.Leader.With(func(b *planner.Book, now time.Time) { b.Hello(h, now) })
+}
+
+func (s *Switchboard) remove(l *link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.hello == nil || s.links[l.hello.Vitals.VM] != l {
+		return
+	}
+	delete(s.links, l.hello.Vitals.VM)
+	vm := l.hello.Vitals.VM
+	go s.Leader.With(func(b *planner.Book, _ time.Time) { b.Unlinked(vm) })
+}
+
+// beat answers a heartbeat.
+func (s *Switchboard) beat(l *link, beat *work.Beat) {
+	s.post(l, &work.Packet{Evidence: s.evidence(beat)})
+	s.Leader.With(func(b *planner.Book, now time.Time) { b.Heard(beat.VM, now) })
+}
+
+// evidence tells an agent what the log says of its session.
+func (s *Switchboard) evidence(beat *work.Beat) *work.Evidence {
+	e := &work.Evidence{Number: beat.Number}
+	leading := s.Leader.Leading()
+	s.Follower.View(func(state *keeper.State, age time.Duration) {
+		e.Age = age
+		if session := state.Sessions[beat.VM]; session != nil {
+			e.Valid = session.Fence == beat.Fence && session.Born == beat.Born && !session.Revoked
+		}
+		if state.Term != nil {
+			e.Epoch, e.Leader = state.Term.Epoch, state.Term.Address
+		}
+		for _, m := range state.Members {
+			e.Entries = append(e.Entries, m.Address)
+		}
+	})
+	if leading != 0 {
+		e.Leads, e.Epoch = true, leading
+	}
+	slices.SortFunc(e.Entries, netip.AddrPort.Compare)
+	return e
+}
+
+// post queues a packet. A connection that does not keep up is closed.
+func (s *Switchboard) post(l *link, p *work.Packet) {
+	select {
+	case l.out <- p:
+	case <-l.done:
+	default:
+		s.Logger.Warn("agent does not read; connection closed")
+		l.conn.Close()
+	}
+}
+
+func (s *Switchboard) find(vm string) *link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.links[vm]
+}
+
+// SendOrders sends orders to the agent of a VM. Without a connection they are
+// dropped: the next report of the agent brings them up again.
+func (s *Switchboard) SendOrders(vm string, o *work.Orders) {
+	if l := s.find(vm); l != nil {
+		s.post(l, &work.Packet{Orders: o})
+	}
+}
+
+// SendGrant sends a session to the agent of a VM.
+func (s *Switchboard) SendGrant(vm string, g *work.Grant) {
+	if l := s.find(vm); l != nil {
+		s.post(l, &work.Packet{Grant: g})
+	}
+}
+
+// Hellos returns the introductions of all agents.
+func (s *Switchboard) Hellos() []*work.Hello {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var hellos []*work.Hello
+	for _, l := range s.links {
+		hellos = append(hellos, l.hello)
+	}
+	return hellos
+}
+
+// Announce tells all agents whether this entry leads.
+func (s *Switchboard) Announce() {
+	s.mu.Lock()
+	links := make([]*link, 0, len(s.links))
+	for _, l := range s.links {
+		links = append(links, l)
+	}
+	s.mu.Unlock()
+	for _, l := range links {
+		s.post(l, &work.Packet{Evidence: s.evidence(&work.Beat{VM: l.hello.Vitals.VM})})
+	}
+}
--- a/internal/link/carrier/carrier.go
+++ b/internal/link/carrier/carrier.go
@@ -102,7 +102,10 @@
 
 // Send writes one frame. After an error the connection is of no more use, and
 // the frame may have arrived.
-func (c *Conn) Send(f *message.Frame) error {
+func (c *Conn) Send(f *message.Frame) error { return c.SendValue(f) }
+
+// SendValue writes a message of any wire type, as Send does.
+func (c *Conn) SendValue(f any) error {
 	buffer := buffers.Get().(*bytes.Buffer)
 	defer buffers.Put(buffer)
 	buffer.Reset()
@@ -125,18 +128,23 @@
 
 // Receive reads the next frame. Close ends it.
 func (c *Conn) Receive() (*message.Frame, error) {
+	var f message.Frame
+	if err := c.ReceiveValue(&f); err != nil {
+		return nil, err
+	}
+	return &f, nil
+}
+
+// ReceiveValue reads the next message into a wire type, as Receive does.
+func (c *Conn) ReceiveValue(f any) error {
 	_, data, err := c.ws.Read(context.Background())
 	if err != nil {
-		return nil, trace.ConnectionProblem(err, "receive a frame")
+		return trace.ConnectionProblem(err, "receive a frame")
 	}
 	c.received.Store(time.Now().UnixNano())
 	traffic.received.Add(int64(len(data)))
 	traffic.frames.Add(1)
-	var f message.Frame
-	if err := encoder.Decode(data, &f); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return &f, nil
+	return trace.Wrap(encoder.Decode(data, f))
 }
 
 // Close ends the connection at once.
--- /dev/null
+++ b/internal/side/courier/courier.go
@@ -0,0 +1,315 @@
+// Package courier keeps an agent's connections to all entries: heartbeats to
+// each, reports to the one that leads.
+package courier
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"knapweedspur/internal/clock/booter"
+	"knapweedspur/internal/link/carrier"
+	"knapweedspur/internal/side/warden"
+	"knapweedspur/internal/wire/work"
+)
+
+const (
+	// beatEvery is the interval of heartbeats on each connection. A lease is
+	// extended from the newest answer.
+	beatEvery = 300 * time.Millisecond
+	// reportEvery is the longest time between two reports.
+	reportEvery = 400 * time.Millisecond
+	// reportPause is the least time between two reports.
+	reportPause = 8 * time.Millisecond
+	// silence ends a connection on which nothing came.
+	silence = 1500 * time.Millisecond
+	// dialTimeout bounds a new connection.
+	dialTimeout = 700 * time.Millisecond
+	// firstBackoff and lastBackoff bound the pause after a lost connection.
+	firstBackoff = 50 * time.Millisecond
+	lastBackoff  = time.Second
+	// seekEvery is how often the list of entries is read while none answers.
+	seekEvery = time.Second
+	// maxEntries bounds the connections of an agent.
+	maxEntries = 32
+)
+
+// Finder reads the list of entries from the platform.
+type Finder interface {
+	// Find returns the addresses of entries that announced themselves.
+	Find(ctx context.Context) ([]netip.AddrPort, error)
+}
+
+// Courier connects an agent with the entries.
+type Courier struct {
+	Warden *warden.Warden
+	Finder Finder
+	Client *http.Client
+	Logger hclog.Logger
+	// Agent is the life of this process.
+	Agent string
+	// Done is closed when Run has returned.
+	Done chan struct{}
+
+	mu     sync.Mutex
+	links  map[netip.AddrPort]*link
+	report chan struct{}
+}
+
+// link is the connection to one entry.
+type link struct {
+	address netip.AddrPort
+	cancel  context.CancelFunc
+
+	mu    sync.Mutex
+	conn  *carrier.Conn
+	leads bool
+	epoch int64
+	// greeted is the worker's life that the entry knows of.
+	greeted work.Vitals
+	// sent holds the heartbeats without an answer.
+	sent   map[int64]sentBeat
+	number int64
+}
+
+type sentBeat struct {
+	beat *work.Beat
+	at   time.Duration
+}
+
+// Init prepares the courier.
+func (c *Courier) Init() {
+	c.Done = make(chan struct{})
+	c.links = map[netip.AddrPort]*link{}
+	c.report = make(chan struct{}, 1)
+}
+
+// Changed asks for a report soon.
+func (c *Courier) Changed() {
+	select {
+	case c.report <- struct{}{}:
+	default:
+	}
+}
+
+// Run keeps the connections until the context ends.
+func (c *Courier) Run(ctx context.Context) {
+	defer close(c.Done)
+	var group sync.WaitGroup
+	group.Go(func() { c.seek(ctx, &group) })
+	c.reports(ctx)
+	group.Wait()
+}
+
+// seek reads the list of entries, first often, then while none leads.
+func (c *Courier) seek(ctx context.Context, group *sync.WaitGroup) {
+	failed := false
+	for ctx.Err() == nil {
+		if c.leader() == nil {
+			entries, err := c.Finder.Find(ctx)
+			if err != nil && !failed {
+				c.Logger.Warn("list of entries lost", "error", err.Error())
+			}
+			if err == nil && failed {
+				c.Logger.Info("list of entries regained", "entries", len(entries))
+			}
+			failed = err != nil
+			for _, address := range entries {
+				c.connect(ctx, address, group)
+			}
+			if len(entries) == 0 {
+				pause(ctx, seekEvery/10)
+				continue
+			}
+		}
+		pause(ctx, seekEvery)
+	}
+}
+
+// connect begins a connection to an entry that has none.
+func (c *Courier) connect(ctx context.Context, address netip.AddrPort, group *sync.WaitGroup) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.links[address] != nil || len(c.links) >= maxEntries || ctx.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	l := &link{address: address, cancel: cancel}
+	c.links[address] = l
+	group.Go(func() { c.keep(ctx, l, group) })
+}
+
+// keep dials an entry again and again.
+func (c *Courier) keep(ctx context.Context, l *link, group *sync.WaitGroup) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		dial, cancel := context.WithTimeout(ctx, dialTimeout)
+		conn, err := carrier.Dial(dial, c.Client, "ws", l.address, nil, silence)
+		cancel()
+		if err != nil {
+			pause(ctx, backoff)
+			backoff = min(2*backoff, lastBackoff)
+			continue
+		}
+		backoff = firstBackoff
+		c.Logger.Info("entry linked", "entry", l.address.String())
+		c.serve(ctx, l, conn, group)
+		c.Logger.Info("entry lost", "entry", l.address.String())
+		pause(ctx, backoff)
+	}
+}
+
+// serve uses a connection until it ends.
+func (c *Courier) serve(ctx context.Context, l *link, conn *carrier.Conn, group *sync.WaitGroup) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.mu.Lock()
+	l.conn, l.leads, l.greeted, l.sent = conn, false, work.Vitals{}, map[int64]sentBeat{}
+	l.mu.Unlock()
+	go func() {
+		c.beats(ctx, l)
+		conn.Close()
+	}()
+	for {
+		var p work.Packet
+		if err := conn.ReceiveValue(&p); err != nil {
+			break
+		}
+		c.handle(ctx, l, &p, group)
+	}
+	conn.Close()
+	l.mu.Lock()
+	l.conn, l.leads = nil, false
+	l.mu.Unlock()
+}
+
+// beats sends heartbeats, and introduces each life of the worker.
+func (c *Courier) beats(ctx context.Context, l *link) {
+	for ctx.Err() == nil {
+		if !c.greet(l) || !c.beat(l) {
+			return
+		}
+		pause(ctx, beatEvery)
+	}
+}
+
+// greet introduces the worker if the entry does not know its current life.
+func (c *Courier) greet(l *link) bool {
+	vitals, ok := c.Warden.Vitals()
+	if !ok {
+		return true
+	}
+	l.mu.Lock()
+	known := l.greeted.VM == vitals.VM && l.greeted.Born == vitals.Born
+	l.greeted = vitals
+	conn := l.conn
+	l.mu.Unlock()
+	if known || conn == nil {
+		return conn != nil
+	}
+	return conn.SendValue(&work.Packet{Hello: &work.Hello{Vitals: vitals, Agent: c.Agent}}) == nil
+}
+
+func (c *Courier) beat(l *link) bool {
+	l.mu.Lock()
+	conn := l.conn
+	l.number++
+	beat := c.Warden.Beat(l.number)
+	l.sent[l.number] = sentBeat{beat, booter.Now()}
+	delete(l.sent, l.number-beatsKept)
+	l.mu.Unlock()
+	return conn != nil && conn.SendValue(&work.Packet{Beat: beat}) == nil
+}
+
+// beatsKept is how many heartbeats may wait for an answer.
+const beatsKept = 16
+
+func (c *Courier) handle(ctx context.Context, l *link, p *work.Packet, group *sync.WaitGroup) {
+	if e := p.Evidence; e != nil {
+		c.evidence(l, e)
+		for _, address := range e.Entries {
+			c.connect(ctx, address, group)
+		}
+	}
+	if p.Grant != nil {
+		c.Warden.Grant(p.Grant)
+	}
+	if p.Orders != nil {
+		c.Warden.Orders(ctx, p.Orders)
+	}
+}
+
+// evidence takes the answer to a heartbeat.
+func (c *Courier) evidence(l *link, e *work.Evidence) {
+	l.mu.Lock()
+	began := e.Leads && (!l.leads || l.epoch != e.Epoch)
+	l.leads, l.epoch = e.Leads, e.Epoch
+	sent, ok := l.sent[e.Number]
+	delete(l.sent, e.Number)
+	l.mu.Unlock()
+	if began {
+		c.Logger.Info("leader found", "entry", l.address.String(), "epoch", e.Epoch)
+		c.Changed()
+	}
+	if ok && e.Valid {
+		c.Warden.Vouched(sent.beat, sent.at-e.Age)
+	}
+}
+
+// leader returns the connection to the entry that leads, nil for none.
+func (c *Courier) leader() *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var found *link
+	for _, l := range c.links {
+		l.mu.Lock()
+		if l.leads && l.conn != nil && (found == nil || l.epoch > found.epoch) {
+			found = l
+		}
+		l.mu.Unlock()
+	}
+	return found
+}
+
+// reports sends reports to the leader: on changes, and now and then.
+func (c *Courier) reports(ctx context.Context) {
+	for ctx.Err() == nil {
+		timer := time.NewTimer(reportEvery)
+		select {
+		case <-c.report:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		c.send()
+		pause(ctx, reportPause)
+	}
+}
+
+func (c *Courier) send() {
+	l := c.leader()
+	if l == nil || !c.greet(l) {
+		return
+	}
+	l.mu.Lock()
+	conn, epoch := l.conn, l.epoch
+	l.mu.Unlock()
+	report := c.Warden.Report(epoch)
+	if report == nil || conn == nil {
+		return
+	}
+	if err := conn.SendValue(&work.Packet{Report: report}); err != nil {
+		conn.Close()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/site/assembler/agent.go
@@ -0,0 +1,75 @@
+package assembler
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/fx"
+
+	"knapweedspur/internal/link/connector"
+	"knapweedspur/internal/side/courier"
+	"knapweedspur/internal/side/warden"
+	"knapweedspur/platform"
+)
+
+// agent is an agent on the users' platform.
+type agent struct {
+	settings *platform.Settings
+	logger   hclog.Logger
+	warden   *warden.Warden
+	courier  *courier.Courier
+	servers  *serverGroup
+	group    *taskGroup
+}
+
+// AgentOptions returns the parts of an agent.
+func AgentOptions(settings *platform.Settings, logger hclog.Logger) fx.Option {
+	return fx.Options(
+		fx.Supply(settings),
+		fx.Provide(func() hclog.Logger { return logger }, platform.NewClient, newAgent),
+		fx.Invoke(func(lc fx.Lifecycle, a *agent) { lc.Append(fx.Hook{OnStart: a.start, OnStop: a.stop}) }),
+	)
+}
+
+func newAgent(s *platform.Settings, logger hclog.Logger, client *http.Client) *agent {
+	a := &agent{settings: s, logger: logger, servers: &serverGroup{logger: logger}, group: newTaskGroup()}
+	a.courier = &courier.Courier{
+		Client: client, Logger: logger, Agent: rand.Text()[:12],
+		Finder: &platform.Finder{Stream: &platform.Stream{Address: s.Store, Client: client, Topic: platform.EntryStream}},
+	}
+	a.warden = &warden.Warden{
+		Worker: &platform.Worker{Address: s.Worker, Client: client}, Logger: logger, MaxLease: s.MaxLease, Changed: a.courier.Changed,
+	}
+	a.courier.Warden = a.warden
+	a.courier.Init()
+	a.warden.Init()
+	return a
+}
+
+func (a *agent) start(context.Context) error {
+	router := mux.NewRouter()
+	platform.HandleWorkers(router, a.warden)
+	if err := a.servers.serve(connector.System{}, a.settings.Control, router); err != nil {
+		return err
+	}
+	if err := a.servers.serve(connector.System{}, a.settings.Metrics, metricsHandler()); err != nil {
+		return err
+	}
+	a.group.run(a.warden.Run)
+	a.group.run(a.courier.Run)
+	a.logger.Info("start", "role", "agent", "life", a.courier.Agent, "worker", a.settings.Worker.String())
+	return nil
+}
+
+// stop ends the agent at once: the worker goes on under its lease, and the
+// next agent of the VM asks it what runs.
+func (a *agent) stop(context.Context) error {
+	a.logger.Info("stop", "role", "agent")
+	a.group.stop()
+	a.servers.stop(stopSlack / 2)
+	a.logger.Info("stopped", "role", "agent")
+	return nil
+}
--- /dev/null
+++ b/internal/site/assembler/entry.go
@@ -0,0 +1,161 @@
+// Package assembler puts the parts of an entry and of an agent together for
+// the users' platform.
+package assembler
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/fx"
+
+	"knapweedspur/internal/front/acceptor"
+	"knapweedspur/internal/front/cataloger"
+	"knapweedspur/internal/front/switchboard"
+	"knapweedspur/internal/link/carrier"
+	"knapweedspur/internal/link/connector"
+	"knapweedspur/internal/log/journal"
+	"knapweedspur/internal/wire/work"
+	"knapweedspur/internal/work/follower"
+	"knapweedspur/internal/work/keeper"
+	"knapweedspur/internal/work/leader"
+	"knapweedspur/internal/work/planner"
+	"knapweedspur/platform"
+)
+
+const (
+	// linger is how long a stopping entry goes on serving: the balancer needs
+	// two of its checks, one a second, to send clients elsewhere.
+	linger = 3 * time.Second
+	// stopSlack is kept of the grace for closing connections.
+	stopSlack = time.Second
+	// headerTimeout bounds the time for the header of a request.
+	headerTimeout = 3 * time.Second
+	// idleTimeout closes connections of clients that were not used.
+	idleTimeout = 60 * time.Second
+	// memberEvery is how often an entry announces itself anew.
+	memberEvery = 15 * time.Second
+	// memberRetry is the pause after an announcement that failed.
+	memberRetry = 200 * time.Millisecond
+)
+
+// entry is an entry on the users' platform.
+type entry struct {
+	settings *platform.Settings
+	logger   hclog.Logger
+	work     *platform.Stream
+	entries  *platform.Stream
+	follower *follower.Follower
+	watcher  *cataloger.Watcher
+	leader   *leader.Leader
+	board    *switchboard.Switchboard
+	acceptor *acceptor.Acceptor
+	life     string
+	servers  *serverGroup
+	group    *taskGroup
+}
+
+// EntryOptions returns the parts of an entry.
+func EntryOptions(settings *platform.Settings, logger hclog.Logger) fx.Option {
+	return fx.Options(
+		fx.Supply(settings),
+		fx.Provide(func() hclog.Logger { return logger }, platform.NewClient, newEntry),
+		fx.Invoke(func(lc fx.Lifecycle, e *entry) { lc.Append(fx.Hook{OnStart: e.start, OnStop: e.stop}) }),
+	)
+}
+
+func newEntry(s *platform.Settings, logger hclog.Logger, client *http.Client) *entry {
+	stream := func(topic string) *platform.Stream {
+		return &platform.Stream{Address: s.Store, Client: client, Topic: topic}
+	}
+	e := &entry{
+		settings: s, logger: logger, work: stream(platform.WorkStream), entries: stream(platform.EntryStream),
+		life: rand.Text()[:12], servers: &serverGroup{logger: logger}, group: newTaskGroup(),
+	}
+	catalog := &cataloger.Cataloger{}
+	e.watcher = &cataloger.Watcher{
+		Journal: stream(platform.OperatorStream), Cataloger: catalog, Decode: platform.DecodeCatalog,
+		Logger: logger, Done: make(chan struct{}),
+	}
+	e.leader = &leader.Leader{
+		Journal: e.work, Logger: logger, Name: s.Name, Life: e.life, Address: s.Peers,
+		Settings: planner.Settings{MaxLease: s.MaxLease, FarFactor: s.FarFactor}, Strength: s.Strength, MaxCall: s.MaxCall,
+	}
+	e.follower = &follower.Follower{Journal: e.work, Logger: logger, Observer: e.leader}
+	e.board = &switchboard.Switchboard{Follower: e.follower, Leader: e.leader, Logger: logger}
+	e.leader.Follower, e.leader.Links = e.follower, e.board
+	e.acceptor = &acceptor.Acceptor{
+		Journal: e.work, Follower: e.follower, Cataloger: catalog, ConfigAge: e.watcher.Age,
+		Logger: logger, MaxRecord: s.MaxRecord,
+	}
+	e.follower.Init()
+	e.leader.Init(time.Now())
+	e.board.Init()
+	return e
+}
+
+func (e *entry) start(context.Context) error {
+	peers := mux.NewRouter()
+	peers.Handle(carrier.Path, e.board)
+	handlers := []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{e.settings.Clients, platform.ClientHandler(e.acceptor)},
+		{e.settings.Health, platform.ReadyHandler(e.acceptor)},
+		{e.settings.Peers, peers},
+		{e.settings.Metrics, metricsHandler()},
+	}
+	for _, h := range handlers {
+		if err := e.servers.serve(connector.System{}, h.address, h.handler); err != nil {
+			return err
+		}
+	}
+	e.group.run(e.follower.Run)
+	e.group.run(e.watcher.Run)
+	e.group.run(e.leader.Run)
+	e.group.run(e.announce)
+	e.logger.Info("start", "role", "entry", "life", e.life, "clients", e.settings.Clients.String(), "store", e.settings.Store.String())
+	return nil
+}
+
+// announce tells agents and entries where this entry is, now and then.
+func (e *entry) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		member := &work.Member{Name: e.settings.Name, Life: e.life, Address: e.settings.Peers, Seen: time.Now()}
+		record := []journal.Record{keeper.MemberRecord(member)}
+		_, err := e.entries.Append(ctx, record, nil)
+		if err == nil {
+			_, err = e.work.Append(ctx, record, nil)
+		}
+		if err != nil {
+			pause(ctx, memberRetry)
+			continue
+		}
+		pause(ctx, memberEvery)
+	}
+}
+
+// stop hands the lead over, serves until clients have gone elsewhere, and
+// closes what is left.
+func (e *entry) stop(context.Context) error {
+	e.logger.Info("stop", "role", "entry", "linger", linger.String())
+	e.acceptor.Leave()
+	e.leader.Resign()
+	time.Sleep(min(linger, max(e.settings.Grace-stopSlack, 0)))
+	e.servers.stop(stopSlack / 2)
+	e.group.stop()
+	e.logger.Info("stopped", "role", "entry")
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/work/follower/follower.go
@@ -0,0 +1,228 @@
+// Package follower folds the work log into a view that clients and agents are
+// answered from, and tells how old the view is.
+package follower
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"knapweedspur/internal/clock/booter"
+	"knapweedspur/internal/log/journal"
+	"knapweedspur/internal/work/keeper"
+)
+
+const (
+	// pollWait is how long a read waits for a record. It bounds the age of
+	// the view while nothing is written.
+	pollWait = 250 * time.Millisecond
+	// readPause is the least time between two reads: it bounds the calls to
+	// the store under load.
+	readPause = 15 * time.Millisecond
+	// firstBackoff and lastBackoff bound the pause after a failed read.
+	firstBackoff = 30 * time.Millisecond
+	lastBackoff  = 300 * time.Millisecond
+)
+
+// Observer hears of each record after it was folded.
+type Observer interface {
+	// Folded hears of a record of the tail.
+	Folded(r journal.Record)
+	// Restarted hears that the view was built anew.
+	Restarted()
+}
+
+// Follower follows the work log.
+type Follower struct {
+	Journal  journal.Journal
+	Logger   hclog.Logger
+	Observer Observer
+	// Done is closed when Run has returned.
+	Done chan struct{}
+
+	mu    sync.RWMutex
+	state *keeper.State
+	// fresh is when the newest read was sent that left nothing unread, on
+	// the boot clock; 0 before the first.
+	fresh time.Duration
+	// regained is when reads worked again after a failure.
+	regained time.Time
+	changed  chan struct{}
+}
+
+// View calls f with the state and the age of the view.
+func (f *Follower) View(see func(state *keeper.State, age time.Duration)) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	see(f.state, f.age())
+}
+
+// age is how old the view is; it is very old before the first read.
+func (f *Follower) age() time.Duration {
+	if f.fresh == 0 {
+		return 24 * time.Hour
+	}
+	return booter.Now() - f.fresh
+}
+
+// Age returns how old the view is.
+func (f *Follower) Age() time.Duration {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.age()
+}
+
+// Regained returns when reads began to work after the last failure.
+func (f *Follower) Regained() time.Time {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.regained
+}
+
+// Catch waits until the view is younger than the call. It returns an error if
+// the context ends first.
+func (f *Follower) Catch(ctx context.Context) error {
+	now := booter.Now()
+	return f.wait(ctx, func() bool { return f.fresh > now })
+}
+
+// Reach waits until the record at an offset is in the view.
+func (f *Follower) Reach(ctx context.Context, offset int64) error {
+	return f.wait(ctx, func() bool { return f.state.Next > offset && f.fresh > 0 })
+}
+
+func (f *Follower) wait(ctx context.Context, enough func() bool) error {
+	for {
+		f.mu.RLock()
+		ok, changed := enough(), f.changed
+		f.mu.RUnlock()
+		if ok {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Init prepares the follower. It must be called before Run and View.
+func (f *Follower) Init() {
+	f.state = keeper.New()
+	f.changed = make(chan struct{})
+	f.Done = make(chan struct{})
+}
+
+// Run follows the log until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	defer close(f.Done)
+	backoff, away := firstBackoff, false
+	restart := true
+	for ctx.Err() == nil {
+		var err error
+		if restart {
+			err = f.restart(ctx)
+		} else {
+			err = f.step(ctx)
+		}
+		var cut *journal.CutError
+		switch {
+		case err == nil:
+			restart = false
+			backoff = firstBackoff
+			if away {
+				away = false
+				f.mu.Lock()
+				f.regained = time.Now()
+				f.mu.Unlock()
+				f.Logger.Info("log regained")
+			}
+			pause(ctx, readPause)
+		case errors.As(err, &cut):
+			f.Logger.Warn("the log dropped records that were not read; the view is built anew", "first", cut.First)
+			restart = true
+		default:
+			if !away && ctx.Err() == nil {
+				away = true
+				f.Logger.Warn("log lost", "error", err.Error(), "age", f.Age().String())
+			}
+			pause(ctx, backoff)
+			backoff = min(2*backoff, lastBackoff)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// restart builds the view from the newest record of each key.
+func (f *Follower) restart(ctx context.Context) error {
+	state := keeper.New()
+	after, next := "", int64(-1)
+	for more := true; more; {
+		page, err := f.Journal.Newest(ctx, after)
+		if err != nil {
+			return err
+		}
+		if next < 0 {
+			// Later pages are newer; what changed since is read from the tail.
+			next = page.Head
+		}
+		for _, r := range page.Records {
+			after = r.Key
+			f.fold(state, r)
+		}
+		more = page.More && len(page.Records) > 0
+	}
+	state.Next = next
+	f.mu.Lock()
+	f.state, f.fresh = state, 0
+	f.mu.Unlock()
+	f.Logger.Info("view built from the log", "jobs", len(state.Jobs), "sessions", len(state.Sessions), "offset", next)
+	if err := f.step(ctx); err != nil {
+		return err
+	}
+	f.Observer.Restarted()
+	return nil
+}
+
+func (f *Follower) fold(state *keeper.State, r journal.Record) {
+	if err := state.Apply(r); err != nil {
+		f.Logger.Error("record passed over", "offset", r.Offset, "error", err.Error())
+	}
+}
+
+// step reads the tail once.
+func (f *Follower) step(ctx context.Context) error {
+	f.mu.RLock()
+	next := f.state.Next
+	f.mu.RUnlock()
+	sent := booter.Now()
+	page, err := f.Journal.Read(ctx, next, pollWait)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	for _, r := range page.Records {
+		f.fold(f.state, r)
+		f.state.Next = r.Offset + 1
+	}
+	if f.state.Next >= page.Head {
+		f.fresh = sent
+	}
+	close(f.changed)
+	f.changed = make(chan struct{})
+	f.mu.Unlock()
+	for _, r := range page.Records {
+		f.Observer.Folded(r)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/work/leader/leader.go
@@ -0,0 +1,415 @@
+// Package leader takes and keeps the right to place tasks. One entry leads at
+// a time: it writes under a fencing token that the log checks, and sends an
+// order only after the record of it is in the log. Any entry may take over.
+package leader
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"knapweedspur/internal/log/journal"
+	"knapweedspur/internal/wire/work"
+	"knapweedspur/internal/work/follower"
+	"knapweedspur/internal/work/keeper"
+	"knapweedspur/internal/work/planner"
+)
+
+const (
+	// watchEvery is how often an entry looks whether a leader is needed.
+	watchEvery = 50 * time.Millisecond
+	// takeover is how long the log may hold no sign of a leader that is
+	// supposed to give one every signEvery.
+	takeover = 1300 * time.Millisecond
+	// signEvery is the longest time between two records of a leader.
+	signEvery = 400 * time.Millisecond
+	// jitter spreads the claims of several entries.
+	jitter = 250 * time.Millisecond
+	// weakDelay is added to the claim of the weakest entry, less for others.
+	weakDelay = 300 * time.Millisecond
+	// freshLimit is the oldest view from which a claim is made.
+	freshLimit = 700 * time.Millisecond
+	// claimTimeout bounds one claim, with its repeats.
+	claimTimeout = 2 * time.Second
+	// abstain is how long an entry that stepped down does not claim.
+	abstain = 4 * time.Second
+	// epochShift leaves room for a random part that keeps two claims apart.
+	epochShift = 12
+)
+
+// Links reach the agents that are connected to this entry.
+type Links interface {
+	// SendOrders and SendGrant send to the agent of a VM.
+	SendOrders(vm string, o *work.Orders)
+	SendGrant(vm string, g *work.Grant)
+	// Hellos returns the introductions of all agents that are connected.
+	Hellos() []*work.Hello
+	// Announce tells all agents at once who leads.
+	Announce()
+}
+
+// Leader takes and keeps the lead.
+type Leader struct {
+	Journal  journal.Journal
+	Follower *follower.Follower
+	Links    Links
+	Logger   hclog.Logger
+	Settings planner.Settings
+	// Name, Life and Address identify the entry.
+	Name, Life string
+	Address    netip.AddrPort
+	// Strength is the processor share of the entry, at most 1. Stronger
+	// entries claim earlier.
+	Strength float64
+	// MaxCall bounds one append, in bytes.
+	MaxCall int
+	// Done is closed when Run has returned.
+	Done chan struct{}
+
+	mu sync.Mutex
+	// signed is when the log last showed a sign of the leader.
+	signed time.Time
+	// claimed is the epoch of the newest claim of this process.
+	claimed int64
+	// book is nil while another entry leads.
+	book     *planner.Book
+	epoch    int64
+	writer   *journal.Writer
+	kick     chan struct{}
+	resigned bool
+	// waitUntil is when this entry may claim again.
+	waitUntil time.Time
+}
+
+// Init prepares the leader. It must be called before any other method.
+func (l *Leader) Init(now time.Time) {
+	l.kick = make(chan struct{}, 1)
+	l.signed = now
+	l.Done = make(chan struct{})
+}
+
+// Leading returns the epoch if this entry leads, else 0.
+func (l *Leader) Leading() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.book == nil {
+		return 0
+	}
+	return l.epoch
+}
+
+// Folded hears of a record of the log.
+func (l *Leader) Folded(r journal.Record) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case strings.HasPrefix(r.Key, "j/"), strings.HasPrefix(r.Key, "c/"):
+		l.foreign(r, now)
+	case strings.HasPrefix(r.Key, "m/"):
+	default:
+		l.signed = now
+	}
+}
+
+// foreign takes what another entry may have written: jobs and cancellations.
+func (l *Leader) foreign(r journal.Record, now time.Time) {
+	if l.book == nil || len(r.Value) == 0 {
+		return
+	}
+	id := r.Key[len("j/"):]
+	l.Follower.View(func(state *keeper.State, _ time.Duration) {
+		j := state.Jobs[id]
+		if j == nil {
+			return
+		}
+		if j.Record != nil && j.Outcome == nil {
+			l.book.AddJob(j.Record, now)
+		}
+		if j.Cancel != nil {
+			l.book.CancelJob(id, now)
+		}
+	})
+	l.wake()
+}
+
+// Restarted hears that the view was built anew: what a leader knew may miss
+// records, so it begins a new term.
+func (l *Leader) Restarted() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.signed = time.Now()
+	if l.book != nil {
+		l.stepDown("the log was cut before it was read", 0)
+	}
+}
+
+func (l *Leader) wake() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+// With calls f with the book if this entry leads, and plans anew.
+func (l *Leader) With(f func(b *planner.Book, now time.Time)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.book == nil {
+		return
+	}
+	f(l.book, time.Now())
+	l.wake()
+}
+
+// Resign hands the lead to another entry, and never claims it again.
+func (l *Leader) Resign() {
+	l.mu.Lock()
+	l.resigned = true
+	l.mu.Unlock()
+	l.wake()
+}
+
+// Run takes the lead when it is needed and keeps it, until the context ends.
+func (l *Leader) Run(ctx context.Context) {
+	defer close(l.Done)
+	for ctx.Err() == nil {
+		if !l.wanted(time.Now()) {
+			pause(ctx, watchEvery)
+			continue
+		}
+		if l.claim(ctx) {
+			l.lead(ctx)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// wanted says whether this entry should claim the lead now.
+func (l *Leader) wanted(now time.Time) bool {
+	var term *work.Term
+	age := time.Duration(0)
+	l.Follower.View(func(state *keeper.State, a time.Duration) { term, age = state.Term, a })
+	regained := l.Follower.Regained()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if age > freshLimit || l.resigned || now.Before(l.waitUntil) {
+		return false
+	}
+	if term == nil {
+		l.waitUntil = now
+		return true
+	}
+	if term.Life == l.Life && term.Epoch == l.claimed {
+		// A claim whose answer was lost took effect.
+		return true
+	}
+	limit := takeover
+	if term.Leader == "" {
+		limit = 0
+	}
+	since := l.signed
+	if regained.After(since) {
+		since = regained
+	}
+	delay := time.Duration((1-min(l.Strength, 1))*float64(weakDelay)) + time.Duration(rand.Int64N(int64(jitter)))
+	if now.Sub(since) < limit+delay {
+		return false
+	}
+	return true
+}
+
+// claim writes the record of a new term. It returns true once the record is
+// in this entry's view and no later claim is.
+func (l *Leader) claim(ctx context.Context) bool {
+	var last int64
+	l.Follower.View(func(state *keeper.State, _ time.Duration) {
+		if state.Term != nil {
+			last = state.Term.Epoch
+		}
+	})
+	if last != l.claimed || last == 0 {
+		l.mu.Lock()
+		l.claimed = (last>>epochShift+1)<<epochShift | rand.Int64N(1<<epochShift)
+		l.writer = &journal.Writer{Name: "leader", Epoch: l.claimed, Number: rand.Int64N(1 << 40)}
+		l.mu.Unlock()
+		term := &work.Term{Leader: l.Name, Life: l.Life, Epoch: l.claimed, Address: l.Address}
+		l.Logger.Info("claim", "epoch", l.claimed, "after", last)
+		if !l.append(ctx, []journal.Record{keeper.TermRecord(term)}, time.Now().Add(claimTimeout)) {
+			l.mu.Lock()
+			l.waitUntil = time.Now().Add(time.Duration(rand.Int64N(int64(jitter))))
+			l.mu.Unlock()
+			return false
+		}
+	}
+	caught, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	if err := l.Follower.Catch(caught); err != nil {
+		l.Logger.Warn("claim without a view after it", "epoch", l.claimed, "error", err.Error())
+		return false
+	}
+	return l.begin()
+}
+
+// begin starts to lead if the view says so.
+func (l *Leader) begin() bool {
+	now := time.Now()
+	hellos := l.Links.Hellos()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Follower.View(func(state *keeper.State, _ time.Duration) {
+		if state.Term == nil || state.Term.Epoch != l.claimed || state.Term.Life != l.Life {
+			return
+		}
+		l.epoch = l.claimed
+		l.book = planner.New(l.Settings, state, now, l.decided)
+		l.book.Resume(state, now)
+	})
+	if l.book == nil {
+		return false
+	}
+	l.Logger.Info("lead begins", "epoch", l.epoch, "book", l.book.Summary())
+	for _, h := range hellos {
+		l.book.Hello(h, now)
+	}
+	return true
+}
+
+func (l *Leader) decided(decision string, fields ...any) {
+	l.Logger.Info(decision, append(fields, "epoch", l.epoch)...)
+}
+
+// stepDown ends the lead. The caller holds the lock.
+func (l *Leader) stepDown(reason string, rest time.Duration) {
+	if l.book == nil {
+		return
+	}
+	l.Logger.Warn("lead ends", "epoch", l.epoch, "reason", reason)
+	l.book = nil
+	l.claimed = 0
+	l.waitUntil = time.Now().Add(rest)
+	l.wake()
+}
+
+// lead plans and writes until the lead is lost.
+func (l *Leader) lead(ctx context.Context) {
+	l.Links.Announce()
+	defer l.Links.Announce()
+	lastWrite := time.Now()
+	for {
+		select {
+		case <-l.kick:
+		case <-time.After(watchEvery):
+		case <-ctx.Done():
+			return
+		}
+		now := time.Now()
+		batch := l.pass(now)
+		if batch == nil {
+			return
+		}
+		if l.isResigned() {
+			l.handOver(ctx, batch)
+			return
+		}
+		if len(batch.Records) == 0 && now.Sub(lastWrite) > signEvery {
+			batch.Records = []journal.Record{keeper.TermRecord(&work.Term{Leader: l.Name, Life: l.Life, Epoch: l.epoch, Address: l.Address})}
+		}
+		if len(batch.Records) > 0 {
+			if !l.write(ctx, batch.Records) {
+				return
+			}
+			lastWrite = now
+		}
+		l.release(batch)
+	}
+}
+
+// pass plans once. It returns nil when the lead is over.
+func (l *Leader) pass(now time.Time) *planner.Batch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.book == nil {
+		return nil
+	}
+	if unheard, total := l.book.Unheard(now, isolation); total > 2 && 2*unheard > total {
+		l.stepDown("most agents are not heard here", abstain)
+		return nil
+	}
+	l.book.Tick(now)
+	return l.book.Flush()
+}
+
+// isolation is how long most agents may be unheard until the leader takes
+// itself for cut off: less than the silence after which it would revoke them.
+const isolation = 1800 * time.Millisecond
+
+func (l *Leader) isResigned() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.resigned
+}
+
+// handOver writes what was decided last and opens the lead to the others.
+func (l *Leader) handOver(ctx context.Context, batch *planner.Batch) {
+	term := keeper.TermRecord(&work.Term{Epoch: l.epoch})
+	if l.write(ctx, append(batch.Records, term)) {
+		l.release(batch)
+	}
+	l.mu.Lock()
+	l.stepDown("resigned", 0)
+	l.mu.Unlock()
+}
+
+// release confirms a batch and sends its orders.
+func (l *Leader) release(batch *planner.Batch) {
+	l.mu.Lock()
+	if l.book != nil {
+		batch.Confirm(time.Now())
+	}
+	l.mu.Unlock()
+	for vm, g := range batch.Grants {
+		l.Links.SendGrant(vm, g)
+	}
+	for vm, o := range batch.Orders {
+		o.Epoch = l.epoch
+		l.Links.SendOrders(vm, o)
+	}
+}
+
+// write appends records until the log has them. It returns false when the
+// lead is lost.
+func (l *Leader) write(ctx context.Context, records []journal.Record) bool {
+	for len(records) > 0 {
+		count, size := 0, 0
+		for count < len(records) && (count == 0 || size+recordSize(records[count]) <= l.MaxCall/2) {
+			size += recordSize(records[count])
+			count++
+		}
+		l.writer.Number++
+		if !l.append(ctx, records[:count], time.Time{}) {
+			l.mu.Lock()
+			l.stepDown("the log took no record", 0)
+			l.mu.Unlock()
+			return false
+		}
+		records = records[count:]
+	}
+	return true
+}
+
+// recordOverhead is what a record needs beside key and value, in bytes.
+const recordOverhead = 5
+
+func recordSize(r journal.Record) int { return len(r.Key) + len(r.Value) + recordOverhead }
--- /dev/null
+++ b/internal/work/planner/plan.go
@@ -0,0 +1,283 @@
+package planner
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"knapweedspur/internal/wire/work"
+)
+
+// maxPlacements bounds the placements of one pass, so that a pass stays short
+// and its records fit one append.
+const maxPlacements = 400
+
+// Tick lets time pass: sessions and leases end, occurrences become due, and
+// tasks that are free are placed. It returns when it wants to be called again.
+func (b *Book) Tick(now time.Time) {
+	b.watch(now)
+	for _, j := range b.jobs {
+		if j.record != nil && j.record.Times > 0 {
+			b.begin(j, now)
+		}
+	}
+	b.plan(now)
+}
+
+// candidate is a step with free tasks whose turn has come.
+type candidate struct {
+	step *step
+	// late is 0 for a job that can meet its objective, 1 for one that can
+	// still be of use late, 2 for the rest.
+	late     int
+	deadline time.Time
+}
+
+// lateFactor is how many times its objective a job may take and still be of use.
+const lateFactor = 3
+
+// plan places free tasks in the order in which that serves most.
+func (b *Book) plan(now time.Time) {
+	var queue []candidate
+	for _, j := range b.jobs {
+		if j.outcome != nil || j.record == nil {
+			continue
+		}
+		for _, s := range j.steps {
+			if s.free > 0 && s.ready() {
+				queue = append(queue, b.rank(s, now))
+			}
+		}
+	}
+	if len(queue) == 0 {
+		return
+	}
+	sort.Slice(queue, func(i, j int) bool { return queue[i].before(&queue[j]) })
+	left := maxPlacements
+	blocked := map[string]bool{}
+	for i := range queue {
+		if left <= 0 {
+			return
+		}
+		left -= b.placeStep(queue[i].step, left, blocked, now)
+	}
+}
+
+func (c *candidate) before(o *candidate) bool {
+	if c.late != o.late {
+		return c.late < o.late
+	}
+	a, z := c.step.job, o.step.job
+	if !c.deadline.Equal(o.deadline) {
+		return c.deadline.Before(o.deadline)
+	}
+	if a.number != z.number {
+		return a.number < z.number
+	}
+	return c.step.key.Step < o.step.key.Step
+}
+
+// rank tells how urgent a step is.
+func (b *Book) rank(s *step, now time.Time) candidate {
+	j := s.job
+	start := j.record.Accepted
+	if j.record.Times > 0 {
+		start = j.record.Due.Add(time.Duration(s.key.Occurrence) * j.record.Interval)
+	}
+	objective := objective(j.record)
+	c := candidate{step: s, deadline: start.Add(objective)}
+	if s.spec.Lasts {
+		return c
+	}
+	rest := chain(j.record.Steps, s.key.Step)
+	switch end := now.Add(rest); {
+	case !end.After(c.deadline):
+		c.late = 0
+	case !end.After(start.Add(lateFactor * objective)):
+		c.late = 1
+	default:
+		c.late = 2
+	}
+	return c
+}
+
+// objective is how long a job may take.
+func objective(j *work.Job) time.Duration {
+	longest := time.Duration(0)
+	for i := range j.Steps {
+		if len(j.Steps[i].After) == 0 {
+			longest = max(longest, chain(j.Steps, i))
+		}
+	}
+	return time.Duration(j.Queue.Stretch*float64(longest)) + j.Queue.Target
+}
+
+// chain is the longest declared time from the start of a step to the end of
+// the job.
+func chain(steps []work.Step, from int) time.Duration {
+	longest := make([]time.Duration, len(steps))
+	for i := len(steps) - 1; i >= from; i-- {
+		longest[i] += steps[i].Estimate
+		for _, before := range steps[i].After {
+			longest[before] = max(longest[before], longest[i])
+		}
+	}
+	return longest[from]
+}
+
+// placeStep places free tasks of a step and returns how many.
+func (b *Book) placeStep(s *step, limit int, blocked map[string]bool, now time.Time) int {
+	if s.spec.Gang {
+		return b.placeGang(s, now)
+	}
+	placed := 0
+	for i := range s.tasks {
+		if placed >= limit || s.free == 0 {
+			break
+		}
+		t := &s.tasks[i]
+		if t.Done || len(t.Runs) > 0 {
+			continue
+		}
+		v := b.choose(s, t, now)
+		if v == nil {
+			break
+		}
+		b.start(s, i, v, t.Last+1, now)
+		placed++
+	}
+	return placed
+}
+
+// placeGang places all tasks of a gang or none.
+func (b *Book) placeGang(s *step, now time.Time) int {
+	if s.free < len(s.tasks) {
+		return 0
+	}
+	run := 0
+	for i := range s.tasks {
+		run = max(run, s.tasks[i].Last)
+	}
+	run++
+	chosen := make([]*vm, len(s.tasks))
+	for i := range s.tasks {
+		chosen[i] = b.choose(s, &s.tasks[i], now)
+		if chosen[i] == nil {
+			for _, v := range chosen[:i] {
+				v.reserve(s.spec, -1)
+			}
+			return 0
+		}
+		chosen[i].reserve(s.spec, 1)
+	}
+	saved := ""
+	for i := range s.tasks {
+		if s.tasks[i].Saved != "" {
+			saved = s.tasks[i].Saved
+		}
+	}
+	for i, v := range chosen {
+		v.reserve(s.spec, -1)
+		s.tasks[i].Saved = saved
+		b.start(s, i, v, run, now)
+	}
+	return len(chosen)
+}
+
+// start places a run of a task on a VM.
+func (b *Book) start(s *step, index int, v *vm, run int, now time.Time) {
+	t := &s.tasks[index]
+	r := work.Run{Run: run, VM: v.name, Born: v.session.Born, Fence: v.session.Fence}
+	t.Last = run
+	t.Runs = append(t.Runs, r)
+	b.place(s, index, r, now)
+	b.touch(s)
+	b.log("place", "task", s.name(index), "run", run, "vm", v.name, "fence", r.Fence, "heard", now.Sub(v.heard))
+	b.sendStart(v.runs[runKey{s.name(index), run}])
+}
+
+// fits says whether a VM has room for a task.
+func (v *vm) fits(spec *work.Step) bool {
+	if v.used.Memory+spec.Size.Memory > v.vitals.Size.Memory || v.used.Accelerators+spec.Size.Accelerators > v.vitals.Size.Accelerators {
+		return false
+	}
+	if spec.Fills {
+		// The share is not reserved, but a VM must have some of it to give.
+		return v.used.Millis+v.filled+spec.Size.Millis <= v.vitals.Size.Millis
+	}
+	return v.used.Millis+spec.Size.Millis <= v.vitals.Size.Millis
+}
+
+// usable says whether a VM may get work at all.
+func (v *vm) usable(now time.Time) bool {
+	return v.linked && v.synced && !v.session.Revoked && v.gone.IsZero() && !v.vitals.Draining && v.mute < muteLimit &&
+		now.Sub(v.heard) < silence/2 && !v.record.suspect(len(v.runs), now)
+}
+
+// choose returns the VM for a task, nil if none has room.
+func (b *Book) choose(s *step, t *work.Task, now time.Time) *vm {
+	var best *vm
+	var bestCost float64
+	for _, v := range b.vms {
+		if v.vitals.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) {
+			continue
+		}
+		if s.spec.Label != "" && !slices.Contains(v.vitals.Labels, s.spec.Label) {
+			continue
+		}
+		if s.spec.Spread > 0 && v.of(s) >= s.spec.Spread {
+			continue
+		}
+		cost := b.cost(v, s, t)
+		if best == nil || cost < bestCost || cost == bestCost && v.name < best.name {
+			best, bestCost = v, cost
+		}
+	}
+	return best
+}
+
+// of counts the runs of a step on a VM.
+func (v *vm) of(s *step) int {
+	count := 0
+	for _, p := range v.runs {
+		if p.step == s {
+			count++
+		}
+	}
+	return count
+}
+
+// The parts of the cost of a VM, in shares of its capacity.
+const (
+	// shunCost keeps a task off a VM where it failed, unless nothing else is there.
+	shunCost = 10.0
+	// mixCost keeps tasks that fill and tasks that serve apart.
+	mixCost = 2.0
+	// farCost is the cost of a VM away from the data, for each time the factor
+	// exceeds one.
+	farCost = 2.0
+)
+
+// cost tells how unfit a VM is for a task: its load after the placement, and
+// what speaks against it.
+func (b *Book) cost(v *vm, s *step, t *work.Task) float64 {
+	capacity := float64(max(v.vitals.Size.Millis, 1))
+	cost := float64(v.used.Millis+v.filled+s.spec.Size.Millis) / capacity
+	if s.spec.Fills && v.serving > 0 {
+		cost += mixCost
+	}
+	if s.spec.Target > 0 {
+		// Serving tasks gather on few VMs, so that others are free to fill.
+		cost = -cost
+		if v.filled > 0 {
+			cost += mixCost * float64(v.filled) / capacity
+		}
+	}
+	if s.spec.Rack != "" && !slices.Contains(v.vitals.Labels, s.spec.Rack) {
+		cost += farCost * (b.Settings.FarFactor - 1)
+	}
+	if slices.Contains(t.Shunned, v.name) {
+		cost += shunCost
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/work/planner/vm.go
@@ -0,0 +1,475 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"knapweedspur/internal/wire/work"
+	"knapweedspur/internal/work/keeper"
+)
+
+const (
+	// silence is how long an agent may be unheard until its session is
+	// revoked: several heartbeats, and the restart of a process.
+	silence = 2500 * time.Millisecond
+	// clockDrift is by how much a worker's steady clock may be slow.
+	clockDrift = 0.03
+	// leaseSlack is added to a lease that must be over.
+	leaseSlack = 150 * time.Millisecond
+	// goneDelay is how long after its last word a worker may still run something.
+	goneDelay = 500 * time.Millisecond
+	// stopRepeat is when a stop that had no effect is sent again.
+	stopRepeat = 400 * time.Millisecond
+	// grantRepeat is when a session that was not taken up is sent again.
+	grantRepeat = 500 * time.Millisecond
+	// muteLimit is how long a worker may leave its agent without an answer
+	// and still get work: one and a half polls.
+	muteLimit = 600 * time.Millisecond
+)
+
+// vm is a VM as the planner sees it.
+type vm struct {
+	name    string
+	session work.Session
+	// vitals is the last that the worker said of itself.
+	vitals work.Vitals
+	// linked says that an agent is connected, synced that its first report
+	// under the current session came.
+	linked, synced bool
+	heard          time.Time
+	// agent is the life of the agent process; granted is when it was last sent
+	// a session.
+	agent   string
+	granted time.Time
+	// revoked is when the log confirmed the revocation, zero before.
+	revoked time.Time
+	// gone is when the worker said its last word.
+	gone time.Time
+	mute time.Duration
+
+	runs map[runKey]*placement
+	// used is what the runs reserve; filled the processor share of runs that
+	// reserve none; serving counts runs with a latency objective.
+	used    work.Size
+	filled  int
+	serving int
+
+	// numbered counts orders on the current connection.
+	numbered int64
+	seen     int64
+	record   record
+}
+
+func (b *Book) vm(name string) *vm {
+	v := b.vms[name]
+	if v == nil {
+		v = &vm{name: name, runs: map[runKey]*placement{}}
+		b.vms[name] = v
+	}
+	return v
+}
+
+// lapse is how long after its last extension a lease is surely over.
+func (b *Book) lapse() time.Duration {
+	return time.Duration(float64(b.Settings.MaxLease)*(1+clockDrift)) + leaseSlack
+}
+
+// place enters a run that the log has or is about to have.
+func (b *Book) place(s *step, index int, r work.Run, now time.Time) {
+	v := b.vm(r.VM)
+	p := &placement{step: s, index: index, run: r.Run, vm: v, fence: r.Fence, since: now}
+	v.runs[runKey{s.name(index), r.Run}] = p
+	v.reserve(s.spec, 1)
+}
+
+func (v *vm) reserve(spec *work.Step, sign int) {
+	v.used.Memory += sign * spec.Size.Memory
+	v.used.Accelerators += sign * spec.Size.Accelerators
+	if spec.Fills {
+		v.filled += sign * spec.Size.Millis
+	} else {
+		v.used.Millis += sign * spec.Size.Millis
+	}
+	if spec.Target > 0 {
+		v.serving += sign
+	}
+}
+
+// Hello takes the introduction of an agent and grants it a session.
+func (b *Book) Hello(h *work.Hello, now time.Time) {
+	v := b.vm(h.Vitals.VM)
+	// Orders count anew on each connection.
+	v.linked, v.synced, v.heard, v.numbered, v.vitals = true, false, now, 0, h.Vitals
+	v.agent, v.granted = h.Agent, now
+	for _, p := range v.runs {
+		p.sent = 0
+	}
+	if v.session.Agent == h.Agent && v.session.Born == h.Vitals.Born && !v.session.Revoked && v.session.Fence > 0 {
+		b.grants[v.name] = &work.Grant{VM: v.name, Born: v.session.Born, Fence: v.session.Fence}
+		return
+	}
+	b.grant(v, h, now)
+}
+
+// grant opens a new session of a VM. A new life of the worker ends all runs
+// of the one before.
+func (b *Book) grant(v *vm, h *work.Hello, now time.Time) {
+	if v.session.Born != h.Vitals.Born {
+		b.voidAll(v, "reborn", now)
+		v.seen = 0
+		v.record = record{}
+	}
+	v.session = work.Session{VM: v.name, Born: h.Vitals.Born, Fence: v.session.Fence + 1, Agent: h.Agent}
+	v.revoked, v.gone, v.mute = time.Time{}, time.Time{}, 0
+	b.records = append(b.records, keeper.SessionRecord(&v.session))
+	b.grants[v.name] = &work.Grant{VM: v.name, Born: v.session.Born, Fence: v.session.Fence}
+	delete(b.orders, v.name)
+	b.log("session", "vm", v.name, "born", v.session.Born, "fence", v.session.Fence, "agent", h.Agent)
+}
+
+// renew answers a report under a session that is not in force: the agent gets
+// the current one, or a new one once its worker answers again.
+func (b *Book) renew(v *vm, r *work.Report, now time.Time) {
+	v.heard = now
+	if r.Mute > 0 || now.Sub(v.granted) < grantRepeat {
+		return
+	}
+	v.granted = now
+	h := &work.Hello{Vitals: r.Vitals, Agent: v.agent}
+	if v.session.Revoked || v.session.Born != r.Vitals.Born {
+		b.grant(v, h, now)
+		return
+	}
+	b.grants[v.name] = &work.Grant{VM: v.name, Born: v.session.Born, Fence: v.session.Fence}
+}
+
+// Heard takes a sign of life of an agent.
+func (b *Book) Heard(name string, now time.Time) {
+	if v := b.vms[name]; v != nil && v.linked {
+		v.heard = now
+	}
+}
+
+// Unlinked takes the loss of the connection to an agent.
+func (b *Book) Unlinked(name string) {
+	if v := b.vms[name]; v != nil {
+		v.linked, v.synced = false, false
+	}
+}
+
+// Report takes the state of a VM.
+func (b *Book) Report(name string, r *work.Report, now time.Time) {
+	v := b.vms[name]
+	if v == nil || !v.linked {
+		return
+	}
+	if r.Fence != v.session.Fence || r.Vitals.Born != v.session.Born || v.session.Revoked {
+		b.renew(v, r, now)
+		return
+	}
+	first := !v.synced
+	v.heard, v.synced, v.vitals, v.mute = now, true, r.Vitals, r.Mute
+	known := map[runKey]bool{}
+	for i := range r.Active {
+		b.active(v, &r.Active[i], known, now)
+	}
+	for _, p := range r.Pending {
+		known[runKey{p.Task, p.Run}] = true
+	}
+	for i := range r.Ends {
+		known[runKey{r.Ends[i].Task, r.Ends[i].Run}] = true
+		b.end(v, &r.Ends[i], now)
+	}
+	for i := range r.Voids {
+		known[runKey{r.Voids[i].Task, r.Voids[i].Run}] = true
+		b.void(v, &r.Voids[i], now)
+	}
+	b.reconcile(v, r.Handled, known, first, now)
+	if r.Lapsed {
+		b.revoke(v, "the worker does not answer and its lease is over", now)
+		b.voidAll(v, "lapsed", now)
+	}
+	if r.Gone && v.gone.IsZero() {
+		v.gone = now
+		b.log("gone", "vm", v.name)
+	}
+}
+
+// active takes a run that is at work.
+func (b *Book) active(v *vm, a *work.Active, known map[runKey]bool, now time.Time) {
+	key := runKey{a.Task, a.Run}
+	known[key] = true
+	p := v.runs[key]
+	if p == nil {
+		// The run belongs to a job that ended, or to a placement that was given up.
+		b.order(v).Stops = append(b.order(v).Stops, work.Stop{Task: a.Task, Run: a.Run})
+		return
+	}
+	if !p.active || a.Percent < p.firstPercent {
+		p.firstSeen, p.firstPercent = now, a.Percent
+	}
+	p.active, p.percent, p.gauge = true, a.Percent, a.Gauge
+	task := &p.step.tasks[p.index]
+	if a.Saved != "" && a.Saved != task.Saved && task.Last == a.Run {
+		// Written with the next change of the step; it is no reason for one.
+		task.Saved = a.Saved
+	}
+	if i := runIndex(task, a.Run); i >= 0 && task.Runs[i].Halted != "" && now.Sub(p.stopped) > stopRepeat {
+		p.stopped = now
+		b.order(v).Stops = append(b.order(v).Stops, work.Stop{Task: a.Task, Run: a.Run})
+	}
+}
+
+func runIndex(t *work.Task, run int) int {
+	return slices.IndexFunc(t.Runs, func(r work.Run) bool { return r.Run == run })
+}
+
+// end takes the end of a run.
+func (b *Book) end(v *vm, e *work.End, now time.Time) {
+	if e.Number <= v.seen {
+		b.noteSeen(v)
+		return
+	}
+	p := v.runs[runKey{e.Task, e.Run}]
+	s, index := b.task(e.Task)
+	b.log("end", "task", e.Task, "run", e.Run, "vm", v.name, "how", e.How, "known", p != nil)
+	if p != nil {
+		b.remove(p)
+	}
+	if s != nil {
+		b.settle(s, index, v, p, e, now)
+	}
+	v.seen = e.Number
+	b.noteSeen(v)
+}
+
+// The ways in which a run ends.
+const (
+	endDone   = "done"
+	endFailed = "failed"
+)
+
+// settle enters the end of a run into the state of its task.
+func (b *Book) settle(s *step, index int, v *vm, p *placement, e *work.End, now time.Time) {
+	t := &s.tasks[index]
+	if e.Saved != "" && e.Run == t.Last {
+		t.Saved = e.Saved
+	}
+	switch {
+	case e.How == endDone && !s.spec.Lasts && !t.Done:
+		t.Done = true
+		b.haltAll(s, index, "done", now)
+		v.record.succeed(p, s.spec, now)
+		if s.spec.Gang {
+			b.finishGang(s, now)
+		}
+	case e.How == endFailed && p != nil:
+		t.Failed++
+		if !slices.Contains(t.Shunned, v.name) {
+			t.Shunned = append(t.Shunned, v.name)
+		}
+		v.record.fail(e.Task, now)
+	}
+	b.touch(s)
+	b.conclude(s, t, now)
+}
+
+// finishGang marks all members of a gang done: one end stands for all.
+func (b *Book) finishGang(s *step, now time.Time) {
+	for i := range s.tasks {
+		if !s.tasks[i].Done {
+			s.tasks[i].Done = true
+			b.haltAll(s, i, "done", now)
+		}
+	}
+}
+
+// conclude ends the job if the change of a task decides it.
+func (b *Book) conclude(s *step, t *work.Task, now time.Time) {
+	j := s.job
+	if j.outcome == nil {
+		switch {
+		case !s.spec.Lasts && !t.Done && t.Failed >= j.record.Queue.Attempts:
+			b.finish(j, keeper.Failed, now)
+		case s.done == len(s.tasks) && j.complete():
+			b.finish(j, keeper.Completed, now)
+		}
+	}
+	b.drop(j)
+}
+
+// touch counts a step anew and marks it to be written.
+func (b *Book) touch(s *step) {
+	s.count()
+	if !s.job.dropped {
+		b.dirty[s] = true
+	}
+}
+
+// remove takes a run off its VM and its task.
+func (b *Book) remove(p *placement) {
+	t := &p.step.tasks[p.index]
+	if i := runIndex(t, p.run); i >= 0 {
+		t.Runs = slices.Delete(t.Runs, i, i+1)
+	}
+	delete(p.vm.runs, runKey{p.step.name(p.index), p.run})
+	p.vm.reserve(p.step.spec, -1)
+}
+
+// void takes a run that never started.
+func (b *Book) void(v *vm, x *work.Void, now time.Time) {
+	if p := v.runs[runKey{x.Task, x.Run}]; p != nil {
+		b.log("void", "task", x.Task, "run", x.Run, "vm", v.name, "reason", x.Reason)
+		b.giveUp(p, now)
+		v.record.reject(x.Reason, now)
+	}
+	b.order(v).Settled = append(b.order(v).Settled, work.Stop{Task: x.Task, Run: x.Run})
+}
+
+// giveUp ends a run that is known not to run and not to have ended by itself.
+func (b *Book) giveUp(p *placement, now time.Time) {
+	s := p.step
+	b.remove(p)
+	b.touch(s)
+	b.drop(s.job)
+}
+
+// voidAll ends all runs of a VM.
+func (b *Book) voidAll(v *vm, reason string, now time.Time) {
+	for key, p := range v.runs {
+		b.log("void", "task", key.task, "run", key.run, "vm", v.name, "reason", reason)
+		b.giveUp(p, now)
+	}
+}
+
+// reconcile compares what was placed on a VM with what its agent knows.
+func (b *Book) reconcile(v *vm, handled int64, known map[runKey]bool, first bool, now time.Time) {
+	for key, p := range v.runs {
+		if known[key] {
+			continue
+		}
+		switch {
+		case p.fence != v.session.Fence && first:
+			// The worker confirmed the new fence and does not list the run.
+			b.log("void", "task", key.task, "run", key.run, "vm", v.name, "reason", "not there under the new fence")
+			b.giveUp(p, now)
+		case p.sent == 0 || p.sent <= handled:
+			b.sendStart(p)
+		}
+	}
+}
+
+// sendStart orders a run. The orders leave after the records before them.
+func (b *Book) sendStart(p *placement) {
+	s := p.step
+	t := &s.tasks[p.index]
+	start := work.Start{
+		Task: s.name(p.index), Run: p.run, Spec: s.job.record.Spec,
+		Serves: s.spec.Target > 0, Fills: s.spec.Fills, Target: s.spec.Target,
+	}
+	if i := runIndex(t, p.run); i >= 0 {
+		if t.Runs[i].Halted != "" {
+			// Never started and no longer wanted: the stop keeps it so.
+			b.order(p.vm).Stops = append(b.order(p.vm).Stops, work.Stop{Task: start.Task, Run: p.run})
+			p.sent = p.vm.numbered
+			return
+		}
+		start.Ticket = t.Runs[i].Ticket
+	}
+	if p.run > 1 {
+		start.Saved = t.Saved
+	}
+	o := b.order(p.vm)
+	o.Starts = append(o.Starts, start)
+	p.sent = o.Number
+}
+
+// haltAll stops all runs of a task.
+func (b *Book) haltAll(s *step, index int, reason string, now time.Time) {
+	t := &s.tasks[index]
+	for i := range t.Runs {
+		b.halt(s, index, i, reason, now)
+	}
+}
+
+// halt stops one run of a task.
+func (b *Book) halt(s *step, index, i int, reason string, now time.Time) {
+	r := &s.tasks[index].Runs[i]
+	if r.Halted != "" {
+		return
+	}
+	r.Halted = reason
+	b.touch(s)
+	v := b.vm(r.VM)
+	if p := v.runs[runKey{s.name(index), r.Run}]; p != nil && v.linked {
+		p.stopped = now
+		b.order(v).Stops = append(b.order(v).Stops, work.Stop{Task: s.name(index), Run: r.Run})
+	}
+	b.log("halt", "task", s.name(index), "run", r.Run, "vm", r.VM, "reason", reason)
+}
+
+// order returns the orders for a VM that are being collected.
+func (b *Book) order(v *vm) *work.Orders {
+	o := b.orders[v.name]
+	if o == nil {
+		v.numbered++
+		o = &work.Orders{Fence: v.session.Fence, Number: v.numbered, Seen: v.seen}
+		b.orders[v.name] = o
+	}
+	return o
+}
+
+// noteSeen tells the agent up to which end the log knows.
+func (b *Book) noteSeen(v *vm) { b.order(v).Seen = v.seen }
+
+// revoke closes the session of a VM: no entry vouches for its lease any more.
+func (b *Book) revoke(v *vm, reason string, now time.Time) {
+	if v.session.Revoked || v.session.Fence == 0 {
+		return
+	}
+	v.session.Revoked = true
+	v.synced = false
+	b.records = append(b.records, keeper.SessionRecord(&v.session))
+	fence := v.session.Fence
+	b.confirm = append(b.confirm, func(confirmed time.Time) {
+		if v.session.Fence == fence {
+			v.revoked = confirmed
+		}
+	})
+	b.log("revoke", "vm", v.name, "fence", fence, "reason", reason, "unheard", now.Sub(v.heard))
+}
+
+// watch revokes sessions of agents that are not heard, and ends runs on VMs
+// whose lease is over.
+func (b *Book) watch(now time.Time) {
+	for _, v := range b.vms {
+		since := v.heard
+		if since.Before(b.began) {
+			since = b.began
+		}
+		if v.session.Fence > 0 && !v.session.Revoked && now.Sub(since) > silence {
+			b.revoke(v, "the agent is not heard", now)
+		}
+		if v.session.Revoked && !v.revoked.IsZero() && len(v.runs) > 0 && now.Sub(v.revoked) > b.lapse() {
+			b.voidAll(v, "lapsed", now)
+		}
+		if !v.gone.IsZero() && now.Sub(v.gone) > goneDelay {
+			b.voidAll(v, "gone", now)
+		}
+	}
+}
+
+// Unheard returns how many of the VMs that were heard in this term are not
+// heard now, and how many were.
+func (b *Book) Unheard(now time.Time, limit time.Duration) (unheard, total int) {
+	for _, v := range b.vms {
+		if v.heard.Before(b.began) || v.session.Revoked || !v.gone.IsZero() {
+			continue
+		}
+		total++
+		if now.Sub(v.heard) > limit {
+			unheard++
+		}
+	}
+	return unheard, total
+}
