Pace tasks that fill when a serving task nears its objective

Nine tenths of the VMs hold serving tasks, so fillers must run beside them; where they go decides the rest.

--- a/internal/site/assembler/agent.go
+++ b/internal/site/assembler/agent.go
@@ -11,6 +11,7 @@
 
 	"knapweedspur/internal/link/connector"
 	"knapweedspur/internal/side/courier"
+	"knapweedspur/internal/side/pacer"
 	"knapweedspur/internal/side/warden"
 	"knapweedspur/platform"
 )
@@ -41,7 +42,7 @@
 		Finder: &platform.Finder{Stream: &platform.Stream{Address: s.Store, Client: client, Topic: platform.EntryStream}},
 	}
 	a.warden = &warden.Warden{
-		Worker: &platform.Worker{Address: s.Worker, Client: client}, Logger: logger, MaxLease: s.MaxLease, Changed: a.courier.Changed,
+		Worker: &platform.Worker{Address: s.Worker, Client: client}, Logger: logger, MaxLease: s.MaxLease, Changed: a.courier.Changed, Pacer: pacer.New(),
 	}
 	a.courier.Warden = a.warden
 	a.courier.Init()
--- a/internal/work/planner/plan.go
+++ b/internal/work/planner/plan.go
@@ -192,7 +192,8 @@
 	t.Runs = append(t.Runs, r)
 	b.place(s, index, r, now)
 	b.touch(s)
-	b.log("place", "task", s.name(index), "run", run, "vm", v.name, "fence", r.Fence, "heard", now.Sub(v.heard))
+	b.log("place", "task", s.name(index), "run", run, "vm", v.name, "fence", r.Fence, "heard", now.Sub(v.heard),
+		"used", v.used.Millis, "filled", v.filled, "memory", v.used.Memory, "serving", v.serving, "size", v.vitals.Size.Millis)
 	b.sendStart(v.runs[runKey{s.name(index), run}])
 }
 
