Learn interference by pairs of images; pace, place and move fillers by it

Change: latencies are turned into loads, where pressure adds up; tasks of one serving step have the same load of their own, so that what differs between VMs comes from the fillers; agents divide what each serving task can bear.

--- a/internal/side/pacer/pacer.go
+++ b/internal/side/pacer/pacer.go
@@ -6,84 +6,219 @@
 	"time"
 
 	"knapweedspur/internal/wire/work"
+	"knapweedspur/internal/work/estimator"
 )
 
 const (
-	// cutRatio is the ratio of tail latency to objective at which fillers slow down.
-	cutRatio = 0.85
-	// raiseRatio is the ratio below which they speed up.
-	raiseRatio = 0.55
-	// cutFactor is what is left of the share after a cut.
-	cutFactor = 0.5
-	// raiseStep is added to the share at a time, in percent.
-	raiseStep = 15
-	// floor is the least share before a filler is halted, in percent.
-	floor = 8
-	// full is the whole share.
-	full = 100
+	// loadLimit is the load of a serving task up to which fillers may press on
+	// it. Its latency is at its objective at 0.8.
+	loadLimit = 0.72
+	// alarmRatio is the ratio of tail latency to objective at which the model
+	// is not trusted, calmRatio the one at which trust returns.
+	alarmRatio = 0.9
+	calmRatio  = 0.7
+	// trustLoss and trustGain change the share of the budget that is used.
+	trustLoss  = 0.6
+	trustGain  = 1.6
+	leastTrust = 0.2
+	// leastUse is the share of a VM from which fillers can be the cause.
+	leastUse = 0.02
 	// settleTime is how long a change takes to show: the pace takes 100 ms,
 	// and the latency is that of the last half second.
 	settleTime = 600 * time.Millisecond
+	// ownWeight is the weight of a new figure of a serving task's own load.
+	ownWeight = 0.4
+	// unknownWeight is assumed of pairs of kinds that nothing is known of.
+	unknownWeight = 1.0
+	// harmless is a weight that asks for no pace.
+	harmless = 0.05
+	// full is the whole share; paces are multiples of unit, in percent.
+	full = 100
+	unit = 10
+	// raisePause is the least time between two rises of a pace.
+	raisePause = 300 * time.Millisecond
+	// bisections find the limit on weights well within a unit of pace.
+	bisections = 12
 )
 
-// Pacer keeps one share for all fillers of a VM: it halves when a serving
-// task comes near its objective and rises by steps while all are well below.
+// pair is a kind that fills beside a kind that serves.
+type pair struct{ fill, serve string }
+
+// Pacer divides what each serving task can bear among the fillers of its VM.
+// Those that press least work in full, the others as far as the rest allows.
 type Pacer struct {
-	share   int
-	changed time.Duration
+	weights map[pair]float64
+	own     map[string]float64
 	paces   map[work.Stop]int
+	raised  time.Duration
+	// trust is the share of the budgets that is used; it falls while a tail
+	// latency is too high in spite of the model.
+	trust  float64
+	judged time.Duration
+}
+
+// New returns a pacer that knows nothing.
+func New() *Pacer {
+	return &Pacer{weights: map[pair]float64{}, own: map[string]float64{}, paces: map[work.Stop]int{}, trust: 1}
+}
+
+// Learn takes what the leader knows of pairs of kinds.
+func (p *Pacer) Learn(presses []work.Press) {
+	for _, x := range presses {
+		p.weights[pair{x.Fill, x.Serve}] = x.Weight
+	}
+}
+
+func (p *Pacer) weight(fill, serve string) float64 {
+	if w, ok := p.weights[pair{fill, serve}]; ok {
+		return w
+	}
+	return unknownWeight
 }
 
-// New returns a pacer that lets fillers work in full.
-func New() *Pacer { return &Pacer{share: full, paces: map[work.Stop]int{}} }
+type filler struct {
+	run   work.Stop
+	image string
+	// used is the share of the VM that it uses, full what it would use.
+	used, full float64
+	pace       float64
+}
+
+type server struct {
+	task, image string
+	ratio       float64
+}
 
 // Decide returns the new paces of runs that should change. Starts tells what
-// the active runs are; now is on a steady clock.
-func (p *Pacer) Decide(active []work.Active, starts map[string]work.Start, now time.Duration) map[work.Stop]int {
-	worst, serving := 0.0, false
-	for i := range active {
-		if s, ok := starts[active[i].Task]; ok && s.Target > 0 {
-			serving = true
-			worst = max(worst, active[i].Gauge/(float64(s.Target)/float64(time.Millisecond)))
-		}
+// the active runs are, capacity is that of the VM; now is on a steady clock.
+func (p *Pacer) Decide(active []work.Active, starts map[string]work.Start, capacity work.Size, now time.Duration) map[work.Stop]int {
+	fillers, servers := p.sort(active, starts, float64(max(capacity.Millis, 1)))
+	if len(fillers) == 0 {
+		p.trust = 1
+		return nil
 	}
-	p.adjust(worst, serving, now)
-	changes := map[work.Stop]int{}
-	seen := map[work.Stop]bool{}
+	p.judge(servers, fillers, now)
+	for _, s := range servers {
+		budget := (loadLimit - p.ownLoad(s, fillers)) * p.trust
+		p.divide(fillers, s.image, max(budget, 0))
+	}
+	return p.changes(fillers, now)
+}
+
+// sort tells fillers from serving tasks.
+func (p *Pacer) sort(active []work.Active, starts map[string]work.Start, capacity float64) ([]filler, []server) {
+	var fillers []filler
+	var servers []server
+	present := map[work.Stop]bool{}
 	for i := range active {
-		s, ok := starts[active[i].Task]
-		if !ok || !s.Fills {
-			continue
-		}
-		run := work.Stop{Task: active[i].Task, Run: active[i].Run}
-		seen[run] = true
-		if current, ok := p.paces[run]; !ok && p.share < full || ok && current != p.share {
-			p.paces[run] = p.share
-			changes[run] = p.share
+		a := &active[i]
+		s, ok := starts[a.Task]
+		switch {
+		case !ok:
+		case s.Target > 0 && a.Gauge > 0:
+			servers = append(servers, server{a.Task, s.Image, a.Gauge * float64(time.Millisecond) / float64(s.Target)})
+		case s.Fills:
+			run := work.Stop{Task: a.Task, Run: a.Run}
+			present[run] = true
+			fillers = append(fillers, filler{run: run, image: s.Image, used: a.Gauge / capacity, full: float64(s.Millis) / capacity, pace: 1})
 		}
 	}
 	for run := range p.paces {
-		if !seen[run] {
+		if !present[run] {
 			delete(p.paces, run)
 		}
 	}
-	return changes
+	return fillers, servers
 }
 
-// adjust moves the share.
-func (p *Pacer) adjust(worst float64, serving bool, now time.Duration) {
+// judge adapts the trust in the model to what it led to.
+func (p *Pacer) judge(servers []server, fillers []filler, now time.Duration) {
+	if now-p.judged < settleTime {
+		return
+	}
+	worst, used := 0.0, 0.0
+	for i := range fillers {
+		used += fillers[i].used
+	}
+	for _, s := range servers {
+		worst = max(worst, s.ratio)
+	}
 	switch {
-	case !serving:
-		p.share = full
-	case now-p.changed < settleTime:
-	case worst > cutRatio:
-		p.share = int(float64(p.share) * cutFactor)
-		if p.share < floor {
-			p.share = 0
+	case worst > alarmRatio && used > leastUse:
+		p.trust = max(p.trust*trustLoss, leastTrust)
+		p.judged = now
+	case worst < calmRatio && p.trust < 1:
+		p.trust = min(p.trust*trustGain, 1)
+		p.judged = now
+	}
+}
+
+// ownLoad is the smoothed load of a serving task without its fillers.
+func (p *Pacer) ownLoad(s server, fillers []filler) float64 {
+	load := estimator.Load(s.ratio)
+	for i := range fillers {
+		load -= fillers[i].used * p.weight(fillers[i].image, s.image)
+	}
+	load = max(load, 0)
+	if old, ok := p.own[s.task]; ok {
+		load = old + ownWeight*(load-old)
+	}
+	p.own[s.task] = load
+	return load
+}
+
+// divide lowers paces until the fillers press on a kind of serving task no
+// more than the budget. It lowers those with the greatest weight first, down to
+// a common limit on weight times pace.
+func (p *Pacer) divide(fillers []filler, serve string, budget float64) {
+	if p.pressure(fillers, serve, 1e9) <= budget {
+		return
+	}
+	low, high := 0.0, 10.0
+	for range bisections {
+		middle := (low + high) / 2
+		if p.pressure(fillers, serve, middle) > budget {
+			high = middle
+		} else {
+			low = middle
+		}
+	}
+	for i := range fillers {
+		f := &fillers[i]
+		if w := p.weight(f.image, serve); w > harmless {
+			f.pace = min(f.pace, low/w)
 		}
-		p.changed = now
-	case worst < raiseRatio && p.share < full:
-		p.share = min(p.share+raiseStep, full)
-		p.changed = now
 	}
 }
+
+// pressure is what fillers add to a load if weight times pace is limited.
+func (p *Pacer) pressure(fillers []filler, serve string, limit float64) float64 {
+	sum := 0.0
+	for i := range fillers {
+		f := &fillers[i]
+		sum += f.full * min(p.weight(f.image, serve)*f.pace, limit)
+	}
+	return sum
+}
+
+// changes returns the paces that differ from those in force. Lower ones take
+// effect at once, higher ones after a pause.
+func (p *Pacer) changes(fillers []filler, now time.Duration) map[work.Stop]int {
+	mayRaise := now-p.raised >= raisePause
+	changes := map[work.Stop]int{}
+	for i := range fillers {
+		f := &fillers[i]
+		pace := int(f.pace*full) / unit * unit
+		current, ok := p.paces[f.run]
+		if !ok {
+			current = full
+		}
+		if pace < current || pace > current && mayRaise {
+			changes[f.run], p.paces[f.run] = pace, pace
+			if pace > current {
+				p.raised = now
+			}
+		}
+	}
+	return changes
+}
--- a/internal/side/warden/order.go
+++ b/internal/side/warden/order.go
@@ -37,6 +37,9 @@
 	if o.Seen > w.seen {
 		w.forget(o.Seen)
 	}
+	if len(o.Presses) > 0 && w.Pacer != nil {
+		w.Pacer.Learn(o.Presses)
+	}
 	for _, run := range o.Settled {
 		delete(w.voids, run)
 	}
@@ -217,7 +220,7 @@
 		return
 	}
 	w.mu.Lock()
-	changes := w.Pacer.Decide(w.active, w.starts, booter.Now())
+	changes := w.Pacer.Decide(w.active, w.starts, w.vitals.Size, booter.Now())
 	call := w.call()
 	w.mu.Unlock()
 	for run, percent := range changes {
--- a/internal/side/warden/warden.go
+++ b/internal/side/warden/warden.go
@@ -98,7 +98,9 @@
 // Pacer decides at which share runs that fill may work.
 type Pacer interface {
 	// Decide returns the new paces, in percent, of runs that should change.
-	Decide(active []work.Active, starts map[string]work.Start, now time.Duration) map[work.Stop]int
+	Decide(active []work.Active, starts map[string]work.Start, capacity work.Size, now time.Duration) map[work.Stop]int
+	// Learn takes what the leader knows of kinds of tasks.
+	Learn(presses []work.Press)
 }
 
 // Init prepares the warden. It must be called before any other method.
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -175,6 +175,9 @@
 	// Rises with each batch of orders on a connection.
 	Number int64 `json:"number" cbor:"number" yaml:"number"`
 
+	// What is known of effects on the VM, if it changed.
+	Presses []Press `json:"presses" cbor:"presses" yaml:"presses"`
+
 	// Ends up to this number are in the log.
 	Seen int64 `json:"seen" cbor:"seen" yaml:"seen"`
 
@@ -221,6 +224,18 @@
 	Report *Report `json:"report,omitempty,omitzero" cbor:"report,omitempty" yaml:"report,omitempty"`
 }
 
+// Effect of a kind of task that fills on a kind that serves.
+type Press struct {
+	// Fill corresponds to the JSON schema field "fill".
+	Fill string `json:"fill" cbor:"fill" yaml:"fill"`
+
+	// Serve corresponds to the JSON schema field "serve".
+	Serve string `json:"serve" cbor:"serve" yaml:"serve"`
+
+	// Rise of the load of the serving task, for each VM filled.
+	Weight float64 `json:"weight" cbor:"weight" yaml:"weight"`
+}
+
 // State of the tasks of one step of one occurrence.
 type Progress struct {
 	// Tasks corresponds to the JSON schema field "tasks".
@@ -340,6 +355,12 @@
 	// The task runs on capacity that others leave.
 	Fills bool `json:"fills" cbor:"fills" yaml:"fills"`
 
+	// What the task runs.
+	Image string `json:"image" cbor:"image" yaml:"image"`
+
+	// Thousandths of a processor core that it asks for.
+	Millis int `json:"millis" cbor:"millis" yaml:"millis"`
+
 	// Run corresponds to the JSON schema field "run".
 	Run int `json:"run" cbor:"run" yaml:"run"`
 
--- a/internal/work/planner/book.go
+++ b/internal/work/planner/book.go
@@ -12,6 +12,7 @@
 
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/wire/work"
+	"knapweedspur/internal/work/estimator"
 	"knapweedspur/internal/work/keeper"
 )
 
@@ -33,6 +34,12 @@
 	// numbered counts jobs in the order in which they were added.
 	numbered int
 
+	interference *estimator.Interference
+	// learned is when latencies were last learned from.
+	learned time.Time
+	// relocated is when fillers were last moved.
+	relocated time.Time
+
 	records []journal.Record
 	dirty   map[*step]bool
 	orders  map[string]*work.Orders
@@ -87,6 +94,8 @@
 	// written says that the log has a record of the step.
 	written bool
 	started time.Time
+	// load is the load of a serving step without fillers beside it, 0 to 1.
+	load float64
 }
 
 // placement is a run with what the planner knows of it beyond the log.
@@ -103,6 +112,10 @@
 	percent int
 	gauge   float64
 	active  bool
+	// pace is the share at which the agent lets a filler work, in percent, and
+	// paced when it changed.
+	pace  int
+	paced time.Time
 	// stopped is when the last stop was sent.
 	stopped time.Time
 	// first and seen are when the progress was first and last observed.
@@ -120,6 +133,7 @@
 	b := &Book{
 		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, began: now, log: log,
 		dirty: map[*step]bool{}, orders: map[string]*work.Orders{}, grants: map[string]*work.Grant{},
+		interference: estimator.NewInterference(),
 	}
 	for name, session := range state.Sessions {
 		v := b.vm(name)
--- a/internal/work/planner/plan.go
+++ b/internal/work/planner/plan.go
@@ -16,11 +16,14 @@
 // tasks that are free are placed. It returns when it wants to be called again.
 func (b *Book) Tick(now time.Time) {
 	b.watch(now)
+	b.learn(now)
+	b.tell(now)
 	for _, j := range b.jobs {
 		if j.record != nil && j.record.Times > 0 {
 			b.begin(j, now)
 		}
 	}
+	b.relocate(now)
 	b.plan(now)
 }
 
@@ -203,12 +206,35 @@
 		return false
 	}
 	if spec.Fills {
-		// The share is not reserved, but a VM must have some of it to give.
-		return v.used.Millis+v.filled+spec.Size.Millis <= v.vitals.Size.Millis
+		return float64(v.busy()+v.filling()+spec.Size.Millis) <= maxFill*float64(v.vitals.Size.Millis)
 	}
 	return v.used.Millis+spec.Size.Millis <= v.vitals.Size.Millis
 }
 
+// servingLoad is the share of its reservation that a serving task uses on
+// average. The bench's sheets name 0.42; its load swings by half of that.
+const servingLoad = 0.55
+
+// maxFill is how many times its processors a VM is filled at most: beyond, all
+// that fills there works slowly and holds memory.
+const maxFill = 1.15
+
+// busy is the processor share that the runs which reserve one are likely to use.
+func (v *vm) busy() int {
+	return v.used.Millis - int((1-servingLoad)*float64(v.served))
+}
+
+// filling is the processor share that fillers use at their present pace.
+func (v *vm) filling() int {
+	sum := 0
+	for _, p := range v.runs {
+		if p.step.spec.Fills {
+			sum += p.step.spec.Size.Millis * p.pace / fullPace
+		}
+	}
+	return sum
+}
+
 // usable says whether a VM may get work at all.
 func (v *vm) usable(now time.Time) bool {
 	return v.linked && v.synced && !v.session.Revoked && v.gone.IsZero() && !v.vitals.Draining && v.mute < muteLimit &&
@@ -247,38 +273,3 @@
 	}
 	return count
 }
-
-// The parts of the cost of a VM, in shares of its capacity.
-const (
-	// shunCost keeps a task off a VM where it failed, unless nothing else is there.
-	shunCost = 10.0
-	// mixCost keeps tasks that fill and tasks that serve apart.
-	mixCost = 2.0
-	// farCost is the cost of a VM away from the data, for each time the factor
-	// exceeds one.
-	farCost = 2.0
-)
-
-// cost tells how unfit a VM is for a task: its load after the placement, and
-// what speaks against it.
-func (b *Book) cost(v *vm, s *step, t *work.Task) float64 {
-	capacity := float64(max(v.vitals.Size.Millis, 1))
-	cost := float64(v.used.Millis+v.filled+s.spec.Size.Millis) / capacity
-	if s.spec.Fills && v.serving > 0 {
-		cost += mixCost
-	}
-	if s.spec.Target > 0 {
-		// Serving tasks gather on few VMs, so that others are free to fill.
-		cost = -cost
-		if v.filled > 0 {
-			cost += mixCost * float64(v.filled) / capacity
-		}
-	}
-	if s.spec.Rack != "" && !slices.Contains(v.vitals.Labels, s.spec.Rack) {
-		cost += farCost * (b.Settings.FarFactor - 1)
-	}
-	if slices.Contains(t.Shunned, v.name) {
-		cost += shunCost
-	}
-	return cost
-}
--- a/internal/work/planner/vm.go
+++ b/internal/work/planner/vm.go
@@ -49,10 +49,16 @@
 
 	runs map[runKey]*placement
 	// used is what the runs reserve; filled the processor share of runs that
-	// reserve none; serving counts runs with a latency objective.
+	// reserve none; serving counts runs with a latency objective, and served
+	// is what they reserve.
 	used    work.Size
 	filled  int
 	serving int
+	served  int
+
+	// told is what the agent was last told of interference, and when.
+	told   map[work.Press]bool
+	toldAt time.Time
 
 	// numbered counts orders on the current connection.
 	numbered int64
@@ -77,7 +83,7 @@
 // place enters a run that the log has or is about to have.
 func (b *Book) place(s *step, index int, r work.Run, now time.Time) {
 	v := b.vm(r.VM)
-	p := &placement{step: s, index: index, run: r.Run, vm: v, fence: r.Fence, since: now}
+	p := &placement{step: s, index: index, run: r.Run, vm: v, fence: r.Fence, since: now, pace: fullPace}
 	v.runs[runKey{s.name(index), r.Run}] = p
 	v.reserve(s.spec, 1)
 }
@@ -92,6 +98,7 @@
 	}
 	if spec.Target > 0 {
 		v.serving += sign
+		v.served += sign * spec.Size.Millis
 	}
 }
 
@@ -209,6 +216,9 @@
 		p.firstSeen, p.firstPercent = now, a.Percent
 	}
 	p.active, p.percent, p.gauge = true, a.Percent, a.Gauge
+	if p.pace != a.Pace {
+		p.pace, p.paced = a.Pace, now
+	}
 	task := &p.step.tasks[p.index]
 	if a.Saved != "" && a.Saved != task.Saved && task.Last == a.Run {
 		// Written with the next change of the step; it is no reason for one.
@@ -365,7 +375,7 @@
 	t := &s.tasks[p.index]
 	start := work.Start{
 		Task: s.name(p.index), Run: p.run, Spec: s.job.record.Spec,
-		Serves: s.spec.Target > 0, Fills: s.spec.Fills, Target: s.spec.Target,
+		Serves: s.spec.Target > 0, Fills: s.spec.Fills, Target: s.spec.Target, Image: s.spec.Image, Millis: s.spec.Size.Millis,
 	}
 	if i := runIndex(t, p.run); i >= 0 {
 		if t.Runs[i].Halted != "" {
