Place serving jobs that come together together, by image

Cause: serving jobs come in a group and were spread in order of arrival, so that most VMs held several kinds and a filler found none without its victim. Change: they wait 100 ms for each other and are placed by image.

--- a/internal/work/planner/plan.go
+++ b/internal/work/planner/plan.go
@@ -42,12 +42,13 @@
 // plan places free tasks in the order in which that serves most.
 func (b *Book) plan(now time.Time) {
 	var queue []candidate
+	gathering := b.gathering(now)
 	for _, j := range b.jobs {
 		if j.outcome != nil || j.record == nil {
 			continue
 		}
 		for _, s := range j.steps {
-			if s.free > 0 && s.ready() {
+			if s.free > 0 && s.ready() && !(gathering && s.fresh()) {
 				queue = append(queue, b.rank(s, now))
 			}
 		}
@@ -66,7 +67,62 @@
 	}
 }
 
+const (
+	// gatherPause is how long no serving step may have come until those that
+	// wait are placed together, and gatherLimit how long the first waits at
+	// most: their jobs often come in groups, and last far longer.
+	gatherPause = 100 * time.Millisecond
+	gatherLimit = 400 * time.Millisecond
+)
+
+// fresh says whether a step serves and was never placed.
+func (s *step) fresh() bool { return s.spec.Target > 0 && s.spec.Lasts && s.tasks[0].Last == 0 }
+
+// gathering says whether new serving steps should wait for others.
+func (b *Book) gathering(now time.Time) bool {
+	var first, last time.Time
+	for _, j := range b.jobs {
+		if j.outcome != nil || j.record == nil {
+			continue
+		}
+		for _, s := range j.steps {
+			if s.free == 0 || !s.fresh() {
+				continue
+			}
+			if first.IsZero() || s.started.Before(first) {
+				first = s.started
+			}
+			if s.started.After(last) {
+				last = s.started
+			}
+		}
+	}
+	return now.Sub(last) < gatherPause && now.Sub(first) < gatherLimit
+}
+
+// beforeServing orders serving steps so that those of a kind come together,
+// the ones that need the most VMs first.
+func (c *candidate) beforeServing(o *candidate) bool {
+	a, z := c.step.spec, o.step.spec
+	if a.Image != z.Image {
+		return a.Image < z.Image
+	}
+	if (a.Spread > 0) != (z.Spread > 0) {
+		return a.Spread > 0
+	}
+	if a.Size.Millis != z.Size.Millis {
+		return a.Size.Millis > z.Size.Millis
+	}
+	return c.step.job.number < o.step.job.number
+}
+
 func (c *candidate) before(o *candidate) bool {
+	if serves := c.step.spec.Target > 0; serves || o.step.spec.Target > 0 {
+		if serves != (o.step.spec.Target > 0) {
+			return serves
+		}
+		return c.beforeServing(o)
+	}
 	if c.late != o.late {
 		return c.late < o.late
 	}
