Let fillers wait rather than hold memory where they hardly work

Change: a filler waits if its predicted pace is below a third; one at pace 10 or less is stopped at its checkpoint; fillers that hardly press keep a small budget even beside a serving task that is over the limit by itself.

--- a/internal/side/pacer/pacer.go
+++ b/internal/side/pacer/pacer.go
@@ -12,7 +12,10 @@
 const (
 	// loadLimit is the load of a serving task up to which fillers may press on
 	// it. Its latency is at its objective at 0.8.
-	loadLimit = 0.72
+	loadLimit = 0.77
+	// leastBudget is granted even to fillers beside a serving task that is
+	// over the limit by itself: it lets those work that hardly press.
+	leastBudget = 0.05
 	// alarmRatio is the ratio of tail latency to objective at which the model
 	// is not trusted, calmRatio the one at which trust returns.
 	alarmRatio = 0.9
@@ -99,8 +102,8 @@
 	}
 	p.judge(servers, fillers, now)
 	for _, s := range servers {
-		budget := (loadLimit - p.ownLoad(s, fillers)) * p.trust
-		p.divide(fillers, s.image, max(budget, 0))
+		budget := max(loadLimit-p.ownLoad(s, fillers), leastBudget)
+		p.divide(fillers, s.image, budget*p.trust)
 	}
 	return p.changes(fillers, now)
 }
--- a/internal/work/planner/cost.go
+++ b/internal/work/planner/cost.go
@@ -15,7 +15,7 @@
 	loadCost = 0.3
 	// loadLimit is the load of a serving task up to which its VM is filled;
 	// beyond, the agent slows fillers down.
-	loadLimit = 0.72
+	loadLimit = 0.74
 	// usualLoad is assumed of a serving task that has less load now: it swings.
 	usualLoad = 0.4
 	// leastRise keeps a pace finite.
--- a/internal/work/planner/fill.go
+++ b/internal/work/planner/fill.go
@@ -13,6 +13,9 @@
 	fullPace = 100
 	// slowPace is the pace from which a filler is better moved.
 	slowPace = 45
+	// haltPace is the pace at which a filler is better stopped, so that others
+	// get its memory.
+	haltPace = 10
 	// slowTime is how long it must have been that slow: a pace changes within
 	// a tenth of a second, a latency shows within half a second.
 	slowTime = 500 * time.Millisecond
@@ -75,7 +78,7 @@
 		best = min(best, b.cost(v, s, t))
 	}
 	here := float64(fullPace) / float64(max(p.pace, 5))
-	if best*moveGain > here {
+	if best*moveGain > here && p.pace > haltPace {
 		return false
 	}
 	b.halt(s, p.index, runIndex(t, p.run), "move", now)
--- a/internal/work/planner/plan.go
+++ b/internal/work/planner/plan.go
@@ -312,6 +312,9 @@
 			continue
 		}
 		cost := b.cost(v, s, t)
+		if s.spec.Fills && cost > maxFillCost && !b.patient(s, now) {
+			continue
+		}
 		if best == nil || cost < bestCost || cost == bestCost && v.name < best.name {
 			best, bestCost = v, cost
 		}
@@ -319,6 +322,19 @@
 	return best
 }
 
+// maxFillCost is the cost from which a filler rather waits than takes memory
+// where it would hardly work.
+const maxFillCost = 3.0
+
+// patienceShare is the share of its objective after which a filler takes what
+// it can get.
+const patienceShare = 10.0
+
+// patient says whether a step has waited for so long that any VM will do.
+func (b *Book) patient(s *step, now time.Time) bool {
+	return now.Sub(s.started) > time.Duration(patienceShare*float64(objective(s.job.record)))
+}
+
 // of counts the runs of a step on a VM.
 func (v *vm) of(s *step) int {
 	count := 0
