Recover faster: ask the leader for its life, know workers by their host

Change: a session names the host, a worker that starts there ends its predecessor's runs; entries probe a silent leader; agents beat every 40 ms until vouched for; links hang on the agent alone; an end that a newer run overtook is not taken note of until that run is done; silence 2.5 -> 1.5 s.

--- a/internal/side/courier/courier.go
+++ b/internal/side/courier/courier.go
@@ -21,6 +21,8 @@
 	// beatEvery is the interval of heartbeats on each connection. A lease is
 	// extended from the newest answer.
 	beatEvery = 300 * time.Millisecond
+	// beatSoon is the interval while a session waits for its first proof.
+	beatSoon = 40 * time.Millisecond
 	// reportEvery is the longest time between two reports.
 	reportEvery = 400 * time.Millisecond
 	// reportPause is the least time between two reports.
@@ -52,9 +54,15 @@
 	Logger hclog.Logger
 	// Agent is the life of this process.
 	Agent string
+	// Host is the name of the VM.
+	Host string
 	// Done is closed when Run has returned.
 	Done chan struct{}
 
+	// root is the context of Run: work that an entry asked for outlives the
+	// connection that asked.
+	root   context.Context
+	group  sync.WaitGroup
 	mu     sync.Mutex
 	links  map[netip.AddrPort]*link
 	report chan struct{}
@@ -63,7 +71,6 @@
 // link is the connection to one entry.
 type link struct {
 	address netip.AddrPort
-	cancel  context.CancelFunc
 
 	mu    sync.Mutex
 	conn  *carrier.Conn
@@ -99,14 +106,14 @@
 // Run keeps the connections until the context ends.
 func (c *Courier) Run(ctx context.Context) {
 	defer close(c.Done)
-	var group sync.WaitGroup
-	group.Go(func() { c.seek(ctx, &group) })
+	c.root = ctx
+	c.group.Go(func() { c.seek(ctx) })
 	c.reports(ctx)
-	group.Wait()
+	c.group.Wait()
 }
 
 // seek reads the list of entries, first often, then while none leads.
-func (c *Courier) seek(ctx context.Context, group *sync.WaitGroup) {
+func (c *Courier) seek(ctx context.Context) {
 	failed := false
 	for ctx.Err() == nil {
 		if c.leader() == nil {
@@ -119,7 +126,7 @@
 			}
 			failed = err != nil
 			for _, address := range entries {
-				c.connect(ctx, address, group)
+				c.connect(address)
 			}
 			if len(entries) == 0 {
 				pause(ctx, seekEvery/10)
@@ -131,20 +138,20 @@
 }
 
 // connect begins a connection to an entry that has none.
-func (c *Courier) connect(ctx context.Context, address netip.AddrPort, group *sync.WaitGroup) {
+func (c *Courier) connect(address netip.AddrPort) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.links[address] != nil || len(c.links) >= maxEntries || ctx.Err() != nil {
+	if c.links[address] != nil || len(c.links) >= maxEntries || c.root.Err() != nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	l := &link{address: address, cancel: cancel}
+	l := &link{address: address}
 	c.links[address] = l
-	group.Go(func() { c.keep(ctx, l, group) })
+	c.group.Go(func() { c.keep(l) })
 }
 
 // keep dials an entry again and again.
-func (c *Courier) keep(ctx context.Context, l *link, group *sync.WaitGroup) {
+func (c *Courier) keep(l *link) {
+	ctx := c.root
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		dial, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -157,14 +164,14 @@
 		}
 		backoff = firstBackoff
 		c.Logger.Info("entry linked", "entry", l.address.String())
-		c.serve(ctx, l, conn, group)
+		c.serve(ctx, l, conn)
 		c.Logger.Info("entry lost", "entry", l.address.String())
 		pause(ctx, backoff)
 	}
 }
 
 // serve uses a connection until it ends.
-func (c *Courier) serve(ctx context.Context, l *link, conn *carrier.Conn, group *sync.WaitGroup) {
+func (c *Courier) serve(ctx context.Context, l *link, conn *carrier.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l.mu.Lock()
@@ -179,7 +186,7 @@
 		if err := conn.ReceiveValue(&p); err != nil {
 			break
 		}
-		c.handle(ctx, l, &p, group)
+		c.handle(l, &p)
 	}
 	conn.Close()
 	l.mu.Lock()
@@ -193,6 +200,10 @@
 		if !c.greet(l) || !c.beat(l) {
 			return
 		}
+		if c.Warden.Unvouched() {
+			pause(ctx, beatSoon)
+			continue
+		}
 		pause(ctx, beatEvery)
 	}
 }
@@ -211,7 +222,7 @@
 	if known || conn == nil {
 		return conn != nil
 	}
-	return conn.SendValue(&work.Packet{Hello: &work.Hello{Vitals: vitals, Agent: c.Agent}}) == nil
+	return conn.SendValue(&work.Packet{Hello: &work.Hello{Vitals: vitals, Agent: c.Agent, Host: c.Host}}) == nil
 }
 
 func (c *Courier) beat(l *link) bool {
@@ -228,18 +239,18 @@
 // beatsKept is how many heartbeats may wait for an answer.
 const beatsKept = 16
 
-func (c *Courier) handle(ctx context.Context, l *link, p *work.Packet, group *sync.WaitGroup) {
+func (c *Courier) handle(l *link, p *work.Packet) {
 	if e := p.Evidence; e != nil {
 		c.evidence(l, e)
 		for _, address := range e.Entries {
-			c.connect(ctx, address, group)
+			c.connect(address)
 		}
 	}
 	if p.Grant != nil {
 		c.Warden.Grant(p.Grant)
 	}
 	if p.Orders != nil {
-		c.Warden.Orders(ctx, p.Orders)
+		c.Warden.Orders(c.root, p.Orders)
 	}
 }
 
--- a/internal/side/warden/warden.go
+++ b/internal/side/warden/warden.go
@@ -179,9 +179,19 @@
 	if beat.Fence == 0 || beat.Fence != w.session.current || beat.Born != w.session.born || beat.VM != w.session.vm {
 		return
 	}
+	if w.evidence == 0 {
+		w.Changed()
+	}
 	w.evidence = max(w.evidence, moment)
 }
 
+// Unvouched says that a session has begun that no entry has vouched for yet.
+func (w *Warden) Unvouched() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.session.fence > 0 && w.evidence == 0
+}
+
 // Grant takes a session.
 func (w *Warden) Grant(g *work.Grant) {
 	w.mu.Lock()
@@ -203,7 +213,7 @@
 	if w.vitals.VM == "" {
 		return nil
 	}
-	r := &work.Report{Fence: w.session.current, Vitals: w.vitals, Lapsed: w.lapsed, Gone: w.gone}
+	r := &work.Report{Fence: w.session.current, Vitals: w.vitals, Lapsed: w.lapsed, Gone: w.gone, Vouched: w.evidence > 0}
 	if epoch == w.epoch {
 		r.Handled = w.handled
 	}
--- a/internal/site/assembler/entry.go
+++ b/internal/site/assembler/entry.go
@@ -83,7 +83,7 @@
 	}
 	e.leader = &leader.Leader{
 		Journal: e.work, Logger: logger, Name: s.Name, Life: e.life, Address: s.Peers,
-		Settings: planner.Settings{MaxLease: s.MaxLease, FarFactor: s.FarFactor}, Strength: s.Strength, MaxCall: s.MaxCall,
+		Settings: planner.Settings{MaxLease: s.MaxLease, FarFactor: s.FarFactor}, Client: client, Strength: s.Strength, MaxCall: s.MaxCall,
 	}
 	e.follower = &follower.Follower{Journal: e.work, Logger: logger, Observer: e.leader}
 	e.board = &switchboard.Switchboard{Follower: e.follower, Leader: e.leader, Logger: logger}
@@ -101,6 +101,7 @@
 func (e *entry) start(context.Context) error {
 	peers := mux.NewRouter()
 	peers.Handle(carrier.Path, e.board)
+	peers.HandleFunc(leader.LifePath, e.leader.ServeLife).Methods(http.MethodGet)
 	handlers := []struct {
 		address netip.AddrPort
 		handler http.Handler
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -118,6 +118,10 @@
 	// Life of the agent process.
 	Agent string `json:"agent" cbor:"agent" yaml:"agent"`
 
+	// VM slot of the agent: a worker that starts there takes the place of the one
+	// before.
+	Host string `json:"host" cbor:"host" yaml:"host"`
+
 	// Vitals corresponds to the JSON schema field "vitals".
 	Vitals Vitals `json:"vitals" cbor:"vitals" yaml:"vitals"`
 }
@@ -297,6 +301,9 @@
 
 	// Voids corresponds to the JSON schema field "voids".
 	Voids []Void `json:"voids" cbor:"voids" yaml:"voids"`
+
+	// An entry has vouched for the session.
+	Vouched bool `json:"vouched" cbor:"vouched" yaml:"vouched"`
 }
 
 // One run of a task on a VM.
@@ -331,6 +338,9 @@
 	// Fencing token of the session, rising for each VM.
 	Fence int64 `json:"fence" cbor:"fence" yaml:"fence"`
 
+	// VM slot of the agent.
+	Host string `json:"host" cbor:"host" yaml:"host"`
+
 	// No lease may be extended under it any more.
 	Revoked bool `json:"revoked" cbor:"revoked" yaml:"revoked"`
 
--- a/internal/work/leader/leader.go
+++ b/internal/work/leader/leader.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
@@ -29,7 +30,11 @@
 	// signEvery is the longest time between two records of a leader.
 	signEvery = 400 * time.Millisecond
 	// jitter spreads the claims of several entries.
-	jitter = 250 * time.Millisecond
+	jitter = 200 * time.Millisecond
+	// probeAfter is how long a leader may give no sign until it is asked
+	// whether it lives, and probeTimeout how long it has to answer.
+	probeAfter   = 500 * time.Millisecond
+	probeTimeout = 200 * time.Millisecond
 	// weakDelay is added to the claim of the weakest entry, less for others.
 	weakDelay = 300 * time.Millisecond
 	// freshLimit is the oldest view from which a claim is made.
@@ -66,6 +71,8 @@
 	// Strength is the processor share of the entry, at most 1. Stronger
 	// entries claim earlier.
 	Strength float64
+	// Client reaches other entries.
+	Client *http.Client
 	// MaxCall bounds one append, in bytes.
 	MaxCall int
 	// Done is closed when Run has returned.
@@ -82,6 +89,8 @@
 	writer   *journal.Writer
 	kick     chan struct{}
 	resigned bool
+	// dead is the life of a leader that is known to have ended.
+	dead string
 	// waitUntil is when this entry may claim again.
 	waitUntil time.Time
 }
@@ -180,6 +189,7 @@
 	defer close(l.Done)
 	for ctx.Err() == nil {
 		if !l.wanted(time.Now()) {
+			l.probe(ctx, time.Now())
 			pause(ctx, watchEvery)
 			continue
 		}
@@ -215,15 +225,22 @@
 		// A claim whose answer was lost took effect.
 		return true
 	}
-	limit := takeover
-	if term.Leader == "" {
+	limit, spread := takeover, jitter
+	switch {
+	case term.Leader == "":
+		limit, spread = 0, jitter/4
+	case term.Leader == l.Name, l.dead == term.Life:
+		// The process that led is gone: it was this entry's, or its address says so.
 		limit = 0
 	}
 	since := l.signed
 	if regained.After(since) {
 		since = regained
 	}
-	delay := time.Duration((1-min(l.Strength, 1))*float64(weakDelay)) + time.Duration(rand.Int64N(int64(jitter)))
+	delay := time.Duration((1-min(l.Strength, 1))*float64(weakDelay)) + time.Duration(rand.Int64N(int64(spread)))
+	if limit == 0 {
+		delay /= 3
+	}
 	if now.Sub(since) < limit+delay {
 		return false
 	}
@@ -246,12 +263,20 @@
 		l.mu.Unlock()
 		term := &work.Term{Leader: l.Name, Life: l.Life, Epoch: l.claimed, Address: l.Address}
 		l.Logger.Info("claim", "epoch", l.claimed, "after", last)
-		if !l.append(ctx, []journal.Record{keeper.TermRecord(term)}, time.Now().Add(claimTimeout)) {
+		offset, ok := l.append(ctx, []journal.Record{keeper.TermRecord(term)}, time.Now().Add(claimTimeout))
+		if !ok {
 			l.mu.Lock()
 			l.waitUntil = time.Now().Add(time.Duration(rand.Int64N(int64(jitter))))
 			l.mu.Unlock()
 			return false
 		}
+		reached, cancel := context.WithTimeout(ctx, claimTimeout)
+		defer cancel()
+		if err := l.Follower.Reach(reached, offset); err != nil {
+			l.Logger.Warn("claim not in view", "epoch", l.claimed, "error", err.Error())
+			return false
+		}
+		return l.begin()
 	}
 	caught, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
@@ -353,7 +378,7 @@
 
 // isolation is how long most agents may be unheard until the leader takes
 // itself for cut off: less than the silence after which it would revoke them.
-const isolation = 1800 * time.Millisecond
+const isolation = 1000 * time.Millisecond
 
 func (l *Leader) isResigned() bool {
 	l.mu.Lock()
@@ -398,7 +423,7 @@
 			count++
 		}
 		l.writer.Number++
-		if !l.append(ctx, records[:count], time.Time{}) {
+		if _, ok := l.append(ctx, records[:count], time.Time{}); !ok {
 			l.mu.Lock()
 			l.stepDown("the log took no record", 0)
 			l.mu.Unlock()
--- a/internal/work/planner/plan.go
+++ b/internal/work/planner/plan.go
@@ -293,7 +293,7 @@
 
 // usable says whether a VM may get work at all.
 func (v *vm) usable(now time.Time) bool {
-	return v.linked && v.synced && !v.session.Revoked && v.gone.IsZero() && !v.vitals.Draining && v.mute < muteLimit &&
+	return v.linked && v.synced && v.vouched && !v.session.Revoked && v.gone.IsZero() && !v.vitals.Draining && v.mute < muteLimit &&
 		now.Sub(v.heard) < silence/2 && !v.record.suspect(len(v.runs), now)
 }
 
@@ -324,7 +324,7 @@
 
 // maxFillCost is the cost from which a filler rather waits than takes memory
 // where it would hardly work.
-const maxFillCost = 3.0
+const maxFillCost = 2.0
 
 // patienceShare is the share of its objective after which a filler takes what
 // it can get.
--- a/internal/work/planner/vm.go
+++ b/internal/work/planner/vm.go
@@ -11,7 +11,7 @@
 const (
 	// silence is how long an agent may be unheard until its session is
 	// revoked: several heartbeats, and the restart of a process.
-	silence = 2500 * time.Millisecond
+	silence = 1500 * time.Millisecond
 	// clockDrift is by how much a worker's steady clock may be slow.
 	clockDrift = 0.03
 	// leaseSlack is added to a lease that must be over.
@@ -36,10 +36,13 @@
 	// linked says that an agent is connected, synced that its first report
 	// under the current session came.
 	linked, synced bool
-	heard          time.Time
-	// agent is the life of the agent process; granted is when it was last sent
-	// a session.
+	// vouched says that the agent can give starts a lease.
+	vouched bool
+	heard   time.Time
+	// agent is the life of the agent process, host where it runs; granted is
+	// when it was last sent a session.
 	agent   string
+	host    string
 	granted time.Time
 	// revoked is when the log confirmed the revocation, zero before.
 	revoked time.Time
@@ -62,14 +65,17 @@
 
 	// numbered counts orders on the current connection.
 	numbered int64
-	seen     int64
-	record   record
+	// seen is the highest end that the agent may forget, settled those above
+	// it that are dealt with.
+	seen    int64
+	settled map[int64]bool
+	record  record
 }
 
 func (b *Book) vm(name string) *vm {
 	v := b.vms[name]
 	if v == nil {
-		v = &vm{name: name, runs: map[runKey]*placement{}}
+		v = &vm{name: name, runs: map[runKey]*placement{}, settled: map[int64]bool{}}
 		b.vms[name] = v
 	}
 	return v
@@ -107,7 +113,7 @@
 	v := b.vm(h.Vitals.VM)
 	// Orders count anew on each connection.
 	v.linked, v.synced, v.heard, v.numbered, v.vitals = true, false, now, 0, h.Vitals
-	v.agent, v.granted = h.Agent, now
+	v.agent, v.host, v.granted = h.Agent, h.Host, now
 	for _, p := range v.runs {
 		p.sent = 0
 	}
@@ -124,9 +130,11 @@
 	if v.session.Born != h.Vitals.Born {
 		b.voidAll(v, "reborn", now)
 		v.seen = 0
+		v.settled = map[int64]bool{}
 		v.record = record{}
 	}
-	v.session = work.Session{VM: v.name, Born: h.Vitals.Born, Fence: v.session.Fence + 1, Agent: h.Agent}
+	b.replace(v, h, now)
+	v.session = work.Session{VM: v.name, Born: h.Vitals.Born, Fence: v.session.Fence + 1, Agent: h.Agent, Host: h.Host}
 	v.revoked, v.gone, v.mute = time.Time{}, time.Time{}, 0
 	b.records = append(b.records, keeper.SessionRecord(&v.session))
 	b.grants[v.name] = &work.Grant{VM: v.name, Born: v.session.Born, Fence: v.session.Fence}
@@ -142,7 +150,7 @@
 		return
 	}
 	v.granted = now
-	h := &work.Hello{Vitals: r.Vitals, Agent: v.agent}
+	h := &work.Hello{Vitals: r.Vitals, Agent: v.agent, Host: v.host}
 	if v.session.Revoked || v.session.Born != r.Vitals.Born {
 		b.grant(v, h, now)
 		return
@@ -157,6 +165,19 @@
 	}
 }
 
+// replace ends the runs of workers that were on the same host before.
+func (b *Book) replace(v *vm, h *work.Hello, now time.Time) {
+	for _, former := range b.vms {
+		if former == v || h.Host == "" || former.session.Host != h.Host || former.session.Born >= h.Vitals.Born {
+			continue
+		}
+		b.voidAll(former, "replaced", now)
+		if former.gone.IsZero() {
+			former.gone = now
+		}
+	}
+}
+
 // Unlinked takes the loss of the connection to an agent.
 func (b *Book) Unlinked(name string) {
 	if v := b.vms[name]; v != nil {
@@ -175,7 +196,7 @@
 		return
 	}
 	first := !v.synced
-	v.heard, v.synced, v.vitals, v.mute = now, true, r.Vitals, r.Mute
+	v.heard, v.synced, v.vitals, v.mute, v.vouched = now, true, r.Vitals, r.Mute, r.Vouched
 	known := map[runKey]bool{}
 	for i := range r.Active {
 		b.active(v, &r.Active[i], known, now)
@@ -187,6 +208,7 @@
 		known[runKey{r.Ends[i].Task, r.Ends[i].Run}] = true
 		b.end(v, &r.Ends[i], now)
 	}
+	b.note(v, r.Ends)
 	for i := range r.Voids {
 		known[runKey{r.Voids[i].Task, r.Voids[i].Run}] = true
 		b.void(v, &r.Voids[i], now)
@@ -234,14 +256,40 @@
 	return slices.IndexFunc(t.Runs, func(r work.Run) bool { return r.Run == run })
 }
 
+// note tells the agent up to which end the log knows. It stops before an end
+// that must not be taken note of yet.
+func (b *Book) note(v *vm, ends []work.End) {
+	for i := range ends {
+		number := ends[i].Number
+		if number > v.seen && !v.settled[number] {
+			break
+		}
+		v.seen = max(v.seen, number)
+		delete(v.settled, number)
+	}
+	if len(ends) > 0 {
+		b.order(v).Seen = v.seen
+	}
+}
+
+// overtaken says whether a run ended well after its task was started anew,
+// since its VM had been given up. Its end is not taken note of until the task
+// is done by the newer run: otherwise the task would be done twice.
+func (s *step) overtaken(index int, e *work.End) bool {
+	t := &s.tasks[index]
+	return e.How == endDone && !s.spec.Lasts && !t.Done && t.Last > e.Run && s.job.outcome == nil
+}
+
 // end takes the end of a run.
 func (b *Book) end(v *vm, e *work.End, now time.Time) {
-	if e.Number <= v.seen {
-		b.noteSeen(v)
+	if e.Number <= v.seen || v.settled[e.Number] {
 		return
 	}
 	p := v.runs[runKey{e.Task, e.Run}]
 	s, index := b.task(e.Task)
+	if p == nil && s != nil && s.overtaken(index, e) {
+		return
+	}
 	b.log("end", "task", e.Task, "run", e.Run, "vm", v.name, "how", e.How, "known", p != nil)
 	if p != nil {
 		b.remove(p)
@@ -249,8 +297,7 @@
 	if s != nil {
 		b.settle(s, index, v, p, e, now)
 	}
-	v.seen = e.Number
-	b.noteSeen(v)
+	v.settled[e.Number] = true
 }
 
 // The ways in which a run ends.
@@ -429,9 +476,6 @@
 	return o
 }
 
-// noteSeen tells the agent up to which end the log knows.
-func (b *Book) noteSeen(v *vm) { b.order(v).Seen = v.seen }
-
 // revoke closes the session of a VM: no entry vouches for its lease any more.
 func (b *Book) revoke(v *vm, reason string, now time.Time) {
 	if v.session.Revoked || v.session.Fence == 0 {
