Extend no lease of a worker that does not answer

A worker was gone for good, its agent lived and went on extending the lease that nobody answered for, so the runs there never counted as over. Change: after a second without an answer the lease is not extended.

--- a/internal/side/warden/order.go
+++ b/internal/side/warden/order.go
@@ -199,7 +199,7 @@
 
 // stop stops a run. It returns true once the worker has confirmed it.
 func (w *Warden) stop(ctx context.Context, call executor.Call, run work.Stop) bool {
-	for ctx.Err() == nil {
+	for tries := 0; ctx.Err() == nil; tries++ {
 		err := w.Worker.Stop(ctx, call, run)
 		if err == nil {
 			w.wake()
@@ -208,7 +208,9 @@
 		if errors.Is(err, executor.ErrReborn) || w.lockedCall().Fence != call.Fence {
 			return false
 		}
-		w.Logger.Warn("stop without an answer", "task", run.Task, "run", run.Run, "error", err.Error())
+		if tries == 0 {
+			w.Logger.Warn("stop without an answer", "task", run.Task, "run", run.Run, "error", err.Error())
+		}
 		pause(ctx, stopRetry)
 	}
 	return false
--- a/internal/side/warden/warden.go
+++ b/internal/side/warden/warden.go
@@ -29,6 +29,9 @@
 	clockDrift = 0.03
 	// lapseSlack is added to a lease that must be over.
 	lapseSlack = 100 * time.Millisecond
+	// muteLimit is how long a worker may not answer and still have its lease
+	// extended: four polls.
+	muteLimit = time.Second
 	// parallel starts are under way at most.
 	parallel = 16
 )
@@ -310,6 +313,11 @@
 	if w.evidence == 0 || w.lapsed {
 		return 0
 	}
+	if booter.Now()-w.answered > muteLimit {
+		// A worker that does not answer gets no longer lease, so that its
+		// tasks can go on elsewhere soon.
+		return w.promised
+	}
 	clock := w.clock.worker - (w.clock.sent - w.evidence)
 	if w.evidence > w.clock.came {
 		clock = w.clock.worker + (w.evidence - w.clock.came)
