Halt fillers in time whatever the model says; read the log less often

Change: after half of the time of harm all fillers of the VM halt; entries that do not lead pause 50 ms between reads; the strongest entry leads.

--- a/internal/side/pacer/pacer.go
+++ b/internal/side/pacer/pacer.go
@@ -47,9 +47,19 @@
 // pair is a kind that fills beside a kind that serves.
 type pair struct{ fill, serve string }
 
+// overLimit is the ratio above which a serving task misses its objective.
+const overLimit = 0.97
+
 // Pacer divides what each serving task can bear among the fillers of its VM.
 // Those that press least work in full, the others as far as the rest allows.
 type Pacer struct {
+	// Harm is how long a serving task may miss its objective because of
+	// fillers. After half of it all of them halt, whatever the model says.
+	Harm time.Duration
+
+	// over is since when a serving task misses its objective, zero for not.
+	over    time.Duration
+	halted  bool
 	weights map[pair]float64
 	own     map[string]float64
 	paces   map[work.Stop]int
@@ -97,10 +107,16 @@
 func (p *Pacer) Decide(active []work.Active, starts map[string]work.Start, capacity work.Size, now time.Duration) map[work.Stop]int {
 	fillers, servers := p.sort(active, starts, float64(max(capacity.Millis, 1)))
 	if len(fillers) == 0 {
-		p.trust = 1
+		p.trust, p.over, p.halted = 1, 0, false
 		return nil
 	}
 	p.judge(servers, fillers, now)
+	if p.harmful(servers, fillers, now) {
+		for i := range fillers {
+			fillers[i].pace = 0
+		}
+		return p.changes(fillers, now)
+	}
 	for _, s := range servers {
 		budget := max(loadLimit-p.ownLoad(s, fillers), leastBudget)
 		p.divide(fillers, s.image, budget*p.trust)
@@ -156,6 +172,29 @@
 	}
 }
 
+// harmful says whether fillers must halt: a serving task has missed its
+// objective for too long, and some of them have been at work meanwhile.
+func (p *Pacer) harmful(servers []server, fillers []filler, now time.Duration) bool {
+	worst, used := 0.0, 0.0
+	for _, s := range servers {
+		worst = max(worst, s.ratio)
+	}
+	for i := range fillers {
+		used += fillers[i].used
+	}
+	if worst < overLimit {
+		p.over, p.halted = 0, p.halted && worst > calmRatio
+		return p.halted
+	}
+	if p.over == 0 {
+		p.over = now
+	}
+	if p.Harm > 0 && now-p.over > p.Harm/2 && used > 0 {
+		p.halted = true
+	}
+	return p.halted
+}
+
 // ownLoad is the smoothed load of a serving task without its fillers.
 func (p *Pacer) ownLoad(s server, fillers []filler) float64 {
 	load := estimator.Load(s.ratio)
--- a/internal/site/assembler/agent.go
+++ b/internal/site/assembler/agent.go
@@ -41,8 +41,10 @@
 		Client: client, Logger: logger, Agent: rand.Text()[:12], Host: s.Name,
 		Finder: &platform.Finder{Stream: &platform.Stream{Address: s.Store, Client: client, Topic: platform.EntryStream}},
 	}
+	brake := pacer.New()
+	brake.Harm = s.Harm
 	a.warden = &warden.Warden{
-		Worker: &platform.Worker{Address: s.Worker, Client: client}, Logger: logger, MaxLease: s.MaxLease, Changed: a.courier.Changed, Pacer: pacer.New(),
+		Worker: &platform.Worker{Address: s.Worker, Client: client}, Logger: logger, MaxLease: s.MaxLease, Changed: a.courier.Changed, Pacer: brake,
 	}
 	a.courier.Warden = a.warden
 	a.courier.Init()
--- a/internal/site/assembler/entry.go
+++ b/internal/site/assembler/entry.go
@@ -38,7 +38,7 @@
 	// idleTimeout closes connections of clients that were not used.
 	idleTimeout = 60 * time.Second
 	// memberEvery is how often an entry announces itself anew.
-	memberEvery = 15 * time.Second
+	memberEvery = leader.MemberLife / 3
 	// memberRetry is the pause after an announcement that failed.
 	memberRetry = 200 * time.Millisecond
 )
@@ -127,7 +127,7 @@
 // announce tells agents and entries where this entry is, now and then.
 func (e *entry) announce(ctx context.Context) {
 	for ctx.Err() == nil {
-		member := &work.Member{Name: e.settings.Name, Life: e.life, Address: e.settings.Peers, Seen: time.Now()}
+		member := &work.Member{Name: e.settings.Name, Life: e.life, Address: e.settings.Peers, Seen: time.Now(), Strength: e.settings.Strength}
 		record := []journal.Record{keeper.MemberRecord(member)}
 		_, err := e.entries.Append(ctx, record, nil)
 		if err == nil {
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -166,6 +166,9 @@
 
 	// When it announced itself.
 	Seen time.Time `json:"seen" cbor:"seen" yaml:"seen"`
+
+	// Processor share, in cores.
+	Strength float64 `json:"strength" cbor:"strength" yaml:"strength"`
 }
 
 // What the leader wants of a VM.
--- a/internal/work/follower/follower.go
+++ b/internal/work/follower/follower.go
@@ -19,9 +19,10 @@
 	// pollWait is how long a read waits for a record. It bounds the age of
 	// the view while nothing is written.
 	pollWait = 250 * time.Millisecond
-	// readPause is the least time between two reads: it bounds the calls to
-	// the store under load.
+	// readPause is the least time between two reads of the leader, idlePause
+	// that of the others: they bound the calls to the store under load.
 	readPause = 15 * time.Millisecond
+	idlePause = 50 * time.Millisecond
 	// firstBackoff and lastBackoff bound the pause after a failed read.
 	firstBackoff = 30 * time.Millisecond
 	lastBackoff  = 300 * time.Millisecond
@@ -31,6 +32,8 @@
 type Observer interface {
 	// Folded hears of a record of the tail.
 	Folded(r journal.Record)
+	// Leading returns a term if this process leads in it, else 0.
+	Leading() int64
 	// Restarted hears that the view was built anew.
 	Restarted()
 }
@@ -141,7 +144,11 @@
 				f.mu.Unlock()
 				f.Logger.Info("log regained")
 			}
-			pause(ctx, readPause)
+			if f.Observer.Leading() != 0 {
+				pause(ctx, readPause)
+			} else {
+				pause(ctx, idlePause)
+			}
 		case errors.As(err, &cut):
 			f.Logger.Warn("the log dropped records that were not read; the view is built anew", "first", cut.First)
 			restart = true
--- a/internal/work/leader/leader.go
+++ b/internal/work/leader/leader.go
@@ -35,8 +35,14 @@
 	// whether it lives, and probeTimeout how long it has to answer.
 	probeAfter   = 500 * time.Millisecond
 	probeTimeout = 200 * time.Millisecond
-	// weakDelay is added to the claim of the weakest entry, less for others.
-	weakDelay = 300 * time.Millisecond
+	// weakDelay is added to the claim of an entry for each core that it has
+	// less than the strongest.
+	weakDelay = time.Second
+	// introduction is how long the first leader waits for entries that start
+	// with it.
+	introduction = 150 * time.Millisecond
+	// MemberLife is how long an entry counts after it announced itself.
+	MemberLife = 45 * time.Second
 	// freshLimit is the oldest view from which a claim is made.
 	freshLimit = 700 * time.Millisecond
 	// claimTimeout bounds one claim, with its repeats.
@@ -68,8 +74,8 @@
 	// Name, Life and Address identify the entry.
 	Name, Life string
 	Address    netip.AddrPort
-	// Strength is the processor share of the entry, at most 1. Stronger
-	// entries claim earlier.
+	// Strength is the processor share of the entry, in cores. Stronger entries
+	// claim earlier.
 	Strength float64
 	// Client reaches other entries.
 	Client *http.Client
@@ -209,8 +215,16 @@
 // wanted says whether this entry should claim the lead now.
 func (l *Leader) wanted(now time.Time) bool {
 	var term *work.Term
-	age := time.Duration(0)
-	l.Follower.View(func(state *keeper.State, a time.Duration) { term, age = state.Term, a })
+	age, strongest, known := time.Duration(0), l.Strength, false
+	l.Follower.View(func(state *keeper.State, a time.Duration) {
+		term, age = state.Term, a
+		for _, m := range state.Members {
+			known = known || m.Name == l.Name && m.Life == l.Life
+			if now.Sub(m.Seen) < MemberLife {
+				strongest = max(strongest, m.Strength)
+			}
+		}
+	})
 	regained := l.Follower.Regained()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -218,8 +232,11 @@
 		return false
 	}
 	if term == nil {
-		l.waitUntil = now
-		return true
+		// The first start: wait until all have had time to announce themselves.
+		if !known {
+			l.signed = now
+		}
+		return now.Sub(l.signed) > introduction+time.Duration((strongest-l.Strength)*float64(weakDelay))
 	}
 	if term.Life == l.Life && term.Epoch == l.claimed {
 		// A claim whose answer was lost took effect.
@@ -237,7 +254,7 @@
 	if regained.After(since) {
 		since = regained
 	}
-	delay := time.Duration((1-min(l.Strength, 1))*float64(weakDelay)) + time.Duration(rand.Int64N(int64(spread)))
+	delay := time.Duration((strongest-l.Strength)*float64(weakDelay)) + time.Duration(rand.Int64N(int64(spread)))
 	if limit == 0 {
 		delay /= 3
 	}
