--- a/internal/work/follower/follower.go
+++ b/internal/work/follower/follower.go
@@ -23,6 +23,9 @@
 	// that of the others: they bound the calls to the store under load.
 	readPause = 15 * time.Millisecond
 	idlePause = 50 * time.Millisecond
+	// gap is the age from which a view counts as having been out of date: two
+	// polls in a row, with their pauses, and as much again.
+	gap = 4 * pollWait
 	// firstBackoff and lastBackoff bound the pause after a failed read.
 	firstBackoff = 30 * time.Millisecond
 	lastBackoff  = 300 * time.Millisecond
@@ -43,6 +46,8 @@
 	Journal  journal.Journal
 	Logger   hclog.Logger
 	Observer Observer
+	// Clock is the time since boot; Init sets that of the VM where it is nil.
+	Clock func() time.Duration
 	// Done is closed when Run has returned.
 	Done chan struct{}
 
@@ -51,7 +56,7 @@
 	// fresh is when the newest read was sent that left nothing unread, on
 	// the boot clock; 0 before the first.
 	fresh time.Duration
-	// regained is when reads worked again after a failure.
+	// regained is when the view became young again after it was out of date.
 	regained time.Time
 	changed  chan struct{}
 }
@@ -68,7 +73,7 @@
 	if f.fresh == 0 {
 		return 24 * time.Hour
 	}
-	return booter.Now() - f.fresh
+	return f.Clock() - f.fresh
 }
 
 // Age returns how old the view is.
@@ -78,7 +83,7 @@
 	return f.age()
 }
 
-// Regained returns when reads began to work after the last failure.
+// Regained returns when the view last became young again.
 func (f *Follower) Regained() time.Time {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
@@ -88,7 +93,7 @@
 // Catch waits until the view is younger than the call. It returns an error if
 // the context ends first.
 func (f *Follower) Catch(ctx context.Context) error {
-	now := booter.Now()
+	now := f.Clock()
 	return f.wait(ctx, func() bool { return f.fresh > now })
 }
 
@@ -115,6 +120,9 @@
 
 // Init prepares the follower. It must be called before Run and View.
 func (f *Follower) Init() {
+	if f.Clock == nil {
+		f.Clock = booter.Now
+	}
 	f.state = keeper.New()
 	f.changed = make(chan struct{})
 	f.Done = make(chan struct{})
@@ -139,9 +147,6 @@
 			backoff = firstBackoff
 			if away {
 				away = false
-				f.mu.Lock()
-				f.regained = time.Now()
-				f.mu.Unlock()
 				f.Logger.Info("log regained")
 			}
 			if f.Observer.Leading() != 0 {
@@ -212,7 +217,7 @@
 	f.mu.RLock()
 	next := f.state.Next
 	f.mu.RUnlock()
-	sent := booter.Now()
+	sent := f.Clock()
 	page, err := f.Journal.Read(ctx, next, pollWait)
 	if err != nil {
 		return err
@@ -223,6 +228,9 @@
 		f.state.Next = r.Offset + 1
 	}
 	if f.state.Next >= page.Head {
+		if f.age() > gap {
+			f.regained = time.Now()
+		}
 		f.fresh = sent
 	}
 	close(f.changed)
--- /dev/null
+++ b/internal/work/leader/leader_test.go
@@ -0,0 +1,254 @@
+package leader_test
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+
+	"knapweedspur/internal/log/journal"
+	"knapweedspur/internal/standin/storekeeper"
+	"knapweedspur/internal/wire/work"
+	"knapweedspur/internal/work/follower"
+	"knapweedspur/internal/work/keeper"
+	"knapweedspur/internal/work/leader"
+	"knapweedspur/internal/work/planner"
+)
+
+// links takes what a leader sends.
+type links struct {
+	mu     sync.Mutex
+	grants map[string]*work.Grant
+	orders map[string][]*work.Orders
+	hello  *work.Hello
+}
+
+func (l *links) SendOrders(vm string, o *work.Orders) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.orders[vm] = append(l.orders[vm], o)
+}
+
+func (l *links) SendGrant(vm string, g *work.Grant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.grants[vm] = g
+}
+
+func (l *links) Hellos() []*work.Hello {
+	if l.hello == nil {
+		return nil
+	}
+	return []*work.Hello{l.hello}
+}
+
+func (l *links) Announce() {}
+
+func (l *links) grant(vm string) *work.Grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.grants[vm]
+}
+
+// entry is the part of an entry that follows and leads.
+type entry struct {
+	leader   *leader.Leader
+	follower *follower.Follower
+	links    *links
+	stop     context.CancelFunc
+}
+
+// silentNet is a network on which nobody answers, and nobody refuses.
+type silentNet struct{}
+
+func (silentNet) RoundTrip(r *http.Request) (*http.Response, error) {
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+// virtual is a clock in the time of the test.
+func virtual() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
+func start(t *testing.T, log journal.Journal, name string) *entry {
+	e := &entry{links: &links{grants: map[string]*work.Grant{}, orders: map[string][]*work.Orders{}}}
+	e.leader = &leader.Leader{
+		Journal: log, Links: e.links, Logger: hclog.NewNullLogger(), Name: name, Life: name + "-1",
+		Address: netip.MustParseAddrPort("127.0.0.1:1"), Strength: 1, MaxCall: 1 << 20,
+		Settings: planner.Settings{MaxLease: 6 * time.Second, FarFactor: 2}, Client: &http.Client{Transport: silentNet{}},
+	}
+	e.follower = &follower.Follower{Journal: log, Logger: hclog.NewNullLogger(), Observer: e.leader, Clock: virtual}
+	e.leader.Follower = e.follower
+	e.follower.Init()
+	e.leader.Init(time.Now())
+	ctx, stop := context.WithCancel(context.Background())
+	e.stop = stop
+	member := &work.Member{Name: name, Life: name + "-1", Seen: time.Now(), Strength: 1}
+	if _, err := log.Append(ctx, []journal.Record{keeper.MemberRecord(member)}, nil); err != nil {
+		t.Fatal(err)
+	}
+	go e.follower.Run(ctx)
+	go e.leader.Run(ctx)
+	return e
+}
+
+func (e *entry) end() {
+	e.stop()
+	<-e.leader.Done
+	<-e.follower.Done
+}
+
+// leads waits until claims have been decided, and returns the entry that leads.
+func leads(t *testing.T, entries ...*entry) *entry {
+	time.Sleep(3 * time.Second)
+	var found *entry
+	for _, e := range entries {
+		switch {
+		case e.leader.Leading() == 0:
+		case found != nil:
+			t.Error("two entries lead")
+		default:
+			found = e
+		}
+	}
+	if found == nil {
+		t.Fatal("nobody leads")
+	}
+	return found
+}
+
+func TestOneEntryLeadsAndAnotherTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		a, b := start(t, log, "a"), start(t, log, "b")
+		first := leads(t, a, b)
+		second := a
+		if first == a {
+			second = b
+		}
+		time.Sleep(5 * time.Second)
+		if second.leader.Leading() != 0 {
+			t.Fatal("both lead")
+		}
+		before := first.leader.Leading()
+		first.end()
+		leads(t, second)
+		if after := second.leader.Leading(); after <= before {
+			t.Errorf("epoch %d after %d", after, before)
+		}
+		second.end()
+	})
+}
+
+func TestAResignedLeadIsTakenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		a, b := start(t, log, "a"), start(t, log, "b")
+		first := leads(t, a, b)
+		first.leader.Resign()
+		time.Sleep(700 * time.Millisecond)
+		if a.leader.Leading() == 0 && b.leader.Leading() == 0 {
+			t.Error("nobody leads 700 ms after the leader resigned")
+		}
+		a.end()
+		b.end()
+	})
+}
+
+func TestALeaderThatWasOvertakenReleasesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		a := start(t, log, "a")
+		leads(t, a)
+		// Another writer claims a higher term behind the leader's back.
+		writer := &journal.Writer{Name: "leader", Epoch: a.leader.Leading() + 1<<20}
+		term := &work.Term{Leader: "x", Life: "x-1", Epoch: writer.Epoch}
+		if _, err := log.Append(t.Context(), []journal.Record{keeper.TermRecord(term)}, writer); err != nil {
+			t.Fatal(err)
+		}
+		a.leader.With(func(b *planner.Book, now time.Time) {
+			b.Hello(&work.Hello{Vitals: work.Vitals{VM: "vm", Born: 1, Pool: "pool"}, Agent: "agent"}, now)
+		})
+		time.Sleep(500 * time.Millisecond)
+		if g := a.links.grant("vm"); g != nil {
+			t.Errorf("a fenced leader granted %+v", g)
+		}
+		a.end()
+	})
+}
+
+func TestAnAnswerThatIsLostChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		a := start(t, log, "a")
+		leads(t, a)
+		log.SetFaults(storekeeper.Faults{Lose: true})
+		a.leader.With(func(b *planner.Book, now time.Time) {
+			b.Hello(&work.Hello{Vitals: work.Vitals{VM: "vm", Born: 1, Pool: "pool"}, Agent: "agent"}, now)
+		})
+		time.Sleep(time.Second)
+		if g := a.links.grant("vm"); g != nil {
+			t.Errorf("granted %+v before the log confirmed", g)
+		}
+		log.SetFaults(storekeeper.Faults{})
+		time.Sleep(time.Second)
+		want := &work.Grant{VM: "vm", Born: 1, Fence: 1}
+		if diff := cmp.Diff(want, a.links.grant("vm")); diff != "" {
+			t.Errorf("grant (-want +got):\n%s", diff)
+		}
+		a.end()
+	})
+}
+
+func TestAnOutageForAllMovesNoLead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		a, b := start(t, log, "a"), start(t, log, "b")
+		first := leads(t, a, b)
+		before := first.leader.Leading()
+		log.SetFaults(storekeeper.Faults{Down: true})
+		time.Sleep(6 * time.Second)
+		log.SetFaults(storekeeper.Faults{})
+		time.Sleep(3 * time.Second)
+		if after := first.leader.Leading(); after != before {
+			t.Errorf("term %d became %d in an outage of the log for all", before, after)
+		}
+		a.end()
+		b.end()
+	})
+}
+
+func TestAViewIsBuiltAnewWhenTheLogForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		job := &work.Job{ID: "0000000000000001", Steps: []work.Step{{Tasks: 1}}}
+		if _, err := log.Append(t.Context(), []journal.Record{keeper.JobRecord(job)}, nil); err != nil {
+			t.Fatal(err)
+		}
+		a := start(t, log, "a")
+		leads(t, a)
+		log.SetFaults(storekeeper.Faults{Down: true})
+		time.Sleep(time.Second)
+		log.SetFaults(storekeeper.Faults{})
+		second := &work.Job{ID: "0000000000000002", Steps: []work.Step{{Tasks: 1}}}
+		if _, err := log.Append(t.Context(), []journal.Record{keeper.JobRecord(second)}, nil); err != nil {
+			t.Fatal(err)
+		}
+		log.Forget()
+		time.Sleep(2 * time.Second)
+		var known []bool
+		a.follower.View(func(state *keeper.State, _ time.Duration) {
+			known = []bool{state.Jobs[job.ID].Known(), state.Jobs[second.ID].Known()}
+		})
+		if diff := cmp.Diff([]bool{true, true}, known); diff != "" {
+			t.Errorf("jobs in the view (-want +got):\n%s", diff)
+		}
+		leads(t, a)
+		a.end()
+	})
+}
