--- /dev/null
+++ b/internal/side/pacer/pacer_test.go
@@ -0,0 +1,124 @@
+package pacer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedspur/internal/wire/work"
+)
+
+// vm plays a VM with one serving task whose load comes from its own and from
+// the fillers beside it.
+type vm struct {
+	own     float64
+	weights map[string]float64
+	starts  map[string]work.Start
+	paces   map[string]int
+	pacer   *Pacer
+	now     time.Duration
+	over    time.Duration
+	longest time.Duration
+}
+
+const (
+	target   = 40 * time.Millisecond
+	capacity = 64_000
+	size     = 8_000
+)
+
+func newVM(own float64, weights map[string]float64) *vm {
+	v := &vm{own: own, weights: weights, starts: map[string]work.Start{"feed": {Task: "feed", Target: target, Serves: true, Image: "feed"}}, paces: map[string]int{}, pacer: New()}
+	v.pacer.Harm = 4 * time.Second
+	for image := range weights {
+		v.starts[image] = work.Start{Task: image, Run: 1, Fills: true, Image: image, Millis: size}
+		v.paces[image] = full
+	}
+	return v
+}
+
+// ratio is the tail latency against the objective, by the load of a queue.
+func (v *vm) ratio() float64 {
+	load := v.own
+	for image, weight := range v.weights {
+		load += weight * float64(v.paces[image]) / full * size / capacity
+	}
+	return 0.2 / (1 - min(load, 0.99))
+}
+
+// step lets a poll pass.
+func (v *vm) step() {
+	v.now += 250 * time.Millisecond
+	active := []work.Active{{Task: "feed", Run: 1, Percent: 100, Gauge: v.ratio() * float64(target.Milliseconds())}}
+	for image := range v.weights {
+		active = append(active, work.Active{Task: image, Run: 1, Gauge: float64(v.paces[image]) / full * size})
+	}
+	for run, pace := range v.pacer.Decide(active, v.starts, work.Size{Millis: capacity}, v.now) {
+		v.paces[run.Task] = pace
+	}
+	if v.ratio() > 1 {
+		v.over += 250 * time.Millisecond
+		v.longest = max(v.longest, v.over)
+	} else {
+		v.over = 0
+	}
+}
+
+func TestOnlyThePressingFillerIsSlowed(t *testing.T) {
+	v := newVM(0.45, map[string]float64{"hot": 3.5, "mild": 0.1})
+	v.pacer.Learn([]work.Press{{Fill: "hot", Serve: "feed", Weight: 3.5}, {Fill: "mild", Serve: "feed", Weight: 0.1}})
+	for range 20 {
+		v.step()
+	}
+	if v.paces["mild"] < 90 {
+		t.Errorf("the harmless filler works at %d %%", v.paces["mild"])
+	}
+	if v.paces["hot"] < 40 || v.paces["hot"] > 90 {
+		t.Errorf("the pressing filler works at %d %%", v.paces["hot"])
+	}
+	if v.ratio() > 1 {
+		t.Errorf("the serving task is at %.2f of its objective", v.ratio())
+	}
+}
+
+// The load of a serving task may rise while fillers are at work.
+func TestARisingLoadIsFollowed(t *testing.T) {
+	v := newVM(0.2, map[string]float64{"hot": 3.5})
+	v.pacer.Learn([]work.Press{{Fill: "hot", Serve: "feed", Weight: 3.5}})
+	for range 60 {
+		v.own = min(v.own+0.01, 0.7)
+		v.step()
+	}
+	if v.longest > time.Second {
+		t.Errorf("over its objective for %s", v.longest)
+	}
+	for range 40 {
+		v.own = max(v.own-0.02, 0.2)
+		v.step()
+	}
+	if v.paces["hot"] < 80 {
+		t.Errorf("the filler works at %d %% after the load fell", v.paces["hot"])
+	}
+}
+
+// A hunt broke "harm" with this: the model took a pair for harmless that was not.
+func TestAWrongModelDoesNoHarm(t *testing.T) {
+	v := newVM(0.5, map[string]float64{"hot": 4})
+	v.pacer.Learn([]work.Press{{Fill: "hot", Serve: "feed", Weight: 0}})
+	for range 80 {
+		v.step()
+	}
+	if v.longest > 3*time.Second {
+		t.Errorf("over its objective for %s, the limit is 4 s", v.longest)
+	}
+}
+
+func TestFillersWorkInFullWhereNothingServes(t *testing.T) {
+	p := New()
+	starts := map[string]work.Start{"x": {Task: "x", Run: 1, Fills: true, Image: "x", Millis: size}}
+	changes := p.Decide([]work.Active{{Task: "x", Run: 1, Gauge: size}}, starts, work.Size{Millis: capacity}, time.Second)
+	if diff := cmp.Diff(map[work.Stop]int{}, changes); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
--- a/internal/side/warden/order.go
+++ b/internal/side/warden/order.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"knapweedspur/internal/clock/booter"
 	"knapweedspur/internal/side/executor"
 	"knapweedspur/internal/wire/work"
 )
@@ -118,7 +117,7 @@
 func (w *Warden) carryOut(ctx context.Context, call executor.StartCall, run work.Stop) {
 	w.slots <- struct{}{}
 	defer func() { <-w.slots }()
-	began := booter.Now()
+	began := w.Clock()
 	rejection, err := w.Worker.Start(ctx, call)
 	switch {
 	case ctx.Err() != nil:
@@ -126,7 +125,7 @@
 	case errors.Is(err, executor.ErrReborn):
 		w.settle(call.Call, run, "reborn")
 	case err != nil:
-		w.Logger.Warn("start without an answer", "task", run.Task, "run", run.Run, "error", err.Error(), "took", (booter.Now() - began).String())
+		w.Logger.Warn("start without an answer", "task", run.Task, "run", run.Run, "error", err.Error(), "took", (w.Clock() - began).String())
 		if w.stop(ctx, call.Call, run) {
 			w.await(ctx, call.Call, run, "unanswered")
 		}
@@ -148,7 +147,7 @@
 		return
 	}
 	delete(w.pending, run)
-	w.answered = booter.Now()
+	w.answered = w.Clock()
 	for i := range w.active {
 		if w.active[i].Task == run.Task && w.active[i].Run == run.Run {
 			return
@@ -166,7 +165,7 @@
 // over if they do not.
 func (w *Warden) await(ctx context.Context, call executor.Call, run work.Stop, reason string) {
 	w.mu.Lock()
-	since := booter.Now()
+	since := w.Clock()
 	w.mu.Unlock()
 	for ctx.Err() == nil {
 		pause(ctx, listWait)
@@ -222,7 +221,7 @@
 		return
 	}
 	w.mu.Lock()
-	changes := w.Pacer.Decide(w.active, w.starts, w.vitals.Size, booter.Now())
+	changes := w.Pacer.Decide(w.active, w.starts, w.vitals.Size, w.Clock())
 	call := w.call()
 	w.mu.Unlock()
 	for run, percent := range changes {
--- a/internal/side/warden/warden.go
+++ b/internal/side/warden/warden.go
@@ -44,6 +44,9 @@
 	MaxLease time.Duration
 	// Pacer decides at which share runs work that fill.
 	Pacer Pacer
+	// Clock is the time since boot, Steady the same without the time that the
+	// VM was suspended; Init sets those of the VM where they are nil.
+	Clock, Steady func() time.Duration
 	// Changed is called when there is something new to report.
 	Changed func()
 	// Done is closed when Run has returned.
@@ -109,6 +112,9 @@
 // Init prepares the warden. It must be called before any other method.
 func (w *Warden) Init() {
 	w.Done = make(chan struct{})
+	if w.Clock == nil {
+		w.Clock, w.Steady = booter.Now, booter.Steady
+	}
 	w.signal = make(chan struct{}, 1)
 	w.slots = make(chan struct{}, parallel)
 	w.reset()
@@ -124,7 +130,7 @@
 	w.clock, w.promised, w.evidence = mapping{}, 0, 0
 	w.seen, w.lapsed = 0, false
 	w.session = session{}
-	w.answered = booter.Now()
+	w.answered = w.Clock()
 }
 
 // Announce takes a heartbeat of the worker.
@@ -220,7 +226,7 @@
 	if epoch == w.epoch {
 		r.Handled = w.handled
 	}
-	if silent := booter.Now() - w.answered; silent > pollWait+seenPause {
+	if silent := w.Clock() - w.answered; silent > pollWait+seenPause {
 		r.Mute = silent
 	}
 	if w.session.current == 0 {
@@ -247,19 +253,19 @@
 func (w *Warden) Run(ctx context.Context) {
 	defer close(w.Done)
 	for ctx.Err() == nil {
-		call, sync, ok := w.nextHold(booter.Now())
+		call, sync, ok := w.nextHold(w.Clock())
 		if !ok {
 			w.sleep(ctx, pollWait)
 			continue
 		}
-		sent := booter.Now()
+		sent := w.Clock()
 		state, err := w.Worker.Hold(ctx, call)
 		if err != nil {
 			w.holdFailed(call, err)
 			w.sleep(ctx, retryPause)
 			continue
 		}
-		if w.holdDone(call, state, sync, sent, booter.Now()) {
+		if w.holdDone(call, state, sync, sent, w.Clock()) {
 			w.sleep(ctx, seenPause)
 		}
 		w.pace(ctx)
@@ -294,7 +300,7 @@
 	if len(w.ends) > 0 {
 		call.Wait = 0
 	}
-	if w.clock.sent == 0 || booter.Suspended()-w.clock.suspended > time.Millisecond {
+	if w.clock.sent == 0 || (w.Clock()-w.Steady())-w.clock.suspended > time.Millisecond {
 		// The clocks must be compared anew before a lease is extended.
 		call.Wait = 0
 		return call, false, true
@@ -313,7 +319,7 @@
 	if w.evidence == 0 || w.lapsed {
 		return 0
 	}
-	if booter.Now()-w.answered > muteLimit {
+	if w.Clock()-w.answered > muteLimit {
 		// A worker that does not answer gets no longer lease, so that its
 		// tasks can go on elsewhere soon.
 		return w.promised
@@ -339,10 +345,10 @@
 	if call.Fence != w.session.fence {
 		return
 	}
-	now := booter.Now()
+	now := w.Clock()
 	if now-w.answered > pollWait && !w.lapsed && w.clock.came > 0 {
 		left := time.Duration(float64(w.promised-w.clock.worker) * (1 + clockDrift))
-		if booter.Steady() > w.clock.steady+left+lapseSlack {
+		if w.Steady() > w.clock.steady+left+lapseSlack {
 			w.Logger.Warn("lease over on a worker that does not answer", "vm", call.VM, "fence", call.Fence, "silent", (now - w.answered).String(), "error", err.Error())
 			w.lapsed = true
 		}
@@ -362,7 +368,7 @@
 	}
 	w.answered = came
 	// A long wait would blur the comparison of the clocks.
-	w.clock = mapping{worker: state.Clock, sent: came - min(came-sent, pollWait/10), came: came, steady: booter.Steady(), suspended: booter.Suspended()}
+	w.clock = mapping{worker: state.Clock, sent: came - min(came-sent, pollWait/10), came: came, steady: w.Steady(), suspended: (w.Clock() - w.Steady())}
 	if call.Wait == 0 {
 		w.clock.sent = sent
 	}
