Write clients' records with the leader's; keep what was learned in the log

And each new leader began to learn interference anew. Change: entries hand records to the leader, which writes all that came in one append with the placements that follow; without a leader they append directly. What was learned is written every 2 s.

--- a/internal/front/acceptor/acceptor.go
+++ b/internal/front/acceptor/acceptor.go
@@ -16,6 +16,7 @@
 	"knapweedspur/internal/wire/work"
 	"knapweedspur/internal/work/follower"
 	"knapweedspur/internal/work/keeper"
+	"knapweedspur/internal/work/leader"
 )
 
 const (
@@ -28,6 +29,9 @@
 	// comeBack is when a refused client may return: other entries may reach
 	// the log already.
 	comeBack = time.Second
+	// offerLimit is how long the leader may take to write a record. It is well
+	// under the time that clients wait, so that a direct append can follow.
+	offerLimit = 1100 * time.Millisecond
 	// refusedTries are the tries of an append that the log refuses.
 	refusedTries = 3
 	// refusedPause is the pause between them.
@@ -45,10 +49,17 @@
 	Running = "running"
 )
 
+// Writer brings records into the log with those of the leader.
+type Writer interface {
+	Write(ctx context.Context, records []journal.Record) error
+}
+
 // Acceptor answers clients.
 type Acceptor struct {
-	Journal   journal.Journal
-	Follower  *follower.Follower
+	Journal  journal.Journal
+	Follower *follower.Follower
+	// Leader writes records together with its own.
+	Leader    Writer
 	Cataloger *cataloger.Cataloger
 	// ConfigAge tells how old the knowledge of the configuration is.
 	ConfigAge func() time.Duration
@@ -125,6 +136,12 @@
 		return refuse("the log is out of reach from here")
 	}
 	began, unknown, refusals := time.Now(), false, 0
+	switch err := a.throughLeader(ctx, record); {
+	case err == nil:
+		return nil
+	case !leader.Unwritten(err):
+		unknown = true
+	}
 	for {
 		_, err := a.Journal.Append(ctx, []journal.Record{record}, nil)
 		if err == nil {
@@ -145,6 +162,14 @@
 	}
 }
 
+// throughLeader offers a record to the leader. Whatever became of it, the
+// record may be appended again: it says the same.
+func (a *Acceptor) throughLeader(ctx context.Context, record journal.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, offerLimit)
+	defer cancel()
+	return a.Leader.Write(ctx, []journal.Record{record})
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/internal/site/assembler/entry.go
+++ b/internal/site/assembler/entry.go
@@ -89,7 +89,7 @@
 	e.board = &switchboard.Switchboard{Follower: e.follower, Leader: e.leader, Logger: logger}
 	e.leader.Follower, e.leader.Links = e.follower, e.board
 	e.acceptor = &acceptor.Acceptor{
-		Journal: e.work, Follower: e.follower, Cataloger: catalog, ConfigAge: e.watcher.Age,
+		Journal: e.work, Follower: e.follower, Leader: e.leader, Cataloger: catalog, ConfigAge: e.watcher.Age,
 		Logger: logger, MaxRecord: s.MaxRecord,
 	}
 	e.follower.Init()
@@ -101,6 +101,7 @@
 func (e *entry) start(context.Context) error {
 	peers := mux.NewRouter()
 	peers.Handle(carrier.Path, e.board)
+	peers.HandleFunc(leader.OfferPath, e.leader.ServeOffer).Methods(http.MethodPost)
 	peers.HandleFunc(leader.LifePath, e.leader.ServeLife).Methods(http.MethodGet)
 	handlers := []struct {
 		address netip.AddrPort
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -77,6 +77,21 @@
 	Task string `json:"task" cbor:"task" yaml:"task"`
 }
 
+// A record with its key.
+type Entry struct {
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key" cbor:"key" yaml:"key"`
+
+	// Value corresponds to the JSON schema field "value".
+	Value []byte `json:"value" cbor:"value" yaml:"value"`
+}
+
+// What a leader has learned of tasks.
+type Estimates struct {
+	// Pairs corresponds to the JSON schema field "pairs".
+	Pairs []Pair `json:"pairs" cbor:"pairs" yaml:"pairs"`
+}
+
 // The answer to a heartbeat: what the entry's view of the log says.
 type Evidence struct {
 	// Age of the view.
@@ -171,6 +186,12 @@
 	Strength float64 `json:"strength" cbor:"strength" yaml:"strength"`
 }
 
+// Records that an entry asks the leader to write.
+type Offer struct {
+	// Records corresponds to the JSON schema field "records".
+	Records []Entry `json:"records" cbor:"records" yaml:"records"`
+}
+
 // What the leader wants of a VM.
 type Orders struct {
 	// Epoch corresponds to the JSON schema field "epoch".
@@ -231,6 +252,18 @@
 	Report *Report `json:"report,omitempty,omitzero" cbor:"report,omitempty" yaml:"report,omitempty"`
 }
 
+// What is known of a kind that fills beside a kind that serves.
+type Pair struct {
+	// Fill corresponds to the JSON schema field "fill".
+	Fill string `json:"fill" cbor:"fill" yaml:"fill"`
+
+	// Serve corresponds to the JSON schema field "serve".
+	Serve string `json:"serve" cbor:"serve" yaml:"serve"`
+
+	// Rise of the load of the serving task, for each VM filled.
+	Weight float64 `json:"weight" cbor:"weight" yaml:"weight"`
+}
+
 // Effect of a kind of task that fills on a kind that serves.
 type Press struct {
 	// Fill corresponds to the JSON schema field "fill".
@@ -539,12 +572,18 @@
 	// Cancel corresponds to the JSON schema field "cancel".
 	Cancel *Cancel `json:"cancel,omitempty,omitzero" cbor:"cancel,omitempty" yaml:"cancel,omitempty"`
 
+	// Estimates corresponds to the JSON schema field "estimates".
+	Estimates *Estimates `json:"estimates,omitempty,omitzero" cbor:"estimates,omitempty" yaml:"estimates,omitempty"`
+
 	// Job corresponds to the JSON schema field "job".
 	Job *Job `json:"job,omitempty,omitzero" cbor:"job,omitempty" yaml:"job,omitempty"`
 
 	// Member corresponds to the JSON schema field "member".
 	Member *Member `json:"member,omitempty,omitzero" cbor:"member,omitempty" yaml:"member,omitempty"`
 
+	// Offer corresponds to the JSON schema field "offer".
+	Offer *Offer `json:"offer,omitempty,omitzero" cbor:"offer,omitempty" yaml:"offer,omitempty"`
+
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *Outcome `json:"outcome,omitempty,omitzero" cbor:"outcome,omitempty" yaml:"outcome,omitempty"`
 
--- a/internal/work/estimator/interference.go
+++ b/internal/work/estimator/interference.go
@@ -3,6 +3,15 @@
 // how fast VMs are.
 package estimator
 
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+
+	"knapweedspur/internal/wire/work"
+)
+
 const (
 	// idleRatio is the ratio of tail latency to objective of a serving task
 	// without load. It sets the scale of Load.
@@ -35,6 +44,25 @@
 // NewInterference returns an estimator that knows nothing.
 func NewInterference() *Interference { return &Interference{weights: map[pair]float64{}} }
 
+// Load takes what an earlier estimator had learned.
+func (e *Interference) Load(pairs []work.Pair) {
+	for _, p := range pairs {
+		e.weights[pair{p.Fill, p.Serve}] = max(0, min(p.Weight, maxWeight))
+	}
+}
+
+// Pairs returns what was learned, in a fixed order.
+func (e *Interference) Pairs() []work.Pair {
+	pairs := make([]work.Pair, 0, len(e.weights))
+	for p, w := range e.weights {
+		pairs = append(pairs, work.Pair{Fill: p.fill, Serve: p.serve, Weight: math.Round(w*100) / 100})
+	}
+	slices.SortFunc(pairs, func(a, b work.Pair) int {
+		return cmp.Or(strings.Compare(a.Fill, b.Fill), strings.Compare(a.Serve, b.Serve))
+	})
+	return pairs
+}
+
 // Weight returns by how much the load of the one kind rises for each VM's
 // worth of the other.
 func (e *Interference) Weight(fill, serve string) float64 {
--- a/internal/work/keeper/keeper.go
+++ b/internal/work/keeper/keeper.go
@@ -23,6 +23,8 @@
 	sessionKey  = "v/"
 	memberKey   = "m/"
 	termKey     = "t"
+
+	estimatesKey = "w"
 )
 
 // The states of a job that ended.
@@ -67,6 +69,8 @@
 	Sessions map[string]*work.Session
 	Members  map[string]*work.Member
 	Term     *work.Term
+	// Estimates is what the leaders have learned, nil for nothing.
+	Estimates *work.Estimates
 	// Next is the offset of the first record that is not in the state.
 	Next int64
 }
@@ -81,6 +85,9 @@
 	if r.Key == termKey {
 		return applyTo(r, func(v *work.WorkRecord) { s.Term = v.Term })
 	}
+	if r.Key == estimatesKey {
+		return applyTo(r, func(v *work.WorkRecord) { s.Estimates = v.Estimates })
+	}
 	if len(r.Key) < len(jobKey) {
 		return trace.BadParameter("record at offset %d has the unknown key %q", r.Offset, r.Key)
 	}
@@ -162,6 +169,30 @@
 	return journal.Record{Key: key, Value: data}
 }
 
+// DecodeClient reads a record that a client caused: a job or a cancellation.
+func DecodeClient(r journal.Record) (id string, job *work.Job, cancel bool, err error) {
+	if len(r.Key) <= len(jobKey) {
+		return "", nil, false, trace.BadParameter("key %q is not of a client's record", r.Key)
+	}
+	var v work.WorkRecord
+	if err := encoder.Decode(r.Value, &v); err != nil {
+		return "", nil, false, trace.Wrap(err)
+	}
+	id = r.Key[len(jobKey):]
+	switch {
+	case strings.HasPrefix(r.Key, jobKey) && v.Job != nil && v.Job.ID == id:
+		return id, v.Job, false, nil
+	case strings.HasPrefix(r.Key, cancelKey) && v.Cancel != nil:
+		return id, nil, true, nil
+	}
+	return "", nil, false, trace.BadParameter("key %q is not of a client's record", r.Key)
+}
+
+// EstimatesRecord returns the record of what a leader has learned.
+func EstimatesRecord(e *work.Estimates) journal.Record {
+	return record(estimatesKey, &work.WorkRecord{Estimates: e})
+}
+
 // JobRecord returns the record of an accepted job.
 func JobRecord(j *work.Job) journal.Record {
 	return record(jobKey+j.ID, &work.WorkRecord{Job: j})
--- a/internal/work/leader/leader.go
+++ b/internal/work/leader/leader.go
@@ -95,6 +95,7 @@
 	writer   *journal.Writer
 	kick     chan struct{}
 	resigned bool
+	offers   []*offer
 	// dead is the life of a leader that is known to have ended.
 	dead string
 	// waitUntil is when this entry may claim again.
@@ -357,12 +358,13 @@
 			return
 		}
 		now := time.Now()
-		batch := l.pass(now)
+		batch, offers := l.pass(now)
 		if batch == nil {
+			settle(offers, ErrLeadLost)
 			return
 		}
 		if l.isResigned() {
-			l.handOver(ctx, batch)
+			l.handOver(ctx, batch, offers)
 			return
 		}
 		if len(batch.Records) == 0 && now.Sub(lastWrite) > signEvery {
@@ -370,27 +372,36 @@
 		}
 		if len(batch.Records) > 0 {
 			if !l.write(ctx, batch.Records) {
+				settle(offers, ErrLeadLost)
 				return
 			}
 			lastWrite = now
 		}
+		settle(offers, nil)
 		l.release(batch)
 	}
 }
 
 // pass plans once. It returns nil when the lead is over.
-func (l *Leader) pass(now time.Time) *planner.Batch {
+func (l *Leader) pass(now time.Time) (*planner.Batch, []*offer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.book == nil {
-		return nil
+		offers := l.offers
+		l.offers = nil
+		return nil, offers
 	}
 	if unheard, total := l.book.Unheard(now, isolation); total > 2 && 2*unheard > total {
 		l.stepDown("most agents are not heard here", abstain)
-		return nil
+		offers := l.offers
+		l.offers = nil
+		return nil, offers
 	}
+	records, offers := l.takeOffers(now)
 	l.book.Tick(now)
-	return l.book.Flush()
+	batch := l.book.Flush()
+	batch.Records = append(records, batch.Records...)
+	return batch, offers
 }
 
 // isolation is how long most agents may be unheard until the leader takes
@@ -404,10 +415,13 @@
 }
 
 // handOver writes what was decided last and opens the lead to the others.
-func (l *Leader) handOver(ctx context.Context, batch *planner.Batch) {
+func (l *Leader) handOver(ctx context.Context, batch *planner.Batch, offers []*offer) {
 	term := keeper.TermRecord(&work.Term{Epoch: l.epoch})
 	if l.write(ctx, append(batch.Records, term)) {
+		settle(offers, nil)
 		l.release(batch)
+	} else {
+		settle(offers, ErrLeadLost)
 	}
 	l.mu.Lock()
 	l.stepDown("resigned", 0)
--- a/internal/work/planner/book.go
+++ b/internal/work/planner/book.go
@@ -37,6 +37,8 @@
 	interference *estimator.Interference
 	// learned is when latencies were last learned from.
 	learned time.Time
+	// saved is when the log last got what was learned.
+	saved time.Time
 	// relocated is when fillers were last moved.
 	relocated time.Time
 
@@ -135,6 +137,9 @@
 		dirty: map[*step]bool{}, orders: map[string]*work.Orders{}, grants: map[string]*work.Grant{},
 		interference: estimator.NewInterference(),
 	}
+	if state.Estimates != nil {
+		b.interference.Load(state.Estimates.Pairs)
+	}
 	for name, session := range state.Sessions {
 		v := b.vm(name)
 		v.session = *session
--- a/internal/work/planner/learn.go
+++ b/internal/work/planner/learn.go
@@ -3,13 +3,18 @@
 import (
 	"time"
 
+	"knapweedspur/internal/wire/work"
 	"knapweedspur/internal/work/estimator"
+	"knapweedspur/internal/work/keeper"
 )
 
 const (
 	// learnEvery is the interval at which latencies are learned from: half of
 	// the time that a figure covers.
 	learnEvery = 250 * time.Millisecond
+	// saveEvery is the interval at which the log gets what was learned, so that
+	// the next leader need not begin anew.
+	saveEvery = 2 * time.Second
 	// baseFloor keeps the weight of an undisturbed task finite.
 	baseFloor = 0.03
 )
@@ -40,6 +45,10 @@
 			}
 		}
 	}
+	if len(samples) > 0 && now.Sub(b.saved) > saveEvery {
+		b.saved = now
+		b.records = append(b.records, keeper.EstimatesRecord(&work.Estimates{Pairs: b.interference.Pairs()}))
+	}
 	for s, list := range samples {
 		s.load = b.ownLoad(s.spec.Image, list)
 		for i := range list {
