--- a/internal/work/planner/cost.go
+++ b/internal/work/planner/cost.go
@@ -17,7 +17,7 @@
 	// beyond, the agent slows fillers down.
 	loadLimit = 0.74
 	// usualLoad is assumed of a serving task that has less load now: it swings.
-	usualLoad = 0.4
+	usualLoad = 0.3
 	// leastRise keeps a pace finite.
 	leastRise = 0.001
 	// leastPace is the least share at which a filler is assumed to work.
