Soak the real programs on loopback under seeded faults

Cause: the users ask for a soak of the real programs, with faults from outside. Change: a stand-in of the log and of workers speak the platform's protocol; a proxy before the log delays, resets, cuts one way and silences; processes are killed, stopped, paused and started again; one checker keeps what clients and workers saw.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The only entry: `make` builds, `make test` checks, `make demo` shows.
-.PHONY: all build test race race-path fmt lint demo generate clean spec slopes bench mutate fuzz chaos
+.PHONY: all build test race race-path fmt lint demo generate clean spec slopes bench mutate fuzz chaos soak
 
 GO ?= go
 FUZZTIME ?= 10s
@@ -54,5 +54,10 @@
 	$(GO) test -run none -fuzz FuzzDecodeBatch -fuzztime $(FUZZTIME) ./internal/wire/encoder
 	$(GO) test -run none -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/config/parser
 
+SEED ?= 1
+SEEDS ?= 1
+soak: build
+	./bin/standin soak --seed $(SEED) --seeds $(SEEDS)
+
 chaos: build
 	./script/chaos
--- a/internal/standin/commander/commander.go
+++ b/internal/standin/commander/commander.go
@@ -20,6 +20,7 @@
 	Slope    slopeCommand    `cmd:"" help:"Measure what a process spends at one size."`
 	State    stateCommand    `cmd:"" help:"Measure the folded state of many tasks."`
 	Fit      fitCommand      `cmd:"" help:"Fit lines through measured sizes."`
+	Soak     soakCommand     `cmd:"" help:"Run the real programs on loopback under faults by a seed, and check the promises."`
 	Verify   verifyCommand   `cmd:"" help:"Check what workers and upstreams saw against the promises."`
 }
 
--- /dev/null
+++ b/internal/standin/commander/soak.go
@@ -0,0 +1,53 @@
+package commander
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"knapweedspur/internal/standin/soaker"
+)
+
+type soakCommand struct {
+	Binary  string        `help:"The program under test." default:"bin/knapweedspur"`
+	Seed    uint64        `help:"Seed of the first run." default:"1"`
+	Seeds   int           `help:"Number of runs, each with the next seed." default:"1"`
+	Length  time.Duration `help:"How long faults come." default:"15s"`
+	Entries int           `help:"Entry processes." default:"3"`
+	Agents  int           `help:"Agent processes." default:"4"`
+	Slot    int           `help:"Keeps soaks that run at the same time apart, 0 to 200." default:"0"`
+	Logs    string        `help:"Directory for logs of runs that break a promise." default:"report/soak"`
+}
+
+// Run plays the soak once for each seed. It fails if a promise was broken.
+func (c *soakCommand) Run(env *environment) error {
+	failed := 0
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds); seed++ {
+		logs := fmt.Sprintf("%s/%d", c.Logs, seed)
+		if err := os.MkdirAll(logs, 0o755); err != nil {
+			return trace.Wrap(err)
+		}
+		result, err := soaker.Run(soaker.Plan{Binary: c.Binary, Seed: seed, Length: c.Length, Entries: c.Entries, Agents: c.Agents, Slot: c.Slot, Logs: logs})
+		if err != nil {
+			return trace.Wrap(err, "seed %d", seed)
+		}
+		fmt.Fprintf(env.out, "seed %d: %d jobs, %d starts, %d faults, %d promises broken\n", seed, result.Jobs, result.Starts, result.Faults, len(result.Broken))
+		if len(result.Broken) == 0 {
+			if err := os.RemoveAll(logs); err != nil {
+				return trace.Wrap(err)
+			}
+			continue
+		}
+		failed++
+		fmt.Fprintf(env.out, "logs in %s\n", logs)
+		for _, b := range result.Broken {
+			fmt.Fprintln(env.out, "  ", b)
+		}
+	}
+	if failed > 0 {
+		return trace.Errorf("%d of %d seeds broke a promise", failed, c.Seeds)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/soaker/client.go
@@ -0,0 +1,118 @@
+package soaker
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// clientTimeout is how long a client waits for an answer.
+	clientTimeout = 3 * time.Second
+	// tries is how often a client sends a job.
+	tries = 5
+	// poll is how often a client asks for a state.
+	poll = 300 * time.Millisecond
+)
+
+// client submits one job, asks for its state, and sometimes cancels it. It
+// keeps its connection until the entry closes it.
+type client struct {
+	soak   *soak
+	http   *http.Client
+	random *rand.Rand
+	job    string
+	tasks  []string
+}
+
+func (c *client) run(ctx context.Context) {
+	count := 1 + c.random.IntN(4)
+	for i := range count {
+		c.tasks = append(c.tasks, fmt.Sprintf("%s.0.0.%d", c.job, i))
+	}
+	s := size{millis: 100 * (1 + c.random.IntN(10)), memory: 50}
+	c.soak.checker.mu.Lock()
+	c.soak.checker.sizes[c.job] = s
+	c.soak.checker.mu.Unlock()
+	body := fmt.Sprintf(`{"spec":"s","steps":[{"count":%d,"cpu":%d,"memMb":%d,"estDurationMs":500}]}`, count, s.millis, s.memory)
+	if !c.submit(ctx, body) {
+		return
+	}
+	cancel := c.random.IntN(8) == 0
+	for ctx.Err() == nil {
+		pause(ctx, poll)
+		if cancel && c.random.IntN(4) == 0 {
+			c.send(ctx, http.MethodDelete, "cancel", "")
+		}
+		status, answer := c.send(ctx, http.MethodGet, "state", "")
+		if status != http.StatusOK {
+			continue
+		}
+		var state struct {
+			State string `json:"state"`
+		}
+		if json.Unmarshal([]byte(answer), &state) != nil {
+			continue
+		}
+		c.soak.checker.state(c.job, state.State, c.tasks, time.Now())
+		if state.State == "completed" || state.State == "cancelled" {
+			return
+		}
+	}
+}
+
+// submit sends the job until it is accepted. A job that got nothing but
+// refusals must never run.
+func (c *client) submit(ctx context.Context, body string) bool {
+	refusals := 0
+	for range tries {
+		status, _ := c.send(ctx, http.MethodPost, "submit", body)
+		switch status {
+		case http.StatusOK:
+			return true
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			refusals++
+		}
+		pause(ctx, time.Duration(200+c.random.IntN(400))*time.Millisecond)
+	}
+	if refusals == tries {
+		c.soak.checker.refuse(c.job)
+	}
+	return false
+}
+
+// send calls an entry and returns the status, 0 for none.
+func (c *client) send(ctx context.Context, method, what, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	entry := c.soak.entries[c.random.IntN(len(c.soak.entries))]
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+entry.clients+"/q/"+c.job, strings.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	req.Host = "queue.example"
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(clientTimeout.Milliseconds()))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	c.soak.checker.answer(c.job, what, resp.StatusCode, time.Now())
+	return resp.StatusCode, string(data)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/standin/soaker/fault.go
@@ -0,0 +1,66 @@
+package soaker
+
+import (
+	"syscall"
+	"time"
+
+	"knapweedspur/internal/standin/disturber"
+	"knapweedspur/internal/standin/storekeeper"
+)
+
+// faultEvery is the mean time between faults; they last longer, so that they
+// overlap.
+const faultEvery = 900 * time.Millisecond
+
+// disturb injects faults until the length of the plan is over.
+func (s *soak) disturb() {
+	for began := time.Now(); time.Since(began) < s.plan.Length; {
+		s.fault()
+		time.Sleep(time.Duration(s.random.Int64N(int64(2 * faultEvery))))
+	}
+}
+
+// fault injects one fault and has it end after a while.
+func (s *soak) fault() {
+	s.faults++
+	all := s.processes()
+	p := all[s.random.IntN(len(all))]
+	last := time.Duration(300+s.random.IntN(4000)) * time.Millisecond
+	after := func(f func()) { time.AfterFunc(last, f) }
+	switch s.random.IntN(10) {
+	case 0, 1:
+		p.signal(syscall.SIGKILL)
+	case 2:
+		p.signal(syscall.SIGTERM)
+	case 3:
+		p.signal(syscall.SIGSTOP)
+		after(func() { p.signal(syscall.SIGCONT) })
+	case 4, 5:
+		p.proxy.Set(disturber.Mode(1 + s.random.IntN(int(disturber.Modes)-1)))
+		after(func() { p.proxy.Set(disturber.Pass) })
+	case 6:
+		faults := []storekeeper.Faults{{Down: true}, {Lose: true}, {Delay: 200 * time.Millisecond}}
+		s.store.SetFaults(faults[s.random.IntN(len(faults))])
+		after(func() { s.store.SetFaults(storekeeper.Faults{}) })
+	case 7:
+		s.store.Stream("keyed.work").Forget()
+	case 8:
+		s.workers[s.random.IntN(len(s.workers))].Begin(time.Now())
+	case 9:
+		w := s.workers[s.random.IntN(len(s.workers))]
+		w.SetMute(true)
+		after(func() { w.SetMute(false) })
+	}
+}
+
+// heal ends all faults.
+func (s *soak) heal() {
+	s.store.SetFaults(storekeeper.Faults{})
+	for _, p := range s.processes() {
+		p.signal(syscall.SIGCONT)
+		p.proxy.Set(disturber.Pass)
+	}
+	for _, w := range s.workers {
+		w.SetMute(false)
+	}
+}
--- /dev/null
+++ b/internal/standin/soaker/soaker.go
@@ -0,0 +1,271 @@
+// Package soaker runs the real programs as separate processes on loopback,
+// injects faults from outside by a seed, and checks the promises from what
+// clients and workers see.
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"knapweedspur/internal/log/journal"
+	"knapweedspur/internal/standin/disturber"
+	"knapweedspur/internal/standin/storekeeper"
+	"knapweedspur/internal/standin/taskworker"
+)
+
+// Plan is what a soak plays.
+type Plan struct {
+	// Binary is the program under test.
+	Binary string
+	// Seed fixes the faults.
+	Seed uint64
+	// Length is how long faults and new jobs come.
+	Length time.Duration
+	// Entries and Agents are the numbers of processes.
+	Entries, Agents int
+	// Slot keeps soaks that run at the same time on addresses of their own.
+	Slot int
+	// Logs is the directory for the logs and settings of the processes.
+	Logs string
+}
+
+const (
+	// settle is how long the system has to finish after the last fault: two
+	// leases, and the work.
+	settle = 25 * time.Second
+	// warmUp is how long it has before the first.
+	warmUp = 2 * time.Second
+	// port is used on each of the loopback addresses.
+	port = 7700
+	// workerMillis and workerMemory are the capacity of a worker.
+	workerMillis, workerMemory = 2000, 1000
+	// jobEvery is the mean time between jobs.
+	jobEvery = 120 * time.Millisecond
+	// restartAfter is when a process that ended is started again.
+	restartAfter = 300 * time.Millisecond
+)
+
+// soak is one run.
+type soak struct {
+	plan    Plan
+	random  *rand.Rand
+	checker *checker
+	store   *storekeeper.Keeper
+	entries []*process
+	agents  []*process
+	workers []*taskworker.Worker
+	done    chan struct{}
+	group   sync.WaitGroup
+	// faults counts the faults that were injected.
+	faults int
+}
+
+// process is one program under test.
+type process struct {
+	name    string
+	role    string
+	ip      string
+	clients string
+	env     string
+	log     *os.File
+	proxy   *disturber.Proxy
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	ending  bool
+}
+
+// Result is what a soak saw.
+type Result struct {
+	// Jobs were accepted, Starts were made, Faults were injected.
+	Jobs, Starts, Faults int
+	// Broken are the promises that were broken.
+	Broken []string
+}
+
+// Run plays a soak.
+func Run(plan Plan) (*Result, error) {
+	s := &soak{
+		plan: plan, random: rand.New(rand.NewPCG(plan.Seed, 1)), checker: newChecker(time.Now()),
+		store: storekeeper.NewKeeper(), done: make(chan struct{}),
+	}
+	if err := s.build(); err != nil {
+		return nil, err
+	}
+	defer s.end()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	time.Sleep(warmUp)
+	s.group.Go(func() { s.submit(ctx) })
+	s.disturb()
+	s.heal()
+	time.Sleep(settle)
+	cancel()
+	s.checker.finish(time.Now())
+	s.checker.mu.Lock()
+	defer s.checker.mu.Unlock()
+	result := &Result{Jobs: len(s.checker.accepted), Faults: s.faults, Broken: s.checker.broken}
+	for _, n := range s.checker.starts {
+		result.Starts += n
+	}
+	return result, nil
+}
+
+// address returns a loopback address of one kind and number.
+func (s *soak) address(kind, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d", s.plan.Slot+1, kind, number+1)
+}
+
+// build starts the store, the workers and the processes.
+func (s *soak) build() error {
+	config := `{"version":1,"routes":[{"name":"q","host":"queue.example","pathPrefix":"/q/","service":"pool","maxAttempts":3,"stretch":2,"latencyTargetMs":1000}],"services":[{"name":"pool"}],"limits":{}}`
+	if _, err := s.store.Stream("keyed.op").Append(context.Background(), []journal.Record{{Key: "config", Value: []byte(config)}}, nil); err != nil {
+		return err
+	}
+	store := fmt.Sprintf("%s:%d", s.address(0, 0), port)
+	if err := s.serve(store, s.store.Handler()); err != nil {
+		return err
+	}
+	for i := range s.plan.Entries {
+		p := &process{name: fmt.Sprintf("entry-%d", i), role: "entry", ip: s.address(1, i)}
+		p.clients = fmt.Sprintf("%s:%d", p.ip, port)
+		s.entries = append(s.entries, p)
+	}
+	for i := range s.plan.Agents {
+		p := &process{name: fmt.Sprintf("agent-%d", i), role: "agent", ip: s.address(2, i)}
+		s.agents = append(s.agents, p)
+		w := &taskworker.Worker{
+			Name: fmt.Sprintf("w%d", i), Agent: fmt.Sprintf("%s:%d", p.ip, port+2), Millis: workerMillis, Memory: workerMemory,
+			Observer: s.checker, Last: taskTime,
+		}
+		w.Begin(time.Now())
+		s.checker.limit[w.Name] = size{workerMillis, workerMemory}
+		s.workers = append(s.workers, w)
+		if err := s.serve(fmt.Sprintf("%s:%d", s.address(3, i), port), w); err != nil {
+			return err
+		}
+		s.group.Go(func() { w.Run(s.done) })
+	}
+	for i, p := range s.processes() {
+		if err := s.prepare(p, i, store); err != nil {
+			return err
+		}
+		if err := p.start(s.plan.Binary); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// taskTime is how long a task runs: between 0.2 and 1.5 s, by its name.
+func taskTime(task string) time.Duration {
+	sum := 0
+	for _, c := range task {
+		sum = sum*31 + int(c)
+	}
+	return time.Duration(200+(sum&0xffff)%1300) * time.Millisecond
+}
+
+func (s *soak) processes() []*process {
+	return append(append([]*process(nil), s.entries...), s.agents...)
+}
+
+func (s *soak) serve(address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: time.Second}
+	failed := make(chan error, 1)
+	go func() { failed <- server.ListenAndServe() }()
+	go func() {
+		<-s.done
+		_ = server.Close()
+	}()
+	select {
+	case err := <-failed:
+		return err
+	case <-time.After(50 * time.Millisecond):
+		return nil
+	}
+}
+
+// prepare writes the settings of a process and puts its proxy before the store.
+func (s *soak) prepare(p *process, number int, store string) error {
+	p.proxy = &disturber.Proxy{Target: store}
+	near := fmt.Sprintf("%s:%d", s.address(4, number), port)
+	if err := p.proxy.Listen(near); err != nil {
+		return err
+	}
+	listen := fmt.Sprintf(`"front":"%s:%d","ready":"%s:%d"`, p.ip, port, p.ip, port+1)
+	if p.role == "agent" {
+		listen = fmt.Sprintf(`"control":"%s:%d"`, p.ip, port+2)
+	}
+	settings := fmt.Sprintf(`{"node":"%s","ip":"%s","zone":"z","listen":{%s},"portRange":[%d,%d],"app":"%s:%d","platform":{"addr":"%s","recordBytes":262144,"callBytes":2097152},"limits":{"cpuShare":0.4},"bounds":{"holdMaxMs":6000,"graceS":6,"farFactor":2,"harmMs":4000}}`,
+		p.name, p.ip, listen, port+10, port+20, s.address(3, max(number-s.plan.Entries, 0)), port, near)
+	path := filepath.Join(s.plan.Logs, p.name+".json")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	p.env = "KNAPWEEDSPUR_NODE_FILE=" + path
+	log, err := os.Create(filepath.Join(s.plan.Logs, p.name+".log"))
+	p.log = log
+	return err
+}
+
+// start starts a process, and again whenever it ends, until the soak is over.
+func (p *process) start(binary string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ending {
+		return nil
+	}
+	p.cmd = exec.Command(binary, "site", p.role)
+	p.cmd.Env = append(os.Environ(), p.env)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	go func(cmd *exec.Cmd) {
+		_ = cmd.Wait() // how it ended is in its log
+		time.Sleep(restartAfter)
+		_ = p.start(binary) // a failure shows as a process that is missing
+	}(p.cmd)
+	return nil
+}
+
+// signal sends a signal to the process that the soak started.
+func (p *process) signal(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(signal) // it may have ended already
+}
+
+// submit sends jobs until the faults end.
+func (s *soak) submit(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.plan.Seed, 2))
+	for began := time.Now(); time.Since(began) < s.plan.Length; {
+		c := &client{soak: s, http: &http.Client{Transport: &http.Transport{}}, random: rand.New(rand.NewPCG(random.Uint64(), 3)), job: fmt.Sprintf("%016x", random.Uint64())}
+		s.group.Go(func() { c.run(ctx) })
+		pause(ctx, time.Duration(random.Int64N(int64(2*jobEvery))))
+	}
+}
+
+// end ends the processes that the soak started.
+func (s *soak) end() {
+	for _, p := range s.processes() {
+		p.mu.Lock()
+		p.ending = true
+		if p.cmd != nil && p.cmd.Process != nil {
+			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+			_ = p.cmd.Process.Kill()
+		}
+		p.mu.Unlock()
+		p.proxy.Close()
+	}
+	close(s.done)
+	s.group.Wait()
+}
