Never call a job unrun that may still get into the log; name causes in errors

Change: an entry remembers for 30 s what may still be taken, and answers 504. Errors of calls say their cause. Measured: the new test fails without the change.

--- a/internal/front/acceptor/acceptor.go
+++ b/internal/front/acceptor/acceptor.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,9 @@
 	refusedPause = 60 * time.Millisecond
 	// unknownLimit bounds the tries of an append without an answer.
 	unknownLimit = 2200 * time.Millisecond
+	// openLimit is how long an append without an answer may still take effect:
+	// longer than the log is away at a time.
+	openLimit = 30 * time.Second
 	// absentWait bounds the wait for a view that is young enough to say that
 	// a job is absent.
 	absentWait = time.Second
@@ -72,6 +76,9 @@
 	MaxRecord int
 
 	leaving atomic.Bool
+	// open holds the jobs whose record may still get into the log, and since when.
+	mu   sync.Mutex
+	open map[string]time.Time
 }
 
 // Leave makes the entry not ready, so that the balancer sends no new clients.
@@ -115,11 +122,35 @@
 	if len(record.Value)+len(record.Key) >= a.MaxRecord {
 		return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Invalid, Reason: "the job is larger than a record of the log"}
 	}
-	err := a.append(ctx, record)
+	err := a.settle(job.ID, a.append(ctx, record), now)
 	a.Logger.Info("accept", "job", job.ID, "queue", q.Name, "version", version, "outcome", outcome(err), "took", time.Since(now).String())
 	return err
 }
 
+// settle keeps a refusal true: a job whose earlier hand-in may still get into
+// the log cannot be said not to run.
+func (a *Acceptor) settle(id string, err error, now time.Time) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.open == nil {
+		a.open = map[string]time.Time{}
+	}
+	for other, since := range a.open {
+		if now.Sub(since) > openLimit {
+			delete(a.open, other)
+		}
+	}
+	switch {
+	case err == nil:
+		delete(a.open, id)
+	case verdict.Of(err) == verdict.Unknown:
+		a.open[id] = now
+	case !a.open[id].IsZero():
+		return &verdict.Error{Verdict: verdict.Unknown, Cause: verdict.Late, Reason: "an earlier hand-in may still be taken"}
+	}
+	return err
+}
+
 func outcome(err error) string {
 	if err == nil {
 		return "done"
--- /dev/null
+++ b/internal/front/acceptor/acceptor_test.go
@@ -0,0 +1,170 @@
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+
+	"knapweedspur/internal/fault/verdict"
+	"knapweedspur/internal/front/cataloger"
+	"knapweedspur/internal/log/journal"
+	"knapweedspur/internal/standin/storekeeper"
+	"knapweedspur/internal/wire/work"
+	"knapweedspur/internal/work/follower"
+	"knapweedspur/internal/work/keeper"
+	"knapweedspur/internal/work/leader"
+)
+
+// nobody leads.
+type nobody struct{ err error }
+
+func (n nobody) Write(context.Context, []journal.Record) error { return n.err }
+
+type deaf struct{}
+
+func (deaf) Folded(journal.Record) {}
+func (deaf) Leading() int64        { return 0 }
+func (deaf) Restarted()            {}
+
+func begin(t *testing.T, log *storekeeper.Stream) (*Acceptor, context.CancelFunc) {
+	f := &follower.Follower{Journal: log, Logger: hclog.NewNullLogger(), Observer: deaf{}, Clock: func() time.Duration { return time.Duration(time.Now().UnixNano()) }}
+	f.Init()
+	ctx, stop := context.WithCancel(t.Context())
+	go f.Run(ctx)
+	catalog := &cataloger.Cataloger{}
+	catalog.Offer(&cataloger.Catalog{Version: 1, Queues: []cataloger.Queue{{Host: "h", Prefix: "/q/", Queue: work.Queue{Name: "q"}}}})
+	a := &Acceptor{
+		Journal: log, Follower: f, Leader: nobody{leader.ErrNotLeading}, Cataloger: catalog,
+		ConfigAge: func() time.Duration { return 0 }, Logger: hclog.NewNullLogger(), MaxRecord: 1 << 16,
+	}
+	time.Sleep(time.Second)
+	return a, func() { stop(); <-f.Done }
+}
+
+func submit(a *Acceptor, id string) error {
+	q := a.Cataloger.Current().Find("h", "/q/x")
+	return a.Submit(context.Background(), q, 1, &work.Job{ID: id, Steps: []work.Step{{Tasks: 1}}}, time.Now())
+}
+
+const id = "0000000000000001"
+
+func TestAcceptedMeansInTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		a, stop := begin(t, log)
+		if err := submit(a, id); err != nil {
+			t.Fatal(err)
+		}
+		page, err := log.Newest(t.Context(), "")
+		if err != nil || len(page.Records) != 1 {
+			t.Errorf("%d records in the log, error %v", len(page.Records), err)
+		}
+		time.Sleep(time.Second)
+		if state, err := a.State(t.Context(), id); state != Queued || err != nil {
+			t.Errorf("state %q, error %v", state, err)
+		}
+		stop()
+	})
+}
+
+func TestRefusedIsUnrunAndTellsWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		a, stop := begin(t, log)
+		log.SetFaults(storekeeper.Faults{Down: true})
+		began := time.Now()
+		err := submit(a, id)
+		var e *verdict.Error
+		if !errors.As(err, &e) || e.Verdict != verdict.Unrun || e.After == 0 {
+			t.Errorf("error %v", err)
+		}
+		if took := time.Since(began); took > 500*time.Millisecond {
+			t.Errorf("a refusal took %s", took)
+		}
+		stop()
+	})
+}
+
+// On a played day a client was first told that nobody knows, and then, at the
+// same entry, that its job would never run, while the record was on its way.
+func TestAJobThatMayBeInTheLogIsNotCalledUnrun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		a, stop := begin(t, log)
+		log.SetFaults(storekeeper.Faults{Lose: true})
+		if err := submit(a, id); verdict.Of(err) != verdict.Unknown {
+			t.Fatalf("an append without an answer: %v", err)
+		}
+		log.SetFaults(storekeeper.Faults{Down: true})
+		time.Sleep(3 * time.Second)
+		if err := submit(a, id); verdict.Of(err) != verdict.Unknown {
+			t.Errorf("the repeat was told %v", err)
+		}
+		if err := submit(a, "0000000000000002"); verdict.Of(err) != verdict.Unrun {
+			t.Errorf("another job was told %v", err)
+		}
+		stop()
+	})
+}
+
+func TestAbsenceNeedsAYoungView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		a, stop := begin(t, log)
+		var e *verdict.Error
+		if _, err := a.State(t.Context(), id); !errors.As(err, &e) || e.Cause != verdict.Missing {
+			t.Errorf("an absent job: %v", err)
+		}
+		log.SetFaults(storekeeper.Faults{Down: true})
+		time.Sleep(3 * time.Second)
+		if _, err := a.State(t.Context(), id); !errors.As(err, &e) || e.Cause != verdict.Outage {
+			t.Errorf("with an old view: %v", err)
+		}
+		if _, err := a.Pending("q"); err == nil {
+			t.Error("jobs were counted from an old view")
+		}
+		stop()
+	})
+}
+
+func TestARepeatIsAcceptedWithoutAnotherRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		a, stop := begin(t, log)
+		for range 2 {
+			if err := submit(a, id); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		page, err := log.Read(t.Context(), 0, 0)
+		if diff := cmp.Diff(1, len(page.Records)); diff != "" || err != nil {
+			t.Errorf("error %v, records (-want +got):\n%s", err, diff)
+		}
+		stop()
+	})
+}
+
+func TestCancelIsInTheLogBeforeItIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		a, stop := begin(t, log)
+		if err := submit(a, id); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if err := a.Cancel(t.Context(), id, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if state, _ := a.State(t.Context(), id); state != keeper.Canceled {
+			t.Errorf("state %q", state)
+		}
+		stop()
+	})
+}
--- a/internal/link/carrier/carrier.go
+++ b/internal/link/carrier/carrier.go
@@ -119,7 +119,7 @@
 	err := c.ws.Write(context.Background(), websocket.MessageBinary, buffer.Bytes())
 	c.writing.Store(0)
 	if err != nil {
-		return trace.ConnectionProblem(err, "send a frame")
+		return trace.ConnectionProblem(err, "send a frame: %v", err)
 	}
 	traffic.sent.Add(int64(buffer.Len()))
 	traffic.frames.Add(1)
@@ -139,7 +139,7 @@
 func (c *Conn) ReceiveValue(f any) error {
 	_, data, err := c.ws.Read(context.Background())
 	if err != nil {
-		return trace.ConnectionProblem(err, "receive a frame")
+		return trace.ConnectionProblem(err, "receive a frame: %v", err)
 	}
 	c.received.Store(time.Now().UnixNano())
 	traffic.received.Add(int64(len(data)))
