--- a/internal/standin/commander/soak.go
+++ b/internal/standin/commander/soak.go
@@ -10,6 +10,9 @@
 	"knapweedspur/internal/standin/soaker"
 )
 
+// maxShown is how many broken promises of a run are printed.
+const maxShown = 20
+
 type soakCommand struct {
 	Binary  string        `help:"The program under test." default:"bin/knapweedspur"`
 	Seed    uint64        `help:"Seed of the first run." default:"1"`
@@ -42,7 +45,7 @@
 		}
 		failed++
 		fmt.Fprintf(env.out, "logs in %s\n", logs)
-		for _, b := range result.Broken {
+		for _, b := range result.Broken[:min(len(result.Broken), maxShown)] {
 			fmt.Fprintln(env.out, "  ", b)
 		}
 	}
