Count cancels that were asked for, answered or not, in the soak's checker

Change: a job may be canceled if a client asked for it; one that nobody asked for is a broken promise of its own.

--- a/internal/standin/soaker/checker.go
+++ b/internal/standin/soaker/checker.go
@@ -26,6 +26,8 @@
 	accepted map[string]time.Time
 	canceled map[string]time.Time
 	refused  map[string]bool
+	// asked are jobs that a client asked to cancel, answered or not.
+	asked map[string]bool
 	shown    map[string]string
 	broken   []string
 	began    time.Time
@@ -40,7 +42,7 @@
 	return &checker{
 		running: map[string]map[string]int{}, starts: map[string]int{}, last: map[string]int{}, noted: map[string]int{},
 		sizes: map[string]size{}, used: map[string]size{}, limit: map[string]size{},
-		accepted: map[string]time.Time{}, canceled: map[string]time.Time{}, refused: map[string]bool{}, shown: map[string]string{}, began: now,
+		accepted: map[string]time.Time{}, canceled: map[string]time.Time{}, refused: map[string]bool{}, asked: map[string]bool{}, shown: map[string]string{}, began: now,
 	}
 }
 
@@ -132,6 +134,13 @@
 	}
 }
 
+// ask notes that a client is about to ask for a job to be canceled.
+func (c *checker) ask(job string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked[job] = true
+}
+
 // refuse notes a job that got refusals only.
 func (c *checker) refuse(job string) {
 	c.mu.Lock()
@@ -166,7 +175,11 @@
 	defer c.mu.Unlock()
 	for job := range c.accepted {
 		state := c.shown[job]
-		if _, canceled := c.canceled[job]; state != "completed" && !canceled {
+		switch {
+		case state == "completed", state == "cancelled" && c.asked[job]:
+		case state == "cancelled":
+			c.fail(now, "canceled unasked: %s", job)
+		default:
 			c.fail(now, "not done: %s is %q", job, state)
 		}
 	}
--- a/internal/standin/soaker/client.go
+++ b/internal/standin/soaker/client.go
@@ -47,6 +47,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, poll)
 		if cancel && c.random.IntN(4) == 0 {
+			c.soak.checker.ask(c.job)
 			c.send(ctx, http.MethodDelete, "cancel", "")
 		}
 		status, answer := c.send(ctx, http.MethodGet, "state", "")
