--- a/internal/standin/soaker/checker.go
+++ b/internal/standin/soaker/checker.go
@@ -27,10 +27,10 @@
 	canceled map[string]time.Time
 	refused  map[string]bool
 	// asked are jobs that a client asked to cancel, answered or not.
-	asked map[string]bool
-	shown    map[string]string
-	broken   []string
-	began    time.Time
+	asked  map[string]bool
+	shown  map[string]string
+	broken []string
+	began  time.Time
 }
 
 type size struct{ millis, memory int }
