--- a/internal/front/acceptor/acceptor_test.go
+++ b/internal/front/acceptor/acceptor_test.go
@@ -90,23 +90,39 @@
 	})
 }
 
+// silent is a log that gives no answer to appends.
+type silent struct{ *storekeeper.Stream }
+
+func (silent) Append(context.Context, []journal.Record, *journal.Writer) (int64, error) {
+	return 0, errors.New("no answer")
+}
+
+// told is the verdict of a failure, 0 for none.
+func told(err error) verdict.Verdict {
+	if err == nil {
+		return 0
+	}
+	return verdict.Of(err)
+}
+
 // On a played day a client was first told that nobody knows, and then, at the
 // same entry, that its job would never run, while the record was on its way.
 func TestAJobThatMayBeInTheLogIsNotCalledUnrun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := storekeeper.New()
 		a, stop := begin(t, log)
-		log.SetFaults(storekeeper.Faults{Lose: true})
-		if err := submit(a, id); verdict.Of(err) != verdict.Unknown {
-			t.Fatalf("an append without an answer: %v", err)
+		a.Journal = silent{log}
+		if got := told(submit(a, id)); got != verdict.Unknown {
+			t.Fatalf("an append without an answer: %v", got)
 		}
+		a.Journal = log
 		log.SetFaults(storekeeper.Faults{Down: true})
 		time.Sleep(3 * time.Second)
-		if err := submit(a, id); verdict.Of(err) != verdict.Unknown {
-			t.Errorf("the repeat was told %v", err)
+		if got := told(submit(a, id)); got != verdict.Unknown {
+			t.Errorf("the repeat was told %v", got)
 		}
-		if err := submit(a, "0000000000000002"); verdict.Of(err) != verdict.Unrun {
-			t.Errorf("another job was told %v", err)
+		if got := told(submit(a, "0000000000000002")); got != verdict.Unrun {
+			t.Errorf("another job was told %v", got)
 		}
 		stop()
 	})
--- a/internal/standin/storekeeper/stream.go
+++ b/internal/standin/storekeeper/stream.go
@@ -20,6 +20,8 @@
 type Faults struct {
 	// Down makes every call fail without effect.
 	Down bool
+	// Refuse makes appends fail without effect while reads work.
+	Refuse bool
 	// Lose makes appends take effect without an answer.
 	Lose bool
 	// Delay slows every call down.
@@ -97,6 +99,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if faults.Refuse {
+		return 0, journal.ErrRefused
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	offset, known, err := s.admit(w)
--- a/internal/work/leader/leader_test.go
+++ b/internal/work/leader/leader_test.go
@@ -242,10 +242,15 @@
 		a, b := start(t, log, "a"), start(t, log, "b")
 		first := leads(t, a, b)
 		before := first.leader.Leading()
-		log.SetFaults(storekeeper.Faults{Down: true})
-		time.Sleep(6 * time.Second)
-		log.SetFaults(storekeeper.Faults{})
-		time.Sleep(3 * time.Second)
+		for range 5 {
+			log.SetFaults(storekeeper.Faults{Down: true})
+			time.Sleep(6 * time.Second)
+			// Others may see the log again before the leader can write.
+			log.SetFaults(storekeeper.Faults{Refuse: true})
+			time.Sleep(600 * time.Millisecond)
+			log.SetFaults(storekeeper.Faults{})
+			time.Sleep(3 * time.Second)
+		}
 		if after := first.leader.Leading(); after != before {
 			t.Errorf("term %d became %d in an outage of the log for all", before, after)
 		}
