--- a/internal/front/acceptor/acceptor.go
+++ b/internal/front/acceptor/acceptor.go
@@ -76,7 +76,7 @@
 	MaxRecord int
 
 	leaving atomic.Bool
-	// open holds the jobs whose record may still get into the log, and since when.
+	// open holds the keys of records that may still get into the log, and since when.
 	mu   sync.Mutex
 	open map[string]time.Time
 }
@@ -122,14 +122,14 @@
 	if len(record.Value)+len(record.Key) >= a.MaxRecord {
 		return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Invalid, Reason: "the job is larger than a record of the log"}
 	}
-	err := a.settle(job.ID, a.append(ctx, record), now)
+	err := a.settle(record.Key, a.append(ctx, record), now)
 	a.Logger.Info("accept", "job", job.ID, "queue", q.Name, "version", version, "outcome", outcome(err), "took", time.Since(now).String())
 	return err
 }
 
-// settle keeps a refusal true: a job whose earlier hand-in may still get into
-// the log cannot be said not to run.
-func (a *Acceptor) settle(id string, err error, now time.Time) error {
+// settle keeps a refusal true: what an earlier try may still bring into the
+// log cannot be said never to happen.
+func (a *Acceptor) settle(key string, err error, now time.Time) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.open == nil {
@@ -142,11 +142,11 @@
 	}
 	switch {
 	case err == nil:
-		delete(a.open, id)
+		delete(a.open, key)
 	case verdict.Of(err) == verdict.Unknown:
-		a.open[id] = now
-	case !a.open[id].IsZero():
-		return &verdict.Error{Verdict: verdict.Unknown, Cause: verdict.Late, Reason: "an earlier hand-in may still be taken"}
+		a.open[key] = now
+	case !a.open[key].IsZero():
+		return &verdict.Error{Verdict: verdict.Unknown, Cause: verdict.Late, Reason: "an earlier try may still be taken"}
 	}
 	return err
 }
@@ -284,7 +284,8 @@
 	default:
 		return nil
 	}
-	err := a.append(ctx, keeper.CancelRecord(id, &work.Cancel{Asked: now}))
+	record := keeper.CancelRecord(id, &work.Cancel{Asked: now})
+	err := a.settle(record.Key, a.append(ctx, record), now)
 	a.Logger.Info("cancel accepted", "job", id, "outcome", outcome(err), "took", time.Since(now).String())
 	return err
 }
--- a/internal/standin/soaker/fault.go
+++ b/internal/standin/soaker/fault.go
@@ -27,7 +27,7 @@
 	p := all[s.random.IntN(len(all))]
 	last := time.Duration(300+s.random.IntN(4000)) * time.Millisecond
 	after := func(f func()) { time.AfterFunc(last, f) }
-	switch s.random.IntN(10) {
+	switch s.random.IntN(12) {
 	case 0, 1:
 		p.signal(syscall.SIGKILL)
 	case 2:
@@ -46,7 +46,11 @@
 		s.store.Stream("keyed.work").Forget()
 	case 8:
 		s.workers[s.random.IntN(len(s.workers))].Begin(time.Now())
-	case 9:
+	case 9, 10:
+		w := s.workers[s.random.IntN(len(s.workers))]
+		w.SetLate(true)
+		after(func() { w.SetLate(false) })
+	case 11:
 		w := s.workers[s.random.IntN(len(s.workers))]
 		w.SetMute(true)
 		after(func() { w.SetMute(false) })
@@ -62,5 +66,6 @@
 	}
 	for _, w := range s.workers {
 		w.SetMute(false)
+		w.SetLate(false)
 	}
 }
--- a/internal/standin/soaker/soaker.go
+++ b/internal/standin/soaker/soaker.go
@@ -164,12 +164,19 @@
 	return nil
 }
 
-// taskTime is how long a task runs: between 0.2 and 1.5 s, by its name.
+// longTask is how long one task in six runs: longer than it takes to give a
+// VM up, shorter than a lease.
+const longTask = 4 * time.Second
+
+// taskTime is how long a task runs by its name: between 0.2 and 1.5 s, or long.
 func taskTime(task string) time.Duration {
 	sum := 0
 	for _, c := range task {
 		sum = sum*31 + int(c)
 	}
+	if sum&0xffff%6 == 0 {
+		return longTask
+	}
 	return time.Duration(200+(sum&0xffff)%1300) * time.Millisecond
 }
 
--- a/internal/standin/taskworker/worker.go
+++ b/internal/standin/taskworker/worker.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"time"
@@ -27,6 +28,8 @@
 	beatEvery = 500 * time.Millisecond
 	// beatTimeout bounds one heartbeat.
 	beatTimeout = time.Second
+	// lateness is how long after it came a postponed start is carried out.
+	lateness = 2 * time.Second
 	// tick is how often leases and ends are looked at.
 	tick = 10 * time.Millisecond
 )
@@ -46,6 +49,7 @@
 	life    int
 	born    time.Time
 	mute    bool
+	late    bool
 	fence   int64
 	until   time.Duration
 	running map[string]*run
@@ -96,6 +100,14 @@
 	w.mute = mute
 }
 
+// SetLate makes the worker leave starts without an answer and carry them out
+// some time later.
+func (w *Worker) SetLate(late bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.late = late
+}
+
 func (w *Worker) id() string { return fmt.Sprintf("%s-%d", w.Name, w.life) }
 
 func (w *Worker) clock(now time.Time) time.Duration { return now.Sub(w.born) }
@@ -184,6 +196,10 @@
 		return
 	}
 	w.fence = o.Fence
+	if w.late && r.URL.Path == "/-/run-start" {
+		w.postpone(&o)
+		panic(http.ErrAbortHandler)
+	}
 	switch r.URL.Path {
 	case "/-/run-start":
 		w.start(rw, &o, now)
@@ -200,6 +216,18 @@
 	}
 }
 
+// postpone carries a start out later, in the life that took it.
+func (w *Worker) postpone(o *order) {
+	life := w.life
+	time.AfterFunc(lateness, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.life == life && o.Fence >= w.fence {
+			w.start(httptest.NewRecorder(), o, time.Now())
+		}
+	})
+}
+
 // wait waits for an end, at most for a time.
 func (w *Worker) wait(limit time.Duration) {
 	for began := time.Now(); time.Since(began) < limit; time.Sleep(tick) {
