--- a/internal/side/warden/warden.go
+++ b/internal/side/warden/warden.go
@@ -253,7 +253,7 @@
 func (w *Warden) Run(ctx context.Context) {
 	defer close(w.Done)
 	for ctx.Err() == nil {
-		call, sync, ok := w.nextHold(w.Clock())
+		call, sync, ok := w.nextHold()
 		if !ok {
 			w.sleep(ctx, pollWait)
 			continue
@@ -286,7 +286,7 @@
 
 // nextHold returns the next poll. The first under a new fence extends nothing
 // and tells what runs.
-func (w *Warden) nextHold(now time.Duration) (executor.HoldCall, bool, bool) {
+func (w *Warden) nextHold() (executor.HoldCall, bool, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.vitals.VM == "" || w.session.fence == 0 || w.gone {
--- a/internal/standin/soaker/checker.go
+++ b/internal/standin/soaker/checker.go
@@ -155,11 +155,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before := c.shown[job]
-	if (before == "completed" || before == "failed" || before == "cancelled") && state != before {
+	if (before == stateCompleted || before == stateFailed || before == stateCanceled) && state != before {
 		c.fail(now, "state went back: %s from %s to %s", job, before, state)
 	}
 	c.shown[job] = state
-	if state != "completed" {
+	if state != stateCompleted {
 		return
 	}
 	for _, task := range tasks {
@@ -176,8 +176,8 @@
 	for job := range c.accepted {
 		state := c.shown[job]
 		switch {
-		case state == "completed", state == "cancelled" && c.asked[job]:
-		case state == "cancelled":
+		case state == stateCompleted, state == stateCanceled && c.asked[job]:
+		case state == stateCanceled:
 			c.fail(now, "canceled unasked: %s", job)
 		default:
 			c.fail(now, "not done: %s is %q", job, state)
--- a/internal/standin/soaker/client.go
+++ b/internal/standin/soaker/client.go
@@ -20,6 +20,13 @@
 	poll = 300 * time.Millisecond
 )
 
+// The final states, in the words of the platform.
+const (
+	stateCompleted = "completed"
+	stateFailed    = "failed"
+	stateCanceled  = "cancelled" //nolint:misspell // the platform's spelling
+)
+
 // client submits one job, asks for its state, and sometimes cancels it. It
 // keeps its connection until the entry closes it.
 type client struct {
@@ -61,7 +68,7 @@
 			continue
 		}
 		c.soak.checker.state(c.job, state.State, c.tasks, time.Now())
-		if state.State == "completed" || state.State == "cancelled" {
+		if state.State == stateCompleted || state.State == stateCanceled {
 			return
 		}
 	}
--- a/internal/work/planner/plan.go
+++ b/internal/work/planner/plan.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		for _, s := range j.steps {
-			if s.free > 0 && s.ready() && !(gathering && s.fresh()) {
+			if s.free > 0 && s.ready() && (!gathering || !s.fresh()) {
 				queue = append(queue, b.rank(s, now))
 			}
 		}
@@ -58,12 +58,11 @@
 	}
 	sort.Slice(queue, func(i, j int) bool { return queue[i].before(&queue[j]) })
 	left := maxPlacements
-	blocked := map[string]bool{}
 	for i := range queue {
 		if left <= 0 {
 			return
 		}
-		left -= b.placeStep(queue[i].step, left, blocked, now)
+		left -= b.placeStep(queue[i].step, left, now)
 	}
 }
 
@@ -185,7 +184,7 @@
 }
 
 // placeStep places free tasks of a step and returns how many.
-func (b *Book) placeStep(s *step, limit int, blocked map[string]bool, now time.Time) int {
+func (b *Book) placeStep(s *step, limit int, now time.Time) int {
 	if s.spec.Gang {
 		return b.placeGang(s, now)
 	}
--- a/internal/work/planner/planner_test.go
+++ b/internal/work/planner/planner_test.go
@@ -80,7 +80,7 @@
 	s.submit(id(1), tasks(1, 500))
 	first := s.running(id(1))[id(1)+".0.0.0"]
 	// Only the run on the first VM: the next one may be placed at once.
-	s.end(s.vms[first], id(1)+".0.0.0", "failed", "")
+	s.end(s.vms[first], id(1)+".0.0.0", "failed")
 	s.wait(time.Second)
 	if second := s.running(id(1))[id(1)+".0.0.0"]; second == first || second == "" {
 		t.Errorf("first on %q, then on %q", first, second)
@@ -150,7 +150,7 @@
 	a := s.add("a", 1000, 1000)
 	s.submit(id(1), tasks(1, 500))
 	task := id(1) + ".0.0.0"
-	s.end(a, task, "done", "")
+	s.end(a, task, "done")
 	a.silent = true
 	s.add("b", 1000, 1000)
 	s.wait(silence + s.book.lapse() + time.Second)
@@ -164,7 +164,7 @@
 	if a.seen != 0 {
 		t.Errorf("the end on a was noted while a newer run is at work")
 	}
-	s.end(s.vms["b"], task, "done", "")
+	s.end(s.vms["b"], task, "done")
 	s.wait(time.Second)
 	if a.seen != 1 {
 		t.Errorf("the end on a was not noted after the task was done")
@@ -226,7 +226,7 @@
 	if len(s.starts) != 3 {
 		t.Fatalf("want three starts, got %d", len(s.starts))
 	}
-	s.end(s.vms["a"], s.vms["a"].active[0].Task, "done", "")
+	s.end(s.vms["a"], s.vms["a"].active[0].Task, "done")
 	s.wait(time.Second)
 	if diff := cmp.Diff(keeper.Completed, s.outcome(id(1))); diff != "" {
 		t.Errorf("one end stands for all (-want +got):\n%s", diff)
@@ -237,9 +237,9 @@
 	s := newStage(t)
 	s.add("a", 4000, 1000, "ssd")
 	s.add("b", 4000, 1000)
-	labelled := tasks(2, 100)
-	labelled.Label = "ssd"
-	s.submit(id(1), labelled)
+	labeled := tasks(2, 100)
+	labeled.Label = "ssd"
+	s.submit(id(1), labeled)
 	for task, name := range s.running(id(1)) {
 		if name != "a" {
 			t.Errorf("%s runs on %s, which lacks the label", task, name)
@@ -329,7 +329,7 @@
 			case 2, 3:
 				if len(v.active) > 0 {
 					how := rapid.SampledFrom([]string{"done", "failed", "lapsed"}).Draw(rt, "how")
-					s.end(v, v.active[0].Task, how, "")
+					s.end(v, v.active[0].Task, how)
 				}
 			case 4:
 				v.silent = true
@@ -350,7 +350,7 @@
 				if v.silent && len(v.active) > 0 && s.now.Sub(s.book.vm(v.vitals.VM).heard) > 6*time.Second {
 					// The worker ends everything when its lease is over.
 					for len(v.active) > 0 {
-						s.end(v, v.active[0].Task, "lapsed", "")
+						s.end(v, v.active[0].Task, "lapsed")
 					}
 				}
 			}
--- a/internal/work/planner/record.go
+++ b/internal/work/planner/record.go
@@ -1,10 +1,6 @@
 package planner
 
-import (
-	"time"
-
-	"knapweedspur/internal/wire/work"
-)
+import "time"
 
 const (
 	// suspectFailures is how many failures of different jobs without a success
@@ -14,8 +10,6 @@
 	probation = 1500 * time.Millisecond
 	// refusalPause is how long a VM gets no work after its worker refused a start.
 	refusalPause = 300 * time.Millisecond
-	// speedWeight is the weight of a new observation of a VM's speed.
-	speedWeight = 0.3
 )
 
 // record is what a VM has done so far in its worker's life.
@@ -25,13 +19,10 @@
 	lastJob  string
 	failed   time.Time
 	refused  time.Time
-	// slowness is the smoothed ratio of the time a run took to its estimate
-	// against the same ratio on all VMs, 0 for unknown.
-	slowness float64
 }
 
 // succeed takes a run that ended well.
-func (r *record) succeed(p *placement, spec *work.Step, now time.Time) {
+func (r *record) succeed() {
 	r.failures = 0
 	r.lastJob = ""
 }
@@ -47,7 +38,7 @@
 }
 
 // reject takes a start that the worker refused.
-func (r *record) reject(reason string, now time.Time) { r.refused = now }
+func (r *record) reject(now time.Time) { r.refused = now }
 
 // suspect says whether the VM should get no work now.
 func (r *record) suspect(running int, now time.Time) bool {
--- a/internal/work/planner/stage_test.go
+++ b/internal/work/planner/stage_test.go
@@ -120,7 +120,7 @@
 		}
 	}
 	for _, stop := range o.Stops {
-		s.end(v, stop.Task, "stopped", "")
+		s.end(v, stop.Task, "stopped")
 	}
 }
 
@@ -144,11 +144,11 @@
 }
 
 // end ends the run of a task on a VM.
-func (s *stage) end(v *stageVM, task, how, saved string) {
+func (s *stage) end(v *stageVM, task, how string) {
 	for i, a := range v.active {
 		if a.Task == task {
 			v.number++
-			v.ends = append(v.ends, work.End{Number: v.number, Task: task, Run: a.Run, How: how, Saved: saved})
+			v.ends = append(v.ends, work.End{Number: v.number, Task: task, Run: a.Run, How: how})
 			v.active = append(v.active[:i:i], v.active[i+1:]...)
 			return
 		}
@@ -162,7 +162,7 @@
 			continue
 		}
 		for len(v.active) > 0 {
-			s.end(v, v.active[0].Task, how, "")
+			s.end(v, v.active[0].Task, how)
 		}
 		s.report(name)
 	}
--- a/internal/work/planner/vm.go
+++ b/internal/work/planner/vm.go
@@ -128,7 +128,7 @@
 // of the one before.
 func (b *Book) grant(v *vm, h *work.Hello, now time.Time) {
 	if v.session.Born != h.Vitals.Born {
-		b.voidAll(v, "reborn", now)
+		b.voidAll(v, "reborn")
 		v.seen = 0
 		v.settled = map[int64]bool{}
 		v.record = record{}
@@ -171,7 +171,7 @@
 		if former == v || h.Host == "" || former.session.Host != h.Host || former.session.Born >= h.Vitals.Born {
 			continue
 		}
-		b.voidAll(former, "replaced", now)
+		b.voidAll(former, "replaced")
 		if former.gone.IsZero() {
 			former.gone = now
 		}
@@ -213,10 +213,10 @@
 		known[runKey{r.Voids[i].Task, r.Voids[i].Run}] = true
 		b.void(v, &r.Voids[i], now)
 	}
-	b.reconcile(v, r.Handled, known, first, now)
+	b.reconcile(v, r.Handled, known, first)
 	if r.Lapsed {
 		b.revoke(v, "the worker does not answer and its lease is over", now)
-		b.voidAll(v, "lapsed", now)
+		b.voidAll(v, "lapsed")
 	}
 	if r.Gone && v.gone.IsZero() {
 		v.gone = now
@@ -316,7 +316,7 @@
 	case e.How == endDone && !s.spec.Lasts && !t.Done:
 		t.Done = true
 		b.haltAll(s, index, "done", now)
-		v.record.succeed(p, s.spec, now)
+		v.record.succeed()
 		if s.spec.Gang {
 			b.finishGang(s, now)
 		}
@@ -377,14 +377,14 @@
 func (b *Book) void(v *vm, x *work.Void, now time.Time) {
 	if p := v.runs[runKey{x.Task, x.Run}]; p != nil {
 		b.log("void", "task", x.Task, "run", x.Run, "vm", v.name, "reason", x.Reason)
-		b.giveUp(p, now)
-		v.record.reject(x.Reason, now)
+		b.giveUp(p)
+		v.record.reject(now)
 	}
 	b.order(v).Settled = append(b.order(v).Settled, work.Stop{Task: x.Task, Run: x.Run})
 }
 
 // giveUp ends a run that is known not to run and not to have ended by itself.
-func (b *Book) giveUp(p *placement, now time.Time) {
+func (b *Book) giveUp(p *placement) {
 	s := p.step
 	b.remove(p)
 	b.touch(s)
@@ -392,15 +392,15 @@
 }
 
 // voidAll ends all runs of a VM.
-func (b *Book) voidAll(v *vm, reason string, now time.Time) {
+func (b *Book) voidAll(v *vm, reason string) {
 	for key, p := range v.runs {
 		b.log("void", "task", key.task, "run", key.run, "vm", v.name, "reason", reason)
-		b.giveUp(p, now)
+		b.giveUp(p)
 	}
 }
 
 // reconcile compares what was placed on a VM with what its agent knows.
-func (b *Book) reconcile(v *vm, handled int64, known map[runKey]bool, first bool, now time.Time) {
+func (b *Book) reconcile(v *vm, handled int64, known map[runKey]bool, first bool) {
 	for key, p := range v.runs {
 		if known[key] {
 			continue
@@ -409,7 +409,7 @@
 		case p.fence != v.session.Fence && first:
 			// The worker confirmed the new fence and does not list the run.
 			b.log("void", "task", key.task, "run", key.run, "vm", v.name, "reason", "not there under the new fence")
-			b.giveUp(p, now)
+			b.giveUp(p)
 		case p.sent == 0 || p.sent <= handled:
 			b.sendStart(p)
 		}
@@ -505,10 +505,10 @@
 			b.revoke(v, "the agent is not heard", now)
 		}
 		if v.session.Revoked && !v.revoked.IsZero() && len(v.runs) > 0 && now.Sub(v.revoked) > b.lapse() {
-			b.voidAll(v, "lapsed", now)
+			b.voidAll(v, "lapsed")
 		}
 		if !v.gone.IsZero() && now.Sub(v.gone) > goneDelay {
-			b.voidAll(v, "gone", now)
+			b.voidAll(v, "gone")
 		}
 	}
 }
