--- a/internal/side/courier/courier.go
+++ b/internal/side/courier/courier.go
@@ -66,6 +66,8 @@
 	mu     sync.Mutex
 	links  map[netip.AddrPort]*link
 	report chan struct{}
+	// nudge is closed when heartbeats should not wait.
+	nudge chan struct{}
 }
 
 // link is the connection to one entry.
@@ -93,6 +95,7 @@
 	c.Done = make(chan struct{})
 	c.links = map[netip.AddrPort]*link{}
 	c.report = make(chan struct{}, 1)
+	c.nudge = make(chan struct{})
 }
 
 // Changed asks for a report soon.
@@ -200,14 +203,36 @@
 		if !c.greet(l) || !c.beat(l) {
 			return
 		}
+		every := beatEvery
 		if c.Warden.Unvouched() {
-			pause(ctx, beatSoon)
-			continue
+			every = beatSoon
 		}
-		pause(ctx, beatEvery)
+		c.await(ctx, every)
 	}
 }
 
+// await waits for the next heartbeat, or for a session that has just begun.
+func (c *Courier) await(ctx context.Context, d time.Duration) {
+	c.mu.Lock()
+	nudge := c.nudge
+	c.mu.Unlock()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-nudge:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Begun sends heartbeats on all connections at once.
+func (c *Courier) Begun() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.nudge)
+	c.nudge = make(chan struct{})
+}
+
 // greet introduces the worker if the entry does not know its current life.
 func (c *Courier) greet(l *link) bool {
 	vitals, ok := c.Warden.Vitals()
--- a/internal/side/warden/warden.go
+++ b/internal/side/warden/warden.go
@@ -49,6 +49,8 @@
 	Clock, Steady func() time.Duration
 	// Changed is called when there is something new to report.
 	Changed func()
+	// Begun is called when the worker has confirmed a session.
+	Begun func()
 	// Done is closed when Run has returned.
 	Done chan struct{}
 
@@ -402,6 +404,7 @@
 	w.voids = map[work.Stop]string{}
 	w.lapsed = false
 	w.evidence = 0
+	w.Begun()
 }
 
 // differs says whether runs came or went since the last poll.
--- a/internal/side/warden/warden_test.go
+++ b/internal/side/warden/warden_test.go
@@ -88,7 +88,7 @@
 // begin starts a warden whose session has been confirmed by its worker.
 func begin(t *testing.T) (*Warden, *worker, context.CancelFunc) {
 	k := &worker{born: time.Now(), stopped: map[work.Stop]bool{}}
-	w := &Warden{Worker: k, Logger: hclog.NewNullLogger(), MaxLease: 6 * time.Second, Changed: func() {}, Clock: virtual, Steady: virtual}
+	w := &Warden{Worker: k, Logger: hclog.NewNullLogger(), MaxLease: 6 * time.Second, Changed: func() {}, Begun: func() {}, Clock: virtual, Steady: virtual}
 	w.Init()
 	ctx, stop := context.WithCancel(t.Context())
 	go w.Run(ctx)
--- a/internal/site/assembler/agent.go
+++ b/internal/site/assembler/agent.go
@@ -44,7 +44,7 @@
 	brake := pacer.New()
 	brake.Harm = s.Harm
 	a.warden = &warden.Warden{
-		Worker: &platform.Worker{Address: s.Worker, Client: client}, Logger: logger, MaxLease: s.MaxLease, Changed: a.courier.Changed, Pacer: brake,
+		Worker: &platform.Worker{Address: s.Worker, Client: client}, Logger: logger, MaxLease: s.MaxLease, Changed: a.courier.Changed, Begun: a.courier.Begun, Pacer: brake,
 	}
 	a.courier.Warden = a.warden
 	a.courier.Init()
