Finish the least work first where there is not enough time for all

Cause: on the grown deployments fillers ask for more than the serving tasks leave. By deadline the next to miss theirs went first, and all missed it. Change: steps that fill are ordered by the work that is left of their job, among those that can still make it, then among those that are of use late; other steps only while they would have to wait for two fifths of their time.

--- a/internal/work/planner/plan.go
+++ b/internal/work/planner/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"knapweedspur/internal/wire/work"
+	"knapweedspur/internal/work/keeper"
 )
 
 // maxPlacements bounds the placements of one pass, so that a pass stays short
@@ -34,6 +35,10 @@
 	// still be of use late, 2 for the rest.
 	late     int
 	deadline time.Time
+	// left is the work that is left of the occurrence, in core-seconds.
+	left float64
+	// short says that there is not enough time for all steps of its sort.
+	short bool
 }
 
 // lateFactor is how many times its objective a job may take and still be of use.
@@ -56,6 +61,7 @@
 	if len(queue) == 0 {
 		return
 	}
+	b.judgeLoad(queue, now)
 	sort.Slice(queue, func(i, j int) bool { return queue[i].before(&queue[j]) })
 	left := maxPlacements
 	for i := range queue {
@@ -122,10 +128,17 @@
 		}
 		return c.beforeServing(o)
 	}
+	if fills := c.step.spec.Fills; fills != o.step.spec.Fills {
+		// What fills takes nothing that the others reserve but memory.
+		return !fills
+	}
 	if c.late != o.late {
 		return c.late < o.late
 	}
 	a, z := c.step.job, o.step.job
+	if c.short && c.late < 2 && c.left != o.left {
+		return c.left < o.left
+	}
 	if !c.deadline.Equal(o.deadline) {
 		return c.deadline.Before(o.deadline)
 	}
@@ -143,7 +156,7 @@
 		start = j.record.Due.Add(time.Duration(s.key.Occurrence) * j.record.Interval)
 	}
 	objective := objective(j.record)
-	c := candidate{step: s, deadline: start.Add(objective)}
+	c := candidate{step: s, deadline: start.Add(objective), left: j.left(s.key.Occurrence)}
 	if s.spec.Lasts {
 		return c
 	}
@@ -159,6 +172,47 @@
 	return c
 }
 
+// left is the work that is left of an occurrence, in core-seconds.
+func (j *job) left(occurrence int) float64 {
+	sum := 0.0
+	for i := range j.record.Steps {
+		spec := &j.record.Steps[i]
+		tasks := spec.Tasks
+		if s := j.steps[keeper.StepKey{Occurrence: occurrence, Step: i}]; s != nil {
+			tasks -= s.done
+		}
+		sum += float64(tasks) * spec.Estimate.Seconds() * float64(spec.Size.Millis) / 1000
+	}
+	return sum
+}
+
+// crowdedShare is the share of the time to its deadline that a step may have
+// to wait, on average, until the least work goes first instead of the nearest
+// deadline: with more, those that are nearest to theirs miss it all the same.
+const crowdedShare = 0.4
+
+// judgeLoad tells steps for which there is not enough time. Of those that fill
+// that is always assumed: what serving tasks let them use is not known before.
+func (b *Book) judgeLoad(queue []candidate, now time.Time) {
+	capacity, work, wait, count := 0.0, 0.0, 0.0, 0.0
+	for _, v := range b.vms {
+		if v.usable(now) {
+			capacity += float64(v.vitals.Size.Millis-v.served) / 1000
+		}
+	}
+	for i := range queue {
+		if c := &queue[i]; c.late == 0 && !c.step.spec.Lasts && !c.step.spec.Fills {
+			work += c.left
+			wait += c.deadline.Sub(now).Seconds()
+			count++
+		}
+	}
+	crowded := work/max(capacity, 1) > crowdedShare*wait/max(count, 1)
+	for i := range queue {
+		queue[i].short = crowded || queue[i].step.spec.Fills
+	}
+}
+
 // objective is how long a job may take.
 func objective(j *work.Job) time.Duration {
 	longest := time.Duration(0)
