--- a/internal/front/acceptor/acceptor.go
+++ b/internal/front/acceptor/acceptor.go
@@ -123,7 +123,12 @@
 		return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Invalid, Reason: "the job is larger than a record of the log"}
 	}
 	err := a.settle(record.Key, a.append(ctx, record), now)
-	a.Logger.Info("accept", "job", job.ID, "queue", q.Name, "version", version, "outcome", outcome(err), "took", time.Since(now).String())
+	level := hclog.Info
+	if err != nil {
+		// Refusals are not folded under load.
+		level = hclog.Warn
+	}
+	a.Logger.Log(level, "accept", "job", job.ID, "queue", q.Name, "version", version, "outcome", outcome(err), "took", time.Since(now).String(), "view", a.Follower.Age().String())
 	return err
 }
 
--- a/internal/site/assembler/entry.go
+++ b/internal/site/assembler/entry.go
@@ -40,6 +40,9 @@
 	idleTimeout = 60 * time.Second
 	// memberEvery is how often an entry announces itself anew.
 	memberEvery = leader.MemberLife / 3
+	// staleMember is when an entry that is not heard is removed: three times as
+	// long as it counts.
+	staleMember = 3 * leader.MemberLife
 	// memberRetry is the pause after an announcement that failed.
 	memberRetry = 200 * time.Millisecond
 )
@@ -163,10 +166,31 @@
 			pause(ctx, memberRetry)
 			continue
 		}
+		e.dropStale(ctx, time.Now())
 		pause(ctx, memberEvery)
 	}
 }
 
+// dropStale removes entries that have not announced themselves for long.
+func (e *entry) dropStale(ctx context.Context, now time.Time) {
+	var stale []journal.Record
+	e.follower.View(func(state *keeper.State, _ time.Duration) {
+		for name, m := range state.Members {
+			if now.Sub(m.Seen) > staleMember {
+				stale = append(stale, keeper.DropMember(name))
+			}
+		}
+	})
+	if len(stale) == 0 {
+		return
+	}
+	for _, stream := range []journal.Journal{e.entries, e.work} {
+		if _, err := stream.Append(ctx, stale, nil); err != nil {
+			e.logger.Info("stale entries not removed", "entries", len(stale), "error", err.Error())
+		}
+	}
+}
+
 // stop hands the lead over, serves until clients have gone elsewhere, and
 // closes what is left.
 func (e *entry) stop(context.Context) error {
--- a/internal/work/leader/leader.go
+++ b/internal/work/leader/leader.go
@@ -339,8 +339,16 @@
 	return true
 }
 
+// decided writes the line of a decision. Lost work is told as a warning, so
+// that its lines are not folded under load.
 func (l *Leader) decided(decision string, fields ...any) {
-	l.Logger.Info(decision, append(fields, "epoch", l.epoch)...)
+	fields = append(fields, "epoch", l.epoch)
+	switch decision {
+	case "revoke", "void", "gone":
+		l.Logger.Warn(decision, fields...)
+	default:
+		l.Logger.Info(decision, fields...)
+	}
 }
 
 // stepDown ends the lead. The caller holds the lock.
--- a/internal/work/planner/book.go
+++ b/internal/work/planner/book.go
@@ -39,6 +39,8 @@
 	learned time.Time
 	// saved is when the log last got what was learned.
 	saved time.Time
+	// forgot is when outcomes were last looked through.
+	forgot time.Time
 	// relocated is when fillers were last moved.
 	relocated time.Time
 
@@ -306,6 +308,30 @@
 	j.steps = map[keeper.StepKey]*step{}
 }
 
+const (
+	// remember is how long the log keeps the outcome of a job: five times as
+	// long as clients may ask for it, and far longer than a repeat may come.
+	remember = 10 * time.Minute
+	// forgetEvery is the interval at which outcomes are looked through.
+	forgetEvery = 5 * time.Second
+)
+
+// forget removes outcomes that nobody asks for any more, and with each the
+// description that a late repeat may have brought back.
+func (b *Book) forget(now time.Time) {
+	if now.Sub(b.forgot) < forgetEvery {
+		return
+	}
+	b.forgot = now
+	for id, j := range b.jobs {
+		if j.dropped && now.Sub(j.outcome.Ended) > remember {
+			b.records = append(b.records, keeper.DropJob(id, nil)...)
+			b.records = append(b.records, keeper.DropOutcome(id))
+			delete(b.jobs, id)
+		}
+	}
+}
+
 // running says whether a task of the step has a run that is not known to be over.
 func (s *step) running() bool {
 	for i := range s.tasks {
--- a/internal/work/planner/plan.go
+++ b/internal/work/planner/plan.go
@@ -25,6 +25,7 @@
 		}
 	}
 	b.relocate(now)
+	b.forget(now)
 	b.plan(now)
 }
 
--- a/internal/work/planner/planner_test.go
+++ b/internal/work/planner/planner_test.go
@@ -311,6 +311,23 @@
 	}
 }
 
+func TestOutcomesAreKeptForAWhile(t *testing.T) {
+	s := newStage(t)
+	s.add("a", 1000, 1000)
+	s.submit(id(1), tasks(1, 500))
+	s.finishAll("done")
+	s.now = s.now.Add(2 * time.Minute)
+	s.pass()
+	if diff := cmp.Diff(keeper.Completed, s.outcome(id(1))); diff != "" {
+		t.Errorf("after two minutes (-want +got):\n%s", diff)
+	}
+	s.now = s.now.Add(remember)
+	s.pass()
+	if j := s.state.Jobs[id(1)]; j != nil {
+		t.Errorf("the log still has %+v", j)
+	}
+}
+
 // Whatever happens, no VM holds more than it can and no task runs twice.
 func TestDrawnEventsKeepCapacityAndSingleRuns(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
