--- a/internal/front/acceptor/acceptor.go
+++ b/internal/front/acceptor/acceptor.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/fault/verdict"
 	"knapweedspur/internal/front/cataloger"
 	"knapweedspur/internal/log/journal"
@@ -203,7 +204,7 @@
 		if ctx.Err() != nil || time.Since(began) > unknownLimit {
 			return &verdict.Error{Verdict: verdict.Unknown, Cause: verdict.Late, Reason: "the log gave no answer"}
 		}
-		wait(ctx, refusedPause)
+		waiter.Pause(ctx, refusedPause)
 	}
 }
 
@@ -215,13 +216,6 @@
 	return a.Leader.Write(ctx, []journal.Record{record})
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // State returns the state of a job.
 func (a *Acceptor) State(ctx context.Context, id string) (string, error) {
 	if state := a.lookup(id); state != "" {
--- a/internal/front/cataloger/watcher.go
+++ b/internal/front/cataloger/watcher.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"knapweedspur/internal/clock/booter"
+	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/log/journal"
 )
 
@@ -72,19 +73,12 @@
 				lost = true
 				w.Logger.Warn("configuration lost", "error", err.Error())
 			}
-			pause(ctx, backoff)
+			waiter.Pause(ctx, backoff)
 			backoff = min(2*backoff, lastBackoff)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (w *Watcher) restart(ctx context.Context) error {
 	after, next := "", int64(-1)
 	for more := true; more; {
--- a/internal/side/courier/courier.go
+++ b/internal/side/courier/courier.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"knapweedspur/internal/clock/booter"
+	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/link/carrier"
 	"knapweedspur/internal/side/warden"
 	"knapweedspur/internal/wire/work"
@@ -132,11 +133,11 @@
 				c.connect(address)
 			}
 			if len(entries) == 0 {
-				pause(ctx, seekEvery/10)
+				waiter.Pause(ctx, seekEvery/10)
 				continue
 			}
 		}
-		pause(ctx, seekEvery)
+		waiter.Pause(ctx, seekEvery)
 	}
 }
 
@@ -161,7 +162,7 @@
 		conn, err := carrier.Dial(dial, c.Client, "ws", l.address, nil, silence)
 		cancel()
 		if err != nil {
-			pause(ctx, backoff)
+			waiter.Pause(ctx, backoff)
 			backoff = min(2*backoff, lastBackoff)
 			continue
 		}
@@ -169,7 +170,7 @@
 		c.Logger.Info("entry linked", "entry", l.address.String())
 		c.serve(ctx, l, conn)
 		c.Logger.Info("entry lost", "entry", l.address.String())
-		pause(ctx, backoff)
+		waiter.Pause(ctx, backoff)
 	}
 }
 
@@ -322,7 +323,7 @@
 		}
 		timer.Stop()
 		c.send()
-		pause(ctx, reportPause)
+		waiter.Pause(ctx, reportPause)
 	}
 }
 
@@ -342,10 +343,3 @@
 		conn.Close()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/side/warden/order.go
+++ b/internal/side/warden/order.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/side/executor"
 	"knapweedspur/internal/wire/work"
 )
@@ -168,7 +169,7 @@
 	since := w.Clock()
 	w.mu.Unlock()
 	for ctx.Err() == nil {
-		pause(ctx, listWait)
+		waiter.Pause(ctx, listWait)
 		w.mu.Lock()
 		listed := !w.pending[run]
 		polled := w.clock.came > since+listWait/2
@@ -210,7 +211,7 @@
 		if tries == 0 {
 			w.Logger.Warn("stop without an answer", "task", run.Task, "run", run.Run, "error", err.Error())
 		}
-		pause(ctx, stopRetry)
+		waiter.Pause(ctx, stopRetry)
 	}
 	return false
 }
@@ -234,10 +235,3 @@
 		w.mu.Unlock()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/site/assembler/entry.go
+++ b/internal/site/assembler/entry.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"go.uber.org/fx"
 
+	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/front/acceptor"
 	"knapweedspur/internal/front/cataloger"
 	"knapweedspur/internal/front/switchboard"
@@ -163,11 +164,11 @@
 			_, err = e.work.Append(ctx, record, nil)
 		}
 		if err != nil {
-			pause(ctx, memberRetry)
+			waiter.Pause(ctx, memberRetry)
 			continue
 		}
 		e.dropStale(ctx, time.Now())
-		pause(ctx, memberEvery)
+		waiter.Pause(ctx, memberEvery)
 	}
 }
 
@@ -203,10 +204,3 @@
 	e.logger.Info("stopped", "role", "entry")
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/standin/crowd/crowd.go
+++ b/internal/standin/crowd/crowd.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/link/carrier"
 	"knapweedspur/internal/wire/message"
 )
@@ -75,7 +76,7 @@
 
 func (m *member) run(ctx context.Context, i int) {
 	// Agents do not all beat at once.
-	pause(ctx, m.Beat*time.Duration(i)/time.Duration(m.Agents))
+	waiter.Pause(ctx, m.Beat*time.Duration(i)/time.Duration(m.Agents))
 	var group sync.WaitGroup
 	for n, e := range m.Entries {
 		group.Go(func() { m.keep(ctx, e, n) })
@@ -95,7 +96,7 @@
 func (m *member) keep(ctx context.Context, entry netip.AddrPort, n int) {
 	for ctx.Err() == nil {
 		m.connect(ctx, entry, n)
-		pause(ctx, redial)
+		waiter.Pause(ctx, redial)
 	}
 }
 
@@ -140,7 +141,7 @@
 		if conn.Send(f) != nil {
 			return
 		}
-		pause(ctx, m.Beat)
+		waiter.Pause(ctx, m.Beat)
 	}
 }
 
--- a/internal/standin/soaker/client.go
+++ b/internal/standin/soaker/client.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"knapweedspur/internal/clock/waiter"
 )
 
 const (
@@ -52,7 +54,7 @@
 	}
 	cancel := c.random.IntN(8) == 0
 	for ctx.Err() == nil {
-		pause(ctx, poll)
+		waiter.Pause(ctx, poll)
 		if cancel && c.random.IntN(4) == 0 {
 			c.soak.checker.ask(c.job)
 			c.send(ctx, http.MethodDelete, "cancel", "")
@@ -86,7 +88,7 @@
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 			refusals++
 		}
-		pause(ctx, time.Duration(200+c.random.IntN(400))*time.Millisecond)
+		waiter.Pause(ctx, time.Duration(200+c.random.IntN(400))*time.Millisecond)
 	}
 	if refusals == tries {
 		c.soak.checker.refuse(c.job)
@@ -117,10 +119,3 @@
 	c.soak.checker.answer(c.job, what, resp.StatusCode, time.Now())
 	return resp.StatusCode, string(data)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/work/follower/follower.go
+++ b/internal/work/follower/follower.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"knapweedspur/internal/clock/booter"
+	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/work/keeper"
 )
@@ -150,9 +151,9 @@
 				f.Logger.Info("log regained")
 			}
 			if f.Observer.Leading() != 0 {
-				pause(ctx, readPause)
+				waiter.Pause(ctx, readPause)
 			} else {
-				pause(ctx, idlePause)
+				waiter.Pause(ctx, idlePause)
 			}
 		case errors.As(err, &cut):
 			f.Logger.Warn("the log dropped records that were not read; the view is built anew", "first", cut.First)
@@ -162,19 +163,12 @@
 				away = true
 				f.Logger.Warn("log lost", "error", err.Error(), "age", f.Age().String())
 			}
-			pause(ctx, backoff)
+			waiter.Pause(ctx, backoff)
 			backoff = min(2*backoff, lastBackoff)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // restart builds the view from the newest record of each key.
 func (f *Follower) restart(ctx context.Context) error {
 	state := keeper.New()
--- a/internal/work/leader/append.go
+++ b/internal/work/leader/append.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/log/journal"
 )
 
@@ -48,7 +49,7 @@
 		if !deadline.IsZero() && time.Now().After(deadline) {
 			return 0, false
 		}
-		pause(ctx, retry)
+		waiter.Pause(ctx, retry)
 		retry = min(2*retry, lastRetry)
 	}
 	return 0, false
--- /dev/null
+++ b/internal/work/planner/rank.go
@@ -0,0 +1,149 @@
+package planner
+
+import (
+	"time"
+
+	"knapweedspur/internal/wire/work"
+	"knapweedspur/internal/work/keeper"
+)
+
+func (s *step) fresh() bool { return s.spec.Target > 0 && s.spec.Lasts && s.tasks[0].Last == 0 }
+
+func (b *Book) gathering(now time.Time) bool {
+	var first, last time.Time
+	for _, j := range b.jobs {
+		if j.outcome != nil || j.record == nil {
+			continue
+		}
+		for _, s := range j.steps {
+			if s.free == 0 || !s.fresh() {
+				continue
+			}
+			if first.IsZero() || s.started.Before(first) {
+				first = s.started
+			}
+			if s.started.After(last) {
+				last = s.started
+			}
+		}
+	}
+	return now.Sub(last) < gatherPause && now.Sub(first) < gatherLimit
+}
+
+func (c *candidate) beforeServing(o *candidate) bool {
+	a, z := c.step.spec, o.step.spec
+	if a.Image != z.Image {
+		return a.Image < z.Image
+	}
+	if (a.Spread > 0) != (z.Spread > 0) {
+		return a.Spread > 0
+	}
+	if a.Size.Millis != z.Size.Millis {
+		return a.Size.Millis > z.Size.Millis
+	}
+	return c.step.job.number < o.step.job.number
+}
+
+func (c *candidate) before(o *candidate) bool {
+	if serves := c.step.spec.Target > 0; serves || o.step.spec.Target > 0 {
+		if serves != (o.step.spec.Target > 0) {
+			return serves
+		}
+		return c.beforeServing(o)
+	}
+	if fills := c.step.spec.Fills; fills != o.step.spec.Fills {
+		// What fills takes nothing that the others reserve but memory.
+		return !fills
+	}
+	if c.late != o.late {
+		return c.late < o.late
+	}
+	a, z := c.step.job, o.step.job
+	if c.short && c.late < 2 && c.left != o.left {
+		return c.left < o.left
+	}
+	if !c.deadline.Equal(o.deadline) {
+		return c.deadline.Before(o.deadline)
+	}
+	if a.number != z.number {
+		return a.number < z.number
+	}
+	return c.step.key.Step < o.step.key.Step
+}
+
+func (b *Book) rank(s *step, now time.Time) candidate {
+	j := s.job
+	start := j.record.Accepted
+	if j.record.Times > 0 {
+		start = j.record.Due.Add(time.Duration(s.key.Occurrence) * j.record.Interval)
+	}
+	objective := objective(j.record)
+	c := candidate{step: s, deadline: start.Add(objective), left: j.left(s.key.Occurrence)}
+	if s.spec.Lasts {
+		return c
+	}
+	rest := chain(j.record.Steps, s.key.Step)
+	switch end := now.Add(rest); {
+	case !end.After(c.deadline):
+		c.late = 0
+	case !end.After(start.Add(lateFactor * objective)):
+		c.late = 1
+	default:
+		c.late = 2
+	}
+	return c
+}
+
+func (j *job) left(occurrence int) float64 {
+	sum := 0.0
+	for i := range j.record.Steps {
+		spec := &j.record.Steps[i]
+		tasks := spec.Tasks
+		if s := j.steps[keeper.StepKey{Occurrence: occurrence, Step: i}]; s != nil {
+			tasks -= s.done
+		}
+		sum += float64(tasks) * spec.Estimate.Seconds() * float64(spec.Size.Millis) / 1000
+	}
+	return sum
+}
+
+func (b *Book) judgeLoad(queue []candidate, now time.Time) {
+	capacity, work, wait, count := 0.0, 0.0, 0.0, 0.0
+	for _, v := range b.vms {
+		if v.usable(now) {
+			capacity += float64(v.vitals.Size.Millis-v.served) / 1000
+		}
+	}
+	for i := range queue {
+		if c := &queue[i]; c.late == 0 && !c.step.spec.Lasts && !c.step.spec.Fills {
+			work += c.left
+			wait += c.deadline.Sub(now).Seconds()
+			count++
+		}
+	}
+	crowded := work/max(capacity, 1) > crowdedShare*wait/max(count, 1)
+	for i := range queue {
+		queue[i].short = crowded || queue[i].step.spec.Fills
+	}
+}
+
+func objective(j *work.Job) time.Duration {
+	longest := time.Duration(0)
+	for i := range j.Steps {
+		if len(j.Steps[i].After) == 0 {
+			longest = max(longest, chain(j.Steps, i))
+		}
+	}
+	return time.Duration(j.Queue.Stretch*float64(longest)) + j.Queue.Target
+}
+
+func chain(steps []work.Step, from int) time.Duration {
+	longest := make([]time.Duration, len(steps))
+	for i := len(steps) - 1; i >= from; i-- {
+		longest[i] += steps[i].Estimate
+		for _, before := range steps[i].After {
+			longest[before] = max(longest[before], longest[i])
+		}
+	}
+	return longest[from]
+}
