--- a/internal/standin/crowd/crowd.go
+++ b/internal/standin/crowd/crowd.go
@@ -84,13 +84,6 @@
 	group.Wait()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 const redial = time.Second
 
 func (m *member) keep(ctx context.Context, entry netip.AddrPort, n int) {
--- a/internal/work/leader/lead.go
+++ b/internal/work/leader/lead.go
@@ -10,27 +10,7 @@
 	"knapweedspur/internal/work/planner"
 )
 
-func (l *Leader) decided(decision string, fields ...any) {
-	fields = append(fields, "epoch", l.epoch)
-	switch decision {
-	case "revoke", "void", "gone":
-		l.Logger.Warn(decision, fields...)
-	default:
-		l.Logger.Info(decision, fields...)
-	}
-}
-
-func (l *Leader) stepDown(reason string, rest time.Duration) {
-	if l.book == nil {
-		return
-	}
-	l.Logger.Warn("lead ends", "epoch", l.epoch, "reason", reason)
-	l.book = nil
-	l.claimed = 0
-	l.waitUntil = time.Now().Add(rest)
-	l.wake()
-}
-
+// lead plans and writes until the lead is lost.
 func (l *Leader) lead(ctx context.Context) {
 	l.Links.Announce()
 	defer l.Links.Announce()
@@ -67,6 +47,11 @@
 	}
 }
 
+// isolation is how long most agents may be unheard until the leader takes
+// itself for cut off: less than the silence after which it would revoke them.
+const isolation = 1000 * time.Millisecond
+
+// pass plans once. It returns nil when the lead is over.
 func (l *Leader) pass(now time.Time) (*planner.Batch, []*offer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -94,6 +79,7 @@
 	return l.resigned
 }
 
+// handOver writes what was decided last and opens the lead to the others.
 func (l *Leader) handOver(ctx context.Context, batch *planner.Batch, offers []*offer) {
 	term := keeper.TermRecord(&work.Term{Epoch: l.epoch})
 	if l.write(ctx, append(batch.Records, term)) {
@@ -107,6 +93,7 @@
 	l.mu.Unlock()
 }
 
+// release confirms a batch and sends its orders.
 func (l *Leader) release(batch *planner.Batch) {
 	l.mu.Lock()
 	if l.book != nil {
@@ -122,6 +109,8 @@
 	}
 }
 
+// write appends records until the log has them. It returns false when the
+// lead is lost.
 func (l *Leader) write(ctx context.Context, records []journal.Record) bool {
 	for len(records) > 0 {
 		count, size := 0, 0
@@ -141,4 +130,31 @@
 	return true
 }
 
+// recordOverhead is what a record needs beside key and value, in bytes.
+const recordOverhead = 5
+
 func recordSize(r journal.Record) int { return len(r.Key) + len(r.Value) + recordOverhead }
+
+// decided writes the line of a decision. Lost work is told as a warning, so
+// that its lines are not folded under load.
+func (l *Leader) decided(decision string, fields ...any) {
+	fields = append(fields, "epoch", l.epoch)
+	switch decision {
+	case "revoke", "void", "gone":
+		l.Logger.Warn(decision, fields...)
+	default:
+		l.Logger.Info(decision, fields...)
+	}
+}
+
+// stepDown ends the lead. The caller holds the lock.
+func (l *Leader) stepDown(reason string, rest time.Duration) {
+	if l.book == nil {
+		return
+	}
+	l.Logger.Warn("lead ends", "epoch", l.epoch, "reason", reason)
+	l.book = nil
+	l.claimed = 0
+	l.waitUntil = time.Now().Add(rest)
+	l.wake()
+}
--- a/internal/work/leader/leader.go
+++ b/internal/work/leader/leader.go
@@ -14,7 +14,6 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/metric/exporter"
 	"knapweedspur/internal/wire/work"
@@ -206,7 +205,7 @@
 	for ctx.Err() == nil {
 		if !l.wanted(time.Now()) {
 			l.probe(ctx, time.Now())
-			waiter.Pause(ctx, watchEvery)
+			pause(ctx, watchEvery)
 			continue
 		}
 		if l.claim(ctx) {
@@ -215,6 +214,13 @@
 	}
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // wanted says whether this entry should claim the lead now.
 func (l *Leader) wanted(now time.Time) bool {
 	var term *work.Term
@@ -332,19 +338,3 @@
 	}
 	return true
 }
-
-// decided writes the line of a decision. Lost work is told as a warning, so
-// that its lines are not folded under load.
-// stepDown ends the lead. The caller holds the lock.
-// lead plans and writes until the lead is lost.
-// pass plans once. It returns nil when the lead is over.
-// isolation is how long most agents may be unheard until the leader takes
-// itself for cut off: less than the silence after which it would revoke them.
-const isolation = 1000 * time.Millisecond
-
-// handOver writes what was decided last and opens the lead to the others.
-// release confirms a batch and sends its orders.
-// write appends records until the log has them. It returns false when the
-// lead is lost.
-// recordOverhead is what a record needs beside key and value, in bytes.
-const recordOverhead = 5
--- a/internal/work/planner/plan.go
+++ b/internal/work/planner/plan.go
@@ -28,22 +28,6 @@
 	b.plan(now)
 }
 
-// candidate is a step with free tasks whose turn has come.
-type candidate struct {
-	step *step
-	// late is 0 for a job that can meet its objective, 1 for one that can
-	// still be of use late, 2 for the rest.
-	late     int
-	deadline time.Time
-	// left is the work that is left of the occurrence, in core-seconds.
-	left float64
-	// short says that there is not enough time for all steps of its sort.
-	short bool
-}
-
-// lateFactor is how many times its objective a job may take and still be of use.
-const lateFactor = 3
-
 // plan places free tasks in the order in which that serves most.
 func (b *Book) plan(now time.Time) {
 	var queue []candidate
@@ -72,30 +56,6 @@
 	}
 }
 
-const (
-	// gatherPause is how long no serving step may have come until those that
-	// wait are placed together, and gatherLimit how long the first waits at
-	// most: their jobs often come in groups, and last far longer.
-	gatherPause = 100 * time.Millisecond
-	gatherLimit = 400 * time.Millisecond
-)
-
-// fresh says whether a step serves and was never placed.
-// gathering says whether new serving steps should wait for others.
-// beforeServing orders serving steps so that those of a kind come together,
-// the ones that need the most VMs first.
-// rank tells how urgent a step is.
-// left is the work that is left of an occurrence, in core-seconds.
-// crowdedShare is the share of the time to its deadline that a step may have
-// to wait, on average, until the least work goes first instead of the nearest
-// deadline: with more, those that are nearest to theirs miss it all the same.
-const crowdedShare = 0.4
-
-// judgeLoad tells steps for which there is not enough time. Of those that fill
-// that is always assumed: what serving tasks let them use is not known before.
-// objective is how long a job may take.
-// chain is the longest declared time from the start of a step to the end of
-// the job.
 // placeStep places free tasks of a step and returns how many.
 func (b *Book) placeStep(s *step, limit int, now time.Time) int {
 	if s.spec.Gang {
--- a/internal/work/planner/rank.go
+++ b/internal/work/planner/rank.go
@@ -7,42 +7,21 @@
 	"knapweedspur/internal/work/keeper"
 )
 
-func (s *step) fresh() bool { return s.spec.Target > 0 && s.spec.Lasts && s.tasks[0].Last == 0 }
-
-func (b *Book) gathering(now time.Time) bool {
-	var first, last time.Time
-	for _, j := range b.jobs {
-		if j.outcome != nil || j.record == nil {
-			continue
-		}
-		for _, s := range j.steps {
-			if s.free == 0 || !s.fresh() {
-				continue
-			}
-			if first.IsZero() || s.started.Before(first) {
-				first = s.started
-			}
-			if s.started.After(last) {
-				last = s.started
-			}
-		}
-	}
-	return now.Sub(last) < gatherPause && now.Sub(first) < gatherLimit
+// candidate is a step with free tasks whose turn has come.
+type candidate struct {
+	step *step
+	// late is 0 for a job that can meet its objective, 1 for one that can
+	// still be of use late, 2 for the rest.
+	late     int
+	deadline time.Time
+	// left is the work that is left of the occurrence, in core-seconds.
+	left float64
+	// short says that there is not enough time for all steps of its sort.
+	short bool
 }
 
-func (c *candidate) beforeServing(o *candidate) bool {
-	a, z := c.step.spec, o.step.spec
-	if a.Image != z.Image {
-		return a.Image < z.Image
-	}
-	if (a.Spread > 0) != (z.Spread > 0) {
-		return a.Spread > 0
-	}
-	if a.Size.Millis != z.Size.Millis {
-		return a.Size.Millis > z.Size.Millis
-	}
-	return c.step.job.number < o.step.job.number
-}
+// lateFactor is how many times its objective a job may take and still be of use.
+const lateFactor = 3
 
 func (c *candidate) before(o *candidate) bool {
 	if serves := c.step.spec.Target > 0; serves || o.step.spec.Target > 0 {
@@ -71,6 +50,23 @@
 	return c.step.key.Step < o.step.key.Step
 }
 
+// beforeServing orders serving steps so that those of a kind come together,
+// the ones that need the most VMs first.
+func (c *candidate) beforeServing(o *candidate) bool {
+	a, z := c.step.spec, o.step.spec
+	if a.Image != z.Image {
+		return a.Image < z.Image
+	}
+	if (a.Spread > 0) != (z.Spread > 0) {
+		return a.Spread > 0
+	}
+	if a.Size.Millis != z.Size.Millis {
+		return a.Size.Millis > z.Size.Millis
+	}
+	return c.step.job.number < o.step.job.number
+}
+
+// rank tells how urgent a step is.
 func (b *Book) rank(s *step, now time.Time) candidate {
 	j := s.job
 	start := j.record.Accepted
@@ -94,19 +90,46 @@
 	return c
 }
 
-func (j *job) left(occurrence int) float64 {
-	sum := 0.0
-	for i := range j.record.Steps {
-		spec := &j.record.Steps[i]
-		tasks := spec.Tasks
-		if s := j.steps[keeper.StepKey{Occurrence: occurrence, Step: i}]; s != nil {
-			tasks -= s.done
+const (
+	// gatherPause is how long no serving step may have come until those that
+	// wait are placed together, and gatherLimit how long the first waits at
+	// most: their jobs often come in groups, and last far longer.
+	gatherPause = 100 * time.Millisecond
+	gatherLimit = 400 * time.Millisecond
+)
+
+// fresh says whether a step serves and was never placed.
+func (s *step) fresh() bool { return s.spec.Target > 0 && s.spec.Lasts && s.tasks[0].Last == 0 }
+
+// gathering says whether new serving steps should wait for others.
+func (b *Book) gathering(now time.Time) bool {
+	var first, last time.Time
+	for _, j := range b.jobs {
+		if j.outcome != nil || j.record == nil {
+			continue
+		}
+		for _, s := range j.steps {
+			if s.free == 0 || !s.fresh() {
+				continue
+			}
+			if first.IsZero() || s.started.Before(first) {
+				first = s.started
+			}
+			if s.started.After(last) {
+				last = s.started
+			}
 		}
-		sum += float64(tasks) * spec.Estimate.Seconds() * float64(spec.Size.Millis) / 1000
 	}
-	return sum
+	return now.Sub(last) < gatherPause && now.Sub(first) < gatherLimit
 }
 
+// crowdedShare is the share of the time to its deadline that a step may have
+// to wait, on average, until the least work goes first instead of the nearest
+// deadline: with more, those that are nearest to theirs miss it all the same.
+const crowdedShare = 0.4
+
+// judgeLoad tells steps for which there is not enough time. Of those that fill
+// that is always assumed: what serving tasks let them use is not known before.
 func (b *Book) judgeLoad(queue []candidate, now time.Time) {
 	capacity, work, wait, count := 0.0, 0.0, 0.0, 0.0
 	for _, v := range b.vms {
@@ -127,6 +150,21 @@
 	}
 }
 
+// left is the work that is left of an occurrence, in core-seconds.
+func (j *job) left(occurrence int) float64 {
+	sum := 0.0
+	for i := range j.record.Steps {
+		spec := &j.record.Steps[i]
+		tasks := spec.Tasks
+		if s := j.steps[keeper.StepKey{Occurrence: occurrence, Step: i}]; s != nil {
+			tasks -= s.done
+		}
+		sum += float64(tasks) * spec.Estimate.Seconds() * float64(spec.Size.Millis) / 1000
+	}
+	return sum
+}
+
+// objective is how long a job may take.
 func objective(j *work.Job) time.Duration {
 	longest := time.Duration(0)
 	for i := range j.Steps {
@@ -137,6 +175,8 @@
 	return time.Duration(j.Queue.Stretch*float64(longest)) + j.Queue.Target
 }
 
+// chain is the longest declared time from the start of a step to the end of
+// the job.
 func chain(steps []work.Step, from int) time.Duration {
 	longest := make([]time.Duration, len(steps))
 	for i := len(steps) - 1; i >= from; i-- {
--- a/internal/work/planner/report.go
+++ b/internal/work/planner/report.go
@@ -8,6 +8,7 @@
 	"knapweedspur/internal/work/keeper"
 )
 
+// Report takes the state of a VM.
 func (b *Book) Report(name string, r *work.Report, now time.Time) {
 	v := b.vms[name]
 	if v == nil || !v.linked {
@@ -46,6 +47,7 @@
 	}
 }
 
+// active takes a run that is at work.
 func (b *Book) active(v *vm, a *work.Active, known map[runKey]bool, now time.Time) {
 	key := runKey{a.Task, a.Run}
 	known[key] = true
@@ -73,6 +75,8 @@
 	}
 }
 
+// note tells the agent up to which end the log knows. It stops before an end
+// that must not be taken note of yet.
 func (b *Book) note(v *vm, ends []work.End) {
 	for i := range ends {
 		number := ends[i].Number
@@ -87,11 +91,15 @@
 	}
 }
 
+// overtaken says whether a run ended well after its task was started anew,
+// since its VM had been given up. Its end is not taken note of until the task
+// is done by the newer run: otherwise the task would be done twice.
 func (s *step) overtaken(index int, e *work.End) bool {
 	t := &s.tasks[index]
 	return e.How == endDone && !s.spec.Lasts && !t.Done && t.Last > e.Run && s.job.outcome == nil
 }
 
+// end takes the end of a run.
 func (b *Book) end(v *vm, e *work.End, now time.Time) {
 	if e.Number <= v.seen || v.settled[e.Number] {
 		return
@@ -111,6 +119,13 @@
 	v.settled[e.Number] = true
 }
 
+// The ways in which a run ends.
+const (
+	endDone   = "done"
+	endFailed = "failed"
+)
+
+// settle enters the end of a run into the state of its task.
 func (b *Book) settle(s *step, index int, v *vm, p *placement, e *work.End, now time.Time) {
 	t := &s.tasks[index]
 	if e.Saved != "" && e.Run == t.Last {
@@ -135,6 +150,7 @@
 	b.conclude(s, t, now)
 }
 
+// finishGang marks all members of a gang done: one end stands for all.
 func (b *Book) finishGang(s *step, now time.Time) {
 	for i := range s.tasks {
 		if !s.tasks[i].Done {
@@ -144,6 +160,7 @@
 	}
 }
 
+// conclude ends the job if the change of a task decides it.
 func (b *Book) conclude(s *step, t *work.Task, now time.Time) {
 	j := s.job
 	if j.outcome == nil {
@@ -157,6 +174,7 @@
 	b.drop(j)
 }
 
+// void takes a run that never started.
 func (b *Book) void(v *vm, x *work.Void, now time.Time) {
 	if p := v.runs[runKey{x.Task, x.Run}]; p != nil {
 		b.log("void", "task", x.Task, "run", x.Run, "vm", v.name, "reason", x.Reason)
@@ -166,6 +184,7 @@
 	b.order(v).Settled = append(b.order(v).Settled, work.Stop{Task: x.Task, Run: x.Run})
 }
 
+// reconcile compares what was placed on a VM with what its agent knows.
 func (b *Book) reconcile(v *vm, handled int64, known map[runKey]bool, first bool) {
 	for key, p := range v.runs {
 		if known[key] {
@@ -182,6 +201,7 @@
 	}
 }
 
+// sendStart orders a run. The orders leave after the records before them.
 func (b *Book) sendStart(p *placement) {
 	s := p.step
 	t := &s.tasks[p.index]
--- a/internal/work/planner/vm.go
+++ b/internal/work/planner/vm.go
@@ -185,22 +185,10 @@
 	}
 }
 
-// Report takes the state of a VM.
-// active takes a run that is at work.
 func runIndex(t *work.Task, run int) int {
 	return slices.IndexFunc(t.Runs, func(r work.Run) bool { return r.Run == run })
 }
 
-// note tells the agent up to which end the log knows. It stops before an end
-// that must not be taken note of yet.
-// overtaken says whether a run ended well after its task was started anew,
-// since its VM had been given up. Its end is not taken note of until the task
-// is done by the newer run: otherwise the task would be done twice.
-// end takes the end of a run.
-
-// settle enters the end of a run into the state of its task.
-// finishGang marks all members of a gang done: one end stands for all.
-// conclude ends the job if the change of a task decides it.
 // touch counts a step anew and marks it to be written.
 func (b *Book) touch(s *step) {
 	s.count()
@@ -219,7 +207,6 @@
 	p.vm.reserve(p.step.spec, -1)
 }
 
-// void takes a run that never started.
 // giveUp ends a run that is known not to run and not to have ended by itself.
 func (b *Book) giveUp(p *placement) {
 	s := p.step
@@ -236,8 +223,6 @@
 	}
 }
 
-// reconcile compares what was placed on a VM with what its agent knows.
-// sendStart orders a run. The orders leave after the records before them.
 // haltAll stops all runs of a task.
 func (b *Book) haltAll(s *step, index int, reason string, now time.Time) {
 	t := &s.tasks[index]
