Ask the policy service for tickets before a step's turn comes

Cause: a queue may need approval of the VMs that run its steps; its tasks were started without a ticket, and so never.

--- a/internal/site/assembler/entry.go
+++ b/internal/site/assembler/entry.go
@@ -90,6 +90,9 @@
 		Journal: e.work, Logger: logger, Name: s.Name, Life: e.life, Address: s.Peers,
 		Settings: planner.Settings{MaxLease: s.MaxLease, FarFactor: s.FarFactor}, Client: client, Strength: s.Strength, MaxCall: s.MaxCall,
 	}
+	if s.Policy.IsValid() {
+		e.leader.Advisor = &platform.Advisor{Address: s.Policy, Client: client}
+	}
 	e.follower = &follower.Follower{Journal: e.work, Logger: logger, Observer: e.leader}
 	e.board = &switchboard.Switchboard{Follower: e.follower, Leader: e.leader, Logger: logger}
 	e.leader.Follower, e.leader.Links = e.follower, e.board
--- a/internal/work/leader/lead.go
+++ b/internal/work/leader/lead.go
@@ -14,6 +14,11 @@
 func (l *Leader) lead(ctx context.Context) {
 	l.Links.Announce()
 	defer l.Links.Announce()
+	if l.Advisor != nil {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go l.advise(ctx)
+	}
 	lastWrite := time.Now()
 	for {
 		select {
--- a/internal/work/leader/leader.go
+++ b/internal/work/leader/leader.go
@@ -78,6 +78,8 @@
 	// Strength is the processor share of the entry, in cores. Stronger entries
 	// claim earlier.
 	Strength float64
+	// Advisor says which VMs may run a step, nil where there is none.
+	Advisor Advisor
 	// Client reaches other entries.
 	Client *http.Client
 	// Appends measures the time until a batch is in the log, nil for not.
--- a/internal/work/planner/book.go
+++ b/internal/work/planner/book.go
@@ -100,6 +100,8 @@
 	started time.Time
 	// load is the load of a serving step without fillers beside it, 0 to 1.
 	load float64
+	// tickets are what the policy service said, by VM.
+	tickets map[string]ticket
 }
 
 // placement is a run with what the planner knows of it beyond the log.
--- a/internal/work/planner/plan.go
+++ b/internal/work/planner/plan.go
@@ -118,7 +118,7 @@
 // start places a run of a task on a VM.
 func (b *Book) start(s *step, index int, v *vm, run int, now time.Time) {
 	t := &s.tasks[index]
-	r := work.Run{Run: run, VM: v.name, Born: v.session.Born, Fence: v.session.Fence}
+	r := work.Run{Run: run, VM: v.name, Born: v.session.Born, Fence: v.session.Fence, Ticket: s.tickets[v.name].text}
 	t.Last = run
 	t.Runs = append(t.Runs, r)
 	b.place(s, index, r, now)
@@ -180,7 +180,7 @@
 		if s.spec.Label != "" && !slices.Contains(v.vitals.Labels, s.spec.Label) {
 			continue
 		}
-		if s.spec.Spread > 0 && v.of(s) >= s.spec.Spread {
+		if s.spec.Spread > 0 && v.of(s) >= s.spec.Spread || !s.holds(v, now) {
 			continue
 		}
 		cost := b.cost(v, s, t)
--- a/internal/work/planner/report.go
+++ b/internal/work/planner/report.go
@@ -174,12 +174,19 @@
 	b.drop(j)
 }
 
+// voidTicket is the reason of a start whose ticket the worker did not accept.
+const voidTicket = "ticket"
+
 // void takes a run that never started.
 func (b *Book) void(v *vm, x *work.Void, now time.Time) {
 	if p := v.runs[runKey{x.Task, x.Run}]; p != nil {
 		b.log("void", "task", x.Task, "run", x.Run, "vm", v.name, "reason", x.Reason)
+		if x.Reason == voidTicket {
+			p.step.dropTicket(v.name)
+		} else {
+			v.record.reject(now)
+		}
 		b.giveUp(p)
-		v.record.reject(now)
 	}
 	b.order(v).Settled = append(b.order(v).Settled, work.Stop{Task: x.Task, Run: x.Run})
 }
