Count what serving tasks use now, not a usual share

Cause: a VM counted as busy by 0.55 of what its serving tasks reserve; they use 0.2 to 0.65 of it by turns, and what is left goes unused. Change: the load learned for each serving step takes the place of the constant.

--- a/internal/work/planner/plan.go
+++ b/internal/work/planner/plan.go
@@ -149,9 +149,22 @@
 
 // busy is the processor share that the runs which reserve one are likely to use.
 func (v *vm) busy() int {
-	return v.used.Millis - int((1-servingLoad)*float64(v.served))
+	idle := 0.0
+	for _, p := range v.runs {
+		if p.step.spec.Target > 0 {
+			load := p.step.load
+			if load == 0 {
+				load = servingLoad
+			}
+			idle += (1 - min(load+loadMargin, 1)) * float64(p.step.spec.Size.Millis)
+		}
+	}
+	return v.used.Millis - int(idle)
 }
 
+// loadMargin is added to what a serving task uses now: it swings.
+const loadMargin = 0.05
+
 // filling is the processor share that fillers use at their present pace.
 func (v *vm) filling() int {
 	sum := 0
