--- a/internal/work/planner/book.go
+++ b/internal/work/planner/book.go
@@ -49,7 +49,7 @@
 	orders  map[string]*work.Orders
 	grants  map[string]*work.Grant
 	log     func(decision string, fields ...any)
-	// lastRevoke and the like are set when records are confirmed.
+	// confirm is called when the records are in the log.
 	confirm []func(now time.Time)
 }
 
@@ -344,10 +344,6 @@
 	return false
 }
 
-// earlyStart is how long before its time an occurrence may be planned: less
-// than clocks differ.
-const earlyStart = 0
-
 // begin creates the occurrences that are due.
 func (b *Book) begin(j *job, now time.Time) {
 	if j.outcome != nil || j.dropped {
@@ -356,7 +352,7 @@
 	occurrences := max(j.record.Times, 1)
 	for j.began < occurrences {
 		due := j.record.Due.Add(time.Duration(j.began) * j.record.Interval)
-		if !j.record.Due.IsZero() && now.Add(earlyStart).Before(due) {
+		if !j.record.Due.IsZero() && now.Before(due) {
 			return
 		}
 		for i := range j.record.Steps {
--- a/internal/work/planner/plan.go
+++ b/internal/work/planner/plan.go
@@ -139,8 +139,8 @@
 	return v.used.Millis+spec.Size.Millis <= v.vitals.Size.Millis
 }
 
-// servingLoad is the share of its reservation that a serving task uses on
-// average. The bench's sheets name 0.42; its load swings by half of that.
+// servingLoad is the share of its reservation that a serving task is taken to
+// use until its load is known.
 const servingLoad = 0.55
 
 // maxFill is how many times its processors a VM is filled at most: beyond, all
@@ -211,13 +211,13 @@
 // where it would hardly work.
 const maxFillCost = 2.0
 
-// patienceShare is the share of its objective after which a filler takes what
-// it can get.
-const patienceShare = 10.0
+// patience is how many times its objective a filler may wait until it takes
+// what it can get: far beyond the time in which it is of use.
+const patience = 10.0
 
 // patient says whether a step has waited for so long that any VM will do.
 func (b *Book) patient(s *step, now time.Time) bool {
-	return now.Sub(s.started) > time.Duration(patienceShare*float64(objective(s.job.record)))
+	return now.Sub(s.started) > time.Duration(patience*float64(objective(s.job.record)))
 }
 
 // of counts the runs of a step on a VM.
