--- a/internal/work/leader/leader.go
+++ b/internal/work/leader/leader.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/metric/exporter"
 	"knapweedspur/internal/wire/work"
@@ -207,7 +208,7 @@
 	for ctx.Err() == nil {
 		if !l.wanted(time.Now()) {
 			l.probe(ctx, time.Now())
-			pause(ctx, watchEvery)
+			waiter.Pause(ctx, watchEvery)
 			continue
 		}
 		if l.claim(ctx) {
@@ -216,13 +217,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // wanted says whether this entry should claim the lead now.
 func (l *Leader) wanted(now time.Time) bool {
 	var term *work.Term
