--- a/internal/front/acceptor/acceptor.go
+++ b/internal/front/acceptor/acceptor.go
@@ -14,12 +14,12 @@
 	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/fault/verdict"
 	"knapweedspur/internal/front/cataloger"
+	"knapweedspur/internal/job/follower"
+	"knapweedspur/internal/job/keeper"
+	"knapweedspur/internal/job/leader"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/metric/exporter"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/follower"
-	"knapweedspur/internal/work/keeper"
-	"knapweedspur/internal/work/leader"
 )
 
 const (
--- a/internal/front/switchboard/switchboard.go
+++ b/internal/front/switchboard/switchboard.go
@@ -12,12 +12,12 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"knapweedspur/internal/job/follower"
+	"knapweedspur/internal/job/keeper"
+	"knapweedspur/internal/job/leader"
+	"knapweedspur/internal/job/planner"
 	"knapweedspur/internal/link/carrier"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/follower"
-	"knapweedspur/internal/work/keeper"
-	"knapweedspur/internal/work/leader"
-	"knapweedspur/internal/work/planner"
 )
 
 const (
--- a/internal/work/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -12,8 +12,8 @@
 
 	"knapweedspur/internal/clock/booter"
 	"knapweedspur/internal/clock/waiter"
+	"knapweedspur/internal/job/keeper"
 	"knapweedspur/internal/log/journal"
-	"knapweedspur/internal/work/keeper"
 )
 
 const (
--- a/internal/work/leader/advise.go
+++ b/internal/job/leader/advise.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"knapweedspur/internal/clock/waiter"
-	"knapweedspur/internal/work/planner"
+	"knapweedspur/internal/job/planner"
 )
 
 const (
--- a/internal/work/leader/lead.go
+++ b/internal/job/leader/lead.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
+	"knapweedspur/internal/job/keeper"
+	"knapweedspur/internal/job/planner"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/keeper"
-	"knapweedspur/internal/work/planner"
 )
 
 // lead plans and writes until the lead is lost.
--- a/internal/work/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -15,12 +15,12 @@
 	"github.com/hashicorp/go-hclog"
 
 	"knapweedspur/internal/clock/waiter"
+	"knapweedspur/internal/job/follower"
+	"knapweedspur/internal/job/keeper"
+	"knapweedspur/internal/job/planner"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/metric/exporter"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/follower"
-	"knapweedspur/internal/work/keeper"
-	"knapweedspur/internal/work/planner"
 )
 
 const (
--- a/internal/work/leader/leader_test.go
+++ b/internal/job/leader/leader_test.go
@@ -12,13 +12,13 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/hashicorp/go-hclog"
 
+	"knapweedspur/internal/job/follower"
+	"knapweedspur/internal/job/keeper"
+	"knapweedspur/internal/job/leader"
+	"knapweedspur/internal/job/planner"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/standin/storekeeper"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/follower"
-	"knapweedspur/internal/work/keeper"
-	"knapweedspur/internal/work/leader"
-	"knapweedspur/internal/work/planner"
 )
 
 // links takes what a leader sends.
--- a/internal/work/leader/offer.go
+++ b/internal/job/leader/offer.go
@@ -10,10 +10,10 @@
 	"net/http"
 	"time"
 
+	"knapweedspur/internal/job/keeper"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/wire/encoder"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/keeper"
 )
 
 // OfferPath is where an entry takes records for the log while it leads.
--- a/internal/work/leader/probe.go
+++ b/internal/job/leader/probe.go
@@ -8,8 +8,8 @@
 	"syscall"
 	"time"
 
+	"knapweedspur/internal/job/keeper"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/keeper"
 )
 
 // LifePath is where an entry tells the life of its process.
--- a/internal/work/planner/book.go
+++ b/internal/job/planner/book.go
@@ -10,10 +10,10 @@
 	"strings"
 	"time"
 
+	"knapweedspur/internal/job/estimator"
+	"knapweedspur/internal/job/keeper"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/estimator"
-	"knapweedspur/internal/work/keeper"
 )
 
 // Settings are the figures of the platform that decisions depend on.
--- a/internal/work/planner/learn.go
+++ b/internal/job/planner/learn.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"knapweedspur/internal/job/estimator"
+	"knapweedspur/internal/job/keeper"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/estimator"
-	"knapweedspur/internal/work/keeper"
 )
 
 const (
--- a/internal/work/planner/load_test.go
+++ b/internal/job/planner/load_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"knapweedspur/internal/work/keeper"
+	"knapweedspur/internal/job/keeper"
 )
 
 // play runs jobs that arrive at a rate against one VM, on which a task takes
--- a/internal/work/planner/planner_test.go
+++ b/internal/job/planner/planner_test.go
@@ -7,8 +7,8 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"knapweedspur/internal/job/keeper"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/keeper"
 )
 
 func TestJobRunsToItsEnd(t *testing.T) {
@@ -144,7 +144,7 @@
 }
 
 // A hunt broke "twice" with this: the VM was given up, its task done there all
-// the same, and the end taken note of while the task ran elsewhere.
+// the same, and the end acknowledged while the task ran elsewhere.
 func TestAnEndThatWasOvertakenIsNotNotedUntilTheTaskIsDone(t *testing.T) {
 	s := newStage(t)
 	a := s.add("a", 1000, 1000)
--- a/internal/work/planner/rank.go
+++ b/internal/job/planner/rank.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"knapweedspur/internal/job/keeper"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/keeper"
 )
 
 // candidate is a step with free tasks whose turn has come.
--- a/internal/work/planner/report.go
+++ b/internal/job/planner/report.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"knapweedspur/internal/job/keeper"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/keeper"
 )
 
 // Report takes the state of a VM.
@@ -76,7 +76,7 @@
 }
 
 // note tells the agent up to which end the log knows. It stops before an end
-// that must not be taken note of yet.
+// that must not be acknowledged yet.
 func (b *Book) note(v *vm, ends []work.End) {
 	for i := range ends {
 		number := ends[i].Number
@@ -92,7 +92,7 @@
 }
 
 // overtaken says whether a run ended well after its task was started anew,
-// since its VM had been given up. Its end is not taken note of until the task
+// since its VM had been given up. Its end is not acknowledged until the task
 // is done by the newer run: otherwise the task would be done twice.
 func (s *step) overtaken(index int, e *work.End) bool {
 	t := &s.tasks[index]
--- a/internal/work/planner/stage_test.go
+++ b/internal/job/planner/stage_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
+	"knapweedspur/internal/job/keeper"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/keeper"
 )
 
 // stage plays a book against VMs that carry out its orders, in virtual time.
--- a/internal/work/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"knapweedspur/internal/job/keeper"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/keeper"
 )
 
 const (
--- a/internal/side/pacer/pacer.go
+++ b/internal/side/pacer/pacer.go
@@ -5,8 +5,8 @@
 import (
 	"time"
 
+	"knapweedspur/internal/job/estimator"
 	"knapweedspur/internal/wire/work"
-	"knapweedspur/internal/work/estimator"
 )
 
 const (
--- a/internal/standin/soaker/checker.go
+++ b/internal/standin/soaker/checker.go
@@ -16,7 +16,7 @@
 	starts  map[string]int
 	// last is the highest run of each task that was started.
 	last map[string]int
-	// done tells of tasks whose end was taken note of.
+	// noted tells of tasks whose end was acknowledged.
 	noted map[string]int
 	sizes map[string]size
 	used  map[string]size
@@ -101,7 +101,7 @@
 	c.add(worker, task, -1, now)
 }
 
-// Noted takes that an end was taken note of.
+// Noted takes that an end was acknowledged.
 func (c *checker) Noted(_, task string, run int, how string, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/standin/taskworker/worker.go
+++ b/internal/standin/taskworker/worker.go
@@ -17,7 +17,7 @@
 type Observer interface {
 	Started(worker, task string, run int, now time.Time)
 	Ended(worker, task string, run int, how string, now time.Time)
-	// Noted hears that an end was taken note of.
+	// Noted hears that an end was acknowledged.
 	Noted(worker, task string, run int, how string, now time.Time)
 }
 
