Keep the stand-ins that speak the platform's protocol beside the adapter

Cause: the soak, the log's handler and the worker stand-in knew the platform's words outside platform/, and the test that forbids it passed over stand-ins. Change: they and the messages of clients are platform/standin; the soak uses them by the project's names. Measured: the word test failed on soaker.go, handler.go and worker.go without the move of the exception; passes now. Unit tests of both packages pass.

--- a/internal/standin/soaker/checker.go
+++ b/internal/standin/soaker/checker.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"knapweedspur/platform/standin"
 )
 
 // checker keeps one history of what clients and workers saw, and the promises
@@ -155,11 +157,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before := c.shown[job]
-	if (before == stateCompleted || before == stateFailed || before == stateCanceled) && state != before {
+	if (before == standin.StateCompleted || before == standin.StateFailed || before == standin.StateCanceled) && state != before {
 		c.fail(now, "state went back: %s from %s to %s", job, before, state)
 	}
 	c.shown[job] = state
-	if state != stateCompleted {
+	if state != standin.StateCompleted {
 		return
 	}
 	for _, task := range tasks {
@@ -176,8 +178,8 @@
 	for job := range c.accepted {
 		state := c.shown[job]
 		switch {
-		case state == stateCompleted, state == stateCanceled && c.asked[job]:
-		case state == stateCanceled:
+		case state == standin.StateCompleted, state == standin.StateCanceled && c.asked[job]:
+		case state == standin.StateCanceled:
 			c.fail(now, "canceled unasked: %s", job)
 		default:
 			c.fail(now, "not done: %s is %q", job, state)
--- a/internal/standin/soaker/client.go
+++ b/internal/standin/soaker/client.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	"knapweedspur/internal/clock/waiter"
+	"knapweedspur/platform/standin"
 )
 
 const (
@@ -18,17 +17,12 @@
 	clientTimeout = 3 * time.Second
 	// tries is how often a client sends a job.
 	tries = 5
+	// estimate is the declared duration of tasks: most take longer.
+	estimate = 500 * time.Millisecond
 	// poll is how often a client asks for a state.
 	poll = 300 * time.Millisecond
 )
 
-// The final states, in the words of the platform.
-const (
-	stateCompleted = "completed"
-	stateFailed    = "failed"
-	stateCanceled  = "cancelled" //nolint:misspell // the platform's spelling
-)
-
 // client submits one job, asks for its state, and sometimes cancels it. It
 // keeps its connection until the entry closes it.
 type client struct {
@@ -48,7 +42,7 @@
 	c.soak.checker.mu.Lock()
 	c.soak.checker.sizes[c.job] = s
 	c.soak.checker.mu.Unlock()
-	body := fmt.Sprintf(`{"spec":"s","steps":[{"count":%d,"cpu":%d,"memMb":%d,"estDurationMs":500}]}`, count, s.millis, s.memory)
+	body := standin.Job(count, s.millis, s.memory, estimate)
 	if !c.submit(ctx, body) {
 		return
 	}
@@ -63,14 +57,12 @@
 		if status != http.StatusOK {
 			continue
 		}
-		var state struct {
-			State string `json:"state"`
-		}
-		if json.Unmarshal([]byte(answer), &state) != nil {
+		state := standin.State(answer)
+		if state == "" {
 			continue
 		}
-		c.soak.checker.state(c.job, state.State, c.tasks, time.Now())
-		if state.State == stateCompleted || state.State == stateCanceled {
+		c.soak.checker.state(c.job, state, c.tasks, time.Now())
+		if state == standin.StateCompleted || state == standin.StateCanceled {
 			return
 		}
 	}
@@ -97,25 +89,23 @@
 }
 
 // send calls an entry and returns the status, 0 for none.
-func (c *client) send(ctx context.Context, method, what, body string) (int, string) {
+func (c *client) send(ctx context.Context, method, what, body string) (int, []byte) {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
 	entry := c.soak.entries[c.random.IntN(len(c.soak.entries))]
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+entry.clients+"/q/"+c.job, strings.NewReader(body))
+	req, err := standin.NewRequest(method, entry.clients, c.job, body, clientTimeout)
 	if err != nil {
-		return 0, ""
+		return 0, nil
 	}
-	req.Host = "queue.example"
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(clientTimeout.Milliseconds()))
-	resp, err := c.http.Do(req)
+	resp, err := c.http.Do(req.WithContext(ctx))
 	if err != nil {
-		return 0, ""
+		return 0, nil
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0, ""
+		return 0, nil
 	}
 	c.soak.checker.answer(c.job, what, resp.StatusCode, time.Now())
-	return resp.StatusCode, string(data)
+	return resp.StatusCode, data
 }
--- a/internal/standin/soaker/fault.go
+++ b/internal/standin/soaker/fault.go
@@ -6,6 +6,7 @@
 
 	"knapweedspur/internal/standin/disturber"
 	"knapweedspur/internal/standin/storekeeper"
+	"knapweedspur/platform"
 )
 
 // faultEvery is the mean time between faults; they last longer, so that they
@@ -43,7 +44,7 @@
 		s.store.SetFaults(faults[s.random.IntN(len(faults))])
 		after(func() { s.store.SetFaults(storekeeper.Faults{}) })
 	case 7:
-		s.store.Stream("keyed.work").Forget()
+		s.store.Stream(platform.WorkStream).Forget()
 	case 8:
 		s.workers[s.random.IntN(len(s.workers))].Begin(time.Now())
 	case 9, 10:
--- a/internal/standin/soaker/soaker.go
+++ b/internal/standin/soaker/soaker.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,8 +20,8 @@
 	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/standin/disturber"
-	"knapweedspur/internal/standin/storekeeper"
-	"knapweedspur/internal/standin/taskworker"
+	"knapweedspur/platform"
+	"knapweedspur/platform/standin"
 )
 
 // Plan is what a soak plays.
@@ -63,10 +64,10 @@
 	plan    Plan
 	random  *rand.Rand
 	checker *checker
-	store   *storekeeper.Keeper
+	store   *standin.Keeper
 	entries []*process
 	agents  []*process
-	workers []*taskworker.Worker
+	workers []*standin.Worker
 	done    chan struct{}
 	group   sync.WaitGroup
 	// faults counts the faults that were injected.
@@ -78,7 +79,7 @@
 	name    string
 	role    string
 	ip      string
-	clients string
+	clients netip.AddrPort
 	env     string
 	log     *os.File
 	proxy   *disturber.Proxy
@@ -99,7 +100,7 @@
 func Run(plan Plan) (*Result, error) {
 	s := &soak{
 		plan: plan, random: rand.New(rand.NewPCG(plan.Seed, 1)), checker: newChecker(time.Now()),
-		store: storekeeper.NewKeeper(), done: make(chan struct{}),
+		store: standin.NewKeeper(), done: make(chan struct{}),
 	}
 	if err := s.build(); err != nil {
 		return nil, err
@@ -130,8 +131,7 @@
 
 // build starts the store, the workers and the processes.
 func (s *soak) build() error {
-	config := `{"version":1,"routes":[{"name":"q","host":"queue.example","pathPrefix":"/q/","service":"pool","maxAttempts":3,"stretch":2,"latencyTargetMs":1000}],"services":[{"name":"pool"}],"limits":{}}`
-	if _, err := s.store.Stream("keyed.op").Append(context.Background(), []journal.Record{{Key: "config", Value: []byte(config)}}, nil); err != nil {
+	if _, err := s.store.Stream(platform.OperatorStream).Append(context.Background(), []journal.Record{standin.ConfigRecord()}, nil); err != nil {
 		return err
 	}
 	store := fmt.Sprintf("%s:%d", s.address(0, 0), port)
@@ -140,14 +140,14 @@
 	}
 	for i := range s.plan.Entries {
 		p := &process{name: fmt.Sprintf("entry-%d", i), role: "entry", ip: s.address(1, i)}
-		p.clients = fmt.Sprintf("%s:%d", p.ip, port)
+		p.clients = netip.AddrPortFrom(netip.MustParseAddr(p.ip), port)
 		s.entries = append(s.entries, p)
 	}
 	for i := range s.plan.Agents {
 		p := &process{name: fmt.Sprintf("agent-%d", i), role: "agent", ip: s.address(2, i)}
 		s.agents = append(s.agents, p)
-		w := &taskworker.Worker{
-			Name: fmt.Sprintf("w%d", i), Agent: fmt.Sprintf("%s:%d", p.ip, port+2), Millis: workerMillis, Memory: workerMemory,
+		w := &standin.Worker{
+			Name: fmt.Sprintf("w%d", i), Agent: fmt.Sprintf("%s:%d", p.ip, port+standin.ControlPort), Millis: workerMillis, Memory: workerMemory,
 			Observer: s.checker, Last: taskTime,
 		}
 		w.Begin(time.Now())
@@ -213,17 +213,15 @@
 	if err := p.proxy.Listen(near); err != nil {
 		return err
 	}
-	listen := fmt.Sprintf(`"front":"%s:%d","ready":"%s:%d"`, p.ip, port, p.ip, port+1)
-	if p.role == "agent" {
-		listen = fmt.Sprintf(`"control":"%s:%d"`, p.ip, port+2)
+	settings := standin.Process{
+		Name: p.name, Entry: p.role == "entry", IP: p.ip, Port: port, Store: near,
+		Worker: fmt.Sprintf("%s:%d", s.address(3, max(number-s.plan.Entries, 0)), port),
 	}
-	settings := fmt.Sprintf(`{"node":"%s","ip":"%s","zone":"z","listen":{%s},"portRange":[%d,%d],"app":"%s:%d","platform":{"addr":"%s","recordBytes":262144,"callBytes":2097152},"limits":{"cpuShare":0.4},"bounds":{"holdMaxMs":6000,"graceS":6,"farFactor":2,"harmMs":4000}}`,
-		p.name, p.ip, listen, port+10, port+20, s.address(3, max(number-s.plan.Entries, 0)), port, near)
 	path := filepath.Join(s.plan.Logs, p.name+".json")
-	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+	if err := os.WriteFile(path, settings.Settings(), 0o600); err != nil {
 		return err
 	}
-	p.env = "KNAPWEEDSPUR_NODE_FILE=" + path
+	p.env = standin.Environment(path)
 	log, err := os.Create(filepath.Join(s.plan.Logs, p.name+".log"))
 	p.log = log
 	return err
