--- a/internal/front/cataloger/watcher.go
+++ b/internal/front/cataloger/watcher.go
@@ -80,20 +80,9 @@
 }
 
 func (w *Watcher) restart(ctx context.Context) error {
-	after, next := "", int64(-1)
-	for more := true; more; {
-		page, err := w.Journal.Newest(ctx, after)
-		if err != nil {
-			return err
-		}
-		if next < 0 {
-			next = page.Head
-		}
-		for _, r := range page.Records {
-			after = r.Key
-			w.take(r)
-		}
-		more = page.More && len(page.Records) > 0
+	next, err := journal.ReadNewest(ctx, w.Journal, w.take)
+	if err != nil {
+		return err
 	}
 	w.next = next
 	return nil
--- a/internal/job/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -172,21 +172,9 @@
 // restart builds the view from the newest record of each key.
 func (f *Follower) restart(ctx context.Context) error {
 	state := keeper.New()
-	after, next := "", int64(-1)
-	for more := true; more; {
-		page, err := f.Journal.Newest(ctx, after)
-		if err != nil {
-			return err
-		}
-		if next < 0 {
-			// Later pages are newer; what changed since is read from the tail.
-			next = page.Head
-		}
-		for _, r := range page.Records {
-			after = r.Key
-			f.fold(state, r)
-		}
-		more = page.More && len(page.Records) > 0
+	next, err := journal.ReadNewest(ctx, f.Journal, func(r journal.Record) { f.fold(state, r) })
+	if err != nil {
+		return err
 	}
 	state.Next = next
 	f.mu.Lock()
--- a/internal/side/warden/warden_test.go
+++ b/internal/side/warden/warden_test.go
@@ -98,6 +98,16 @@
 	return w, k, stop
 }
 
+// play runs a test in virtual time against a warden with a session.
+func play(t *testing.T, test func(t *testing.T, w *Warden, k *worker)) {
+	synctest.Test(t, func(t *testing.T) {
+		w, k, stop := begin(t)
+		test(t, w, k)
+		stop()
+		<-w.Done
+	})
+}
+
 func virtual() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
 func vouch(w *Warden) { w.Vouched(w.Beat(1), virtual()) }
@@ -108,8 +118,7 @@
 }
 
 func TestTheLeaseFollowsTheEvidence(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w, k, stop := begin(t)
+	play(t, func(t *testing.T, w *Warden, k *worker) {
 		for range 20 {
 			vouch(w)
 			time.Sleep(300 * time.Millisecond)
@@ -121,16 +130,13 @@
 		if left := k.left(); left > 0 {
 			t.Errorf("without evidence the lease still has %s", left)
 		}
-		stop()
-		<-w.Done
 	})
 }
 
 // A hunt broke "lost" with this: the lease of a worker that was gone for good
 // was extended on and on, so that its tasks were never taken to be over.
 func TestAMuteWorkerLapsesThoughTheSessionIsVouchedFor(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w, k, stop := begin(t)
+	play(t, func(t *testing.T, w *Warden, k *worker) {
 		vouch(w)
 		time.Sleep(time.Second)
 		k.mu.Lock()
@@ -143,14 +149,11 @@
 		if !w.Report(0).Lapsed {
 			t.Error("9 s without an answer, and the lease is not reported as over")
 		}
-		stop()
-		<-w.Done
 	})
 }
 
 func TestAStartWithoutAnAnswerIsStoppedAndSettled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w, k, stop := begin(t)
+	play(t, func(t *testing.T, w *Warden, k *worker) {
 		vouch(w)
 		k.mu.Lock()
 		k.noStart = true
@@ -168,14 +171,11 @@
 		if diff := cmp.Diff(0, len(w.Report(1).Voids)); diff != "" {
 			t.Errorf("voids after the log has them (-want +got):\n%s", diff)
 		}
-		stop()
-		<-w.Done
 	})
 }
 
 func TestADrainingWorkerIsGivenNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w, k, stop := begin(t)
+	play(t, func(t *testing.T, w *Warden, k *worker) {
 		vouch(w)
 		w.Announce(work.Vitals{VM: "vm", Born: 1, Pool: "pool", Draining: true}, 2, time.Now())
 		order(w, t, &work.Orders{Number: 1, Starts: []work.Start{{Task: "t", Run: 1}}})
@@ -187,14 +187,11 @@
 		if diff := cmp.Diff(want, w.Report(1).Voids); diff != "" {
 			t.Errorf("voids (-want +got):\n%s", diff)
 		}
-		stop()
-		<-w.Done
 	})
 }
 
 func TestEndsAreForgottenOnlyAfterTheLogHasThem(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w, k, stop := begin(t)
+	play(t, func(t *testing.T, w *Warden, k *worker) {
 		vouch(w)
 		end := work.End{Number: 1, Task: "t", Run: 1, How: "done"}
 		k.mu.Lock()
@@ -212,14 +209,11 @@
 		if k.seen != 1 {
 			t.Errorf("the worker may forget up to %d, want 1", k.seen)
 		}
-		stop()
-		<-w.Done
 	})
 }
 
 func TestOrdersOfAnOlderLeaderOrSessionArePassedOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w, k, stop := begin(t)
+	play(t, func(t *testing.T, w *Warden, k *worker) {
 		vouch(w)
 		w.Orders(t.Context(), &work.Orders{Epoch: 5, Fence: 3, Number: 1})
 		w.Orders(t.Context(), &work.Orders{Epoch: 4, Fence: 3, Number: 2, Starts: []work.Start{{Task: "old", Run: 1}}})
@@ -228,14 +222,11 @@
 		if len(k.active) != 0 {
 			t.Errorf("started %+v", k.active)
 		}
-		stop()
-		<-w.Done
 	})
 }
 
 func TestANewLifeOfTheWorkerForgetsTheOldSession(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w, _, stop := begin(t)
+	play(t, func(t *testing.T, w *Warden, _ *worker) {
 		w.Announce(work.Vitals{VM: "vm", Born: 2, Pool: "pool"}, 1, time.Now())
 		w.Announce(work.Vitals{VM: "vm", Born: 1, Pool: "pool"}, 9, time.Now())
 		vitals, _ := w.Vitals()
@@ -245,7 +236,5 @@
 		if diff := cmp.Diff(int64(0), w.Report(1).Fence); diff != "" {
 			t.Errorf("fence (-want +got):\n%s", diff)
 		}
-		stop()
-		<-w.Done
 	})
 }
