Mend constants that an unseen deployment could break

Cause: read for what a deployment of other sizes would break. A step of over 1,300 tasks, or thousands of pairs of kinds, made a record that the log refuses, and the leader would have offered it for ever. The VMs to avoid of a lasting task grew without end. With over 32 entries an agent might never link with the one that leads. The priority of queues did not count.

--- a/internal/front/acceptor/acceptor.go
+++ b/internal/front/acceptor/acceptor.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -118,6 +119,12 @@
 		a.Logger.Info("accept", "job", job.ID, "queue", q.Name, "repeat", true)
 		return nil
 	}
+	for i := range job.Steps {
+		// The state of a step must fit a record, or no leader could write it.
+		if limit := a.MaxRecord / keeper.TaskBytes; job.Steps[i].Tasks > limit {
+			return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Invalid, Reason: fmt.Sprintf("step %d has %d tasks, the limit is %d", i, job.Steps[i].Tasks, limit)}
+		}
+	}
 	job.Queue, job.Accepted = q.Queue, now
 	record := keeper.JobRecord(job)
 	if len(record.Value)+len(record.Key) >= a.MaxRecord {
--- a/internal/front/acceptor/acceptor_test.go
+++ b/internal/front/acceptor/acceptor_test.go
@@ -148,6 +148,20 @@
 	})
 }
 
+// A step whose state fits no record would keep the leader from writing anything.
+func TestAStepThatNoRecordHoldsIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		a, stop := begin(t, log)
+		q := a.Cataloger.Current().Find("h", "/q/x")
+		wide := &work.Job{ID: id, Steps: []work.Step{{Tasks: 1}, {Tasks: a.MaxRecord/keeper.TaskBytes + 1}}}
+		if got := told(a.Submit(t.Context(), q, 1, wide, time.Now())); got != verdict.Unrun {
+			t.Errorf("told %v", got)
+		}
+		stop()
+	})
+}
+
 func TestARepeatIsAcceptedWithoutAnotherRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := storekeeper.New()
--- /dev/null
+++ b/internal/front/cataloger/cataloger_test.go
@@ -0,0 +1,72 @@
+package cataloger
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+
+	"knapweedspur/internal/log/journal"
+	"knapweedspur/internal/standin/storekeeper"
+	"knapweedspur/internal/wire/work"
+)
+
+func TestTheLongestPrefixOfTheHostCounts(t *testing.T) {
+	c := &Catalog{Queues: []Queue{
+		{Host: "h", Prefix: "/a/", Queue: work.Queue{Name: "short"}},
+		{Host: "h", Prefix: "/a/b/", Queue: work.Queue{Name: "long"}},
+		{Host: "x", Prefix: "/a/b/c/", Queue: work.Queue{Name: "other"}},
+	}}
+	if q := c.Find("H", "/a/b/c/id"); q == nil || q.Name != "long" {
+		t.Errorf("found %+v", q)
+	}
+	if q := c.Find("h", "/b/id"); q != nil {
+		t.Errorf("found %+v", q)
+	}
+}
+
+func TestAConfigurationNeverGoesBack(t *testing.T) {
+	k := &Cataloger{}
+	var took []bool
+	for _, version := range []int64{4, 7, 5, 7, 9} {
+		took = append(took, k.Offer(&Catalog{Version: version}))
+	}
+	if diff := cmp.Diff([]bool{true, true, false, false, true}, took); diff != "" {
+		t.Errorf("taken (-want +got):\n%s", diff)
+	}
+}
+
+func TestTheWatcherFollowsThroughOutages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := storekeeper.New()
+		put := func(value string) {
+			if _, err := log.Append(t.Context(), []journal.Record{{Key: "config", Value: []byte(value)}}, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		put("3")
+		w := &Watcher{Journal: log, Cataloger: &Cataloger{}, Logger: hclog.NewNullLogger(), Done: make(chan struct{}), Decode: func(r journal.Record) (*Catalog, error) {
+			version, err := strconv.ParseInt(string(r.Value), 10, 64)
+			return &Catalog{Version: version}, err
+		}}
+		ctx, stop := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		time.Sleep(time.Second)
+		put("not a version")
+		log.SetFaults(storekeeper.Faults{Down: true})
+		time.Sleep(3 * time.Second)
+		log.SetFaults(storekeeper.Faults{})
+		put("8")
+		log.Forget()
+		time.Sleep(2 * time.Second)
+		if got := w.Cataloger.Current().Version; got != 8 {
+			t.Errorf("version %d in force, want 8", got)
+		}
+		stop()
+		<-w.Done
+	})
+}
--- a/internal/job/estimator/interference.go
+++ b/internal/job/estimator/interference.go
@@ -51,12 +51,22 @@
 	}
 }
 
-// Pairs returns what was learned, in a fixed order.
+// maxPairs bounds what is kept of pairs, so that it fits a record.
+const maxPairs = 2000
+
+// Pairs returns what was learned, in a fixed order: where there is too much,
+// what differs most from what is assumed of an unknown pair.
 func (e *Interference) Pairs() []work.Pair {
 	pairs := make([]work.Pair, 0, len(e.weights))
 	for p, w := range e.weights {
 		pairs = append(pairs, work.Pair{Fill: p.fill, Serve: p.serve, Weight: math.Round(w*100) / 100})
 	}
+	if len(pairs) > maxPairs {
+		slices.SortFunc(pairs, func(a, b work.Pair) int {
+			return cmp.Compare(math.Abs(b.Weight-unknownWeight), math.Abs(a.Weight-unknownWeight))
+		})
+		pairs = pairs[:maxPairs]
+	}
 	slices.SortFunc(pairs, func(a, b work.Pair) int {
 		return cmp.Or(strings.Compare(a.Fill, b.Fill), strings.Compare(a.Serve, b.Serve))
 	})
--- a/internal/job/estimator/interference_test.go
+++ b/internal/job/estimator/interference_test.go
@@ -1,6 +1,7 @@
 package estimator
 
 import (
+	"fmt"
 	"math"
 	"testing"
 )
@@ -14,6 +15,28 @@
 	}
 }
 
+func TestWhatIsKeptOfManyPairsIsBounded(t *testing.T) {
+	e := NewInterference()
+	for i := range 60 {
+		for j := range 60 {
+			e.weights[pair{fmt.Sprintf("f%d", i), fmt.Sprintf("s%d", j)}] = float64(i) / 10
+		}
+	}
+	kept := e.Pairs()
+	if len(kept) != maxPairs {
+		t.Fatalf("%d pairs are kept, the limit is %d", len(kept), maxPairs)
+	}
+	strong := 0
+	for _, p := range kept {
+		if p.Weight > 5 {
+			strong++
+		}
+	}
+	if strong != 9*60 {
+		t.Errorf("%d of 540 strong pairs are kept", strong)
+	}
+}
+
 func TestThePairThatPressesIsFound(t *testing.T) {
 	e := NewInterference()
 	// Kind "hot" presses on "feed" with 2.5 for each VM, kind "mild" not at all.
--- a/internal/job/keeper/keeper.go
+++ b/internal/job/keeper/keeper.go
@@ -34,6 +34,13 @@
 	Canceled  = "canceled"
 )
 
+const (
+	// TaskBytes bounds the state of one task in the record of its step.
+	TaskBytes = 256
+	// MaxShunned is how many VMs a task remembers to avoid.
+	MaxShunned = 4
+)
+
 // StepKey names one step of one occurrence of a job.
 type StepKey struct {
 	Occurrence, Step int
--- /dev/null
+++ b/internal/job/keeper/size_test.go
@@ -0,0 +1,29 @@
+package keeper
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"knapweedspur/internal/wire/work"
+)
+
+// The largest state of a task: the longest names, and as many VMs to avoid as
+// are remembered.
+func TestTheStateOfATaskFitsItsShareOfARecord(t *testing.T) {
+	task := work.Task{Last: math.MaxInt32, Failed: math.MaxInt32, Saved: strings.Repeat("f", 16), Runs: []work.Run{{
+		Run: math.MaxInt32, VM: "i-0123456789ab", Born: math.MaxInt64, Fence: math.MaxInt64, Ticket: strings.Repeat("t", 24), Halted: "completed",
+	}}}
+	for i := range MaxShunned {
+		task.Shunned = append(task.Shunned, fmt.Sprintf("i-0123456789%02d", i))
+	}
+	const tasks = 500
+	progress := &work.Progress{}
+	for range tasks {
+		progress.Tasks = append(progress.Tasks, task)
+	}
+	if size := len(ProgressRecord(strings.Repeat("f", 16), StepKey{Occurrence: 9999, Step: 99}, progress).Value); size > tasks*TaskBytes {
+		t.Errorf("%d bytes for a task, the limit is %d", size/tasks, TaskBytes)
+	}
+}
--- a/internal/job/planner/planner_test.go
+++ b/internal/job/planner/planner_test.go
@@ -186,6 +186,36 @@
 	}
 }
 
+func TestTheUrgentQueueGoesFirst(t *testing.T) {
+	s := newStage(t)
+	for i, priority := range []int{2, 0} {
+		s.accept(&work.Job{ID: id(i + 1), Accepted: s.now, Steps: []work.Step{tasks(1, 1000)}, Queue: work.Queue{
+			Pool: "pool", Attempts: 1, Priority: priority, Target: time.Minute,
+		}})
+	}
+	s.add("a", 1000, 1000)
+	if len(s.running(id(2))) != 1 {
+		t.Errorf("the job of the urgent queue waits: %v", s.running(id(1)))
+	}
+}
+
+func TestAFewVMsToAvoidAreRemembered(t *testing.T) {
+	s := newStage(t)
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		s.add(name, 1000, 1000)
+	}
+	lasting := tasks(1, 100)
+	lasting.Lasts = true
+	s.submit(id(1), lasting)
+	for range 7 {
+		s.finishAll("failed")
+		s.wait(3 * time.Second)
+	}
+	if shunned := s.book.jobs[id(1)].steps[keeper.StepKey{}].tasks[0].Shunned; len(shunned) > keeper.MaxShunned {
+		t.Errorf("%d VMs are remembered, the limit is %d", len(shunned), keeper.MaxShunned)
+	}
+}
+
 func TestStepsThatNeedTicketsWaitForThem(t *testing.T) {
 	s := newStage(t)
 	s.add("a", 4000, 1000)
--- a/internal/job/planner/rank.go
+++ b/internal/job/planner/rank.go
@@ -38,6 +38,9 @@
 		return c.late < o.late
 	}
 	a, z := c.step.job, o.step.job
+	if a.record.Queue.Priority != z.record.Queue.Priority {
+		return a.record.Queue.Priority < z.record.Queue.Priority
+	}
 	if c.short && c.late < 2 && c.left != o.left {
 		return c.left < o.left
 	}
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -143,6 +143,7 @@
 		t.Failed++
 		if !slices.Contains(t.Shunned, v.name) {
 			t.Shunned = append(t.Shunned, v.name)
+			t.Shunned = t.Shunned[max(len(t.Shunned)-keeper.MaxShunned, 0):]
 		}
 		v.record.fail(e.Task, now)
 	}
--- a/internal/side/courier/courier.go
+++ b/internal/side/courier/courier.go
@@ -145,7 +145,24 @@
 func (c *Courier) connect(address netip.AddrPort) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.links[address] != nil || len(c.links) >= maxEntries || c.root.Err() != nil {
+	if c.links[address] == nil && len(c.links) < maxEntries {
+		c.open(address)
+	}
+}
+
+// connectLeader begins a connection to the entry that leads, however many
+// there are.
+func (c *Courier) connectLeader(address netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if address.IsValid() && c.links[address] == nil {
+		c.open(address)
+	}
+}
+
+// open begins a connection. The caller holds the lock.
+func (c *Courier) open(address netip.AddrPort) {
+	if c.root.Err() != nil {
 		return
 	}
 	l := &link{address: address}
@@ -268,6 +285,7 @@
 func (c *Courier) handle(l *link, p *work.Packet) {
 	if e := p.Evidence; e != nil {
 		c.evidence(l, e)
+		c.connectLeader(e.Leader)
 		for _, address := range e.Entries {
 			c.connect(address)
 		}
--- a/internal/side/courier/courier_test.go
+++ b/internal/side/courier/courier_test.go
@@ -25,6 +25,7 @@
 	conn   *carrier.Conn
 	beats  int
 	tells  []netip.AddrPort
+	leader netip.AddrPort
 }
 
 func newEntry(t *testing.T) *entry {
@@ -57,9 +58,9 @@
 		}
 		e.mu.Lock()
 		e.beats++
-		tells := e.tells
+		tells, leader := e.tells, e.leader
 		e.mu.Unlock()
-		if conn.SendValue(&work.Packet{Evidence: &work.Evidence{Number: p.Beat.Number, Entries: tells}}) != nil {
+		if conn.SendValue(&work.Packet{Evidence: &work.Evidence{Number: p.Beat.Number, Entries: tells, Leader: leader}}) != nil {
 			return
 		}
 	}
@@ -87,23 +88,28 @@
 
 func (f finder) Find(context.Context) ([]netip.AddrPort, error) { return f, nil }
 
-// A hunt broke "twice" with this: the connection to an entry ended with the
-// connection over which the agent had heard of that entry, and never came back.
-func TestAConnectionOutlivesTheOneThatToldOfIt(t *testing.T) {
-	first, second := newEntry(t), newEntry(t)
-	first.tells = []netip.AddrPort{first.address(), second.address()}
+// begin runs a courier that finds the first entry.
+func begin(t *testing.T, first, second *entry) {
 	w := &warden.Warden{Worker: executor.Worker(nil), Logger: hclog.NewNullLogger(), Changed: func() {}}
 	w.Init()
 	c := &courier.Courier{Warden: w, Finder: finder{first.address()}, Client: http.DefaultClient, Logger: hclog.NewNullLogger(), Agent: "agent"}
 	c.Init()
 	ctx, stop := context.WithCancel(t.Context())
 	go c.Run(ctx)
-	defer func() {
+	t.Cleanup(func() {
 		stop()
 		first.cut()
 		second.cut()
 		<-c.Done
-	}()
+	})
+}
+
+// A hunt broke "twice" with this: the connection to an entry ended with the
+// connection over which the agent had heard of that entry, and never came back.
+func TestAConnectionOutlivesTheOneThatToldOfIt(t *testing.T) {
+	first, second := newEntry(t), newEntry(t)
+	first.tells = []netip.AddrPort{first.address(), second.address()}
+	begin(t, first, second)
 	wait(t, "heartbeats to the second entry", func() bool { return second.count() > 1 })
 	first.server.Close()
 	first.cut()
@@ -112,6 +118,18 @@
 	wait(t, "heartbeats to the second entry after the first was lost", func() bool { return second.count() > before+2 })
 }
 
+// With more entries than an agent keeps connections, it must still reach the
+// one that leads.
+func TestTheLeaderIsLinkedHoweverManyEntriesThereAre(t *testing.T) {
+	first, second := newEntry(t), newEntry(t)
+	for port := range uint16(40) {
+		first.tells = append(first.tells, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port+1))
+	}
+	first.leader = second.address()
+	begin(t, first, second)
+	wait(t, "heartbeats to the leader", func() bool { return second.count() > 1 })
+}
+
 func wait(t *testing.T, what string, done func() bool) {
 	t.Helper()
 	for range 100 {
