--- a/internal/job/leader/leader_test.go
+++ b/internal/job/leader/leader_test.go
@@ -154,25 +154,19 @@
 func TestTwoClaimsOfTheSameEpochAreToldApart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := storekeeper.New()
-		numbers := map[string]int64{"a": 100, "b": 200}
-		draw := func(name string) func(int64) int64 {
-			return func(n int64) int64 {
-				if n > 1<<20 {
-					return numbers[name]
-				}
-				return 7 % n
-			}
-		}
-		log.SetFaults(storekeeper.Faults{Delay: 100 * time.Millisecond})
-		a, b := startWith(t, log, "a", draw("a")), startWith(t, log, "b", draw("b"))
-		first := leads(t, a, b)
-		second := a
-		if first == a {
-			second = b
+		const drawn = 7
+		b := startWith(t, log, "b", func(n int64) int64 { return drawn % n })
+		log.SetFaults(storekeeper.Faults{Refuse: true})
+		time.Sleep(2 * time.Second)
+		// The other entry draws the same, comes first, and ends.
+		log.SetFaults(storekeeper.Faults{})
+		writer := &journal.Writer{Name: "leader", Epoch: 1<<12 | drawn, Number: 100}
+		term := &work.Term{Leader: "a", Life: "a-1", Epoch: writer.Epoch, Address: netip.MustParseAddrPort("127.0.0.1:2")}
+		if _, err := log.Append(t.Context(), []journal.Record{keeper.TermRecord(term)}, writer); err != nil {
+			t.Fatal(err)
 		}
-		first.end()
-		leads(t, second)
-		second.end()
+		leads(t, b)
+		b.end()
 	})
 }
 
