Pace fillers from their start, and after a restart of the agent

Cause: three gaps in what an agent knows. A new process of the agent did not know the kinds of the runs that it found, nor what had been learned of pairs, so fillers beside serving tasks went unpaced until they ended. A new filler worked in full until the next poll, up to 250 ms. A pace whose call failed was taken to be in force.

Ruled out: that the leader sends all starts again (after each change of the leader it would send every description to every agent).

Change: agents mark runs of unknown kind, the leader describes them and tells weights again after a new introduction; fillers are paced as soon as the worker has started them; paces count once confirmed; a serving task without a figure is given half of what it may bear; polls come each 125 ms while fillers work beside serving tasks.

--- a/internal/job/planner/book.go
+++ b/internal/job/planner/book.go
@@ -39,6 +39,8 @@
 	saved time.Time
 	// forgot is when outcomes were last looked through.
 	forgot time.Time
+	// summarized is when the load was last told.
+	summarized time.Time
 	// relocated is when fillers were last moved.
 	relocated time.Time
 
@@ -90,6 +92,8 @@
 	// paced when it changed.
 	pace  int
 	paced time.Time
+	// described is when the agent was last told the kind of the run.
+	described time.Time
 	// stopped is when the last stop was sent.
 	stopped time.Time
 	// first and seen are when the progress was first and last observed.
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -42,6 +42,7 @@
 			}
 		}
 	}
+	b.summarize(queue, now)
 	if len(queue) == 0 {
 		return
 	}
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -61,6 +61,10 @@
 		p.firstSeen, p.firstPercent = now, a.Percent
 	}
 	p.active, p.percent, p.gauge = true, a.Percent, a.Gauge
+	if a.Unknown && now.Sub(p.described) > describeRepeat {
+		p.described = now
+		b.order(v).Kinds = append(b.order(v).Kinds, p.kind())
+	}
 	if p.pace != a.Pace {
 		p.pace, p.paced = a.Pace, now
 	}
@@ -209,14 +213,21 @@
 	}
 }
 
+// kind describes a run without what only its start needs.
+func (p *placement) kind() work.Start {
+	spec := p.step.spec
+	return work.Start{
+		Task: p.step.name(p.index), Run: p.run,
+		Serves: spec.Target > 0, Fills: spec.Fills, Target: spec.Target, Image: spec.Image, Millis: spec.Size.Millis,
+	}
+}
+
 // sendStart orders a run. The orders leave after the records before them.
 func (b *Book) sendStart(p *placement) {
 	s := p.step
 	t := &s.tasks[p.index]
-	start := work.Start{
-		Task: s.name(p.index), Run: p.run, Spec: s.job.record.Spec,
-		Serves: s.spec.Target > 0, Fills: s.spec.Fills, Target: s.spec.Target, Image: s.spec.Image, Millis: s.spec.Size.Millis,
-	}
+	start := p.kind()
+	start.Spec = s.job.record.Spec
 	if i := runIndex(t, p.run); i >= 0 {
 		if t.Runs[i].Halted != "" {
 			// Never started and no longer wanted: the stop keeps it so.
--- a/internal/job/planner/stage_test.go
+++ b/internal/job/planner/stage_test.go
@@ -33,6 +33,8 @@
 	active  []work.Active
 	ends    []work.End
 	voids   []work.Void
+	kinds   []work.Start
+	presses []work.Press
 }
 
 func newStage(t *testing.T) *stage {
@@ -113,6 +115,13 @@
 	for _, settled := range o.Settled {
 		v.voids = filter(v.voids, func(x work.Void) bool { return x.Task != settled.Task || x.Run != settled.Run })
 	}
+	v.presses = append(v.presses, o.Presses...)
+	v.kinds = append(v.kinds, o.Kinds...)
+	for _, kind := range o.Kinds {
+		for i := range v.active {
+			v.active[i].Unknown = v.active[i].Unknown && v.active[i].Task != kind.Task
+		}
+	}
 	for _, start := range o.Starts {
 		if !v.has(start.Task, start.Run) {
 			s.starts = append(s.starts, start)
--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -20,6 +20,9 @@
 	goneDelay = 500 * time.Millisecond
 	// stopRepeat is when a stop that had no effect is sent again.
 	stopRepeat = 400 * time.Millisecond
+	// describeRepeat is when the kind of a run is told again to an agent that
+	// still lacks it.
+	describeRepeat = 500 * time.Millisecond
 	// grantRepeat is when a session that was not taken up is sent again.
 	grantRepeat = 500 * time.Millisecond
 	// muteLimit is how long a worker may leave its agent without an answer
@@ -113,7 +116,7 @@
 	v := b.vm(h.Vitals.VM)
 	// Orders count anew on each connection.
 	v.linked, v.synced, v.heard, v.numbered, v.vitals = true, false, now, 0, h.Vitals
-	v.agent, v.host, v.granted = h.Agent, h.Host, now
+	v.agent, v.host, v.granted, v.told = h.Agent, h.Host, now, nil
 	for _, p := range v.runs {
 		p.sent = 0
 	}
--- a/internal/side/pacer/pacer.go
+++ b/internal/side/pacer/pacer.go
@@ -29,6 +29,9 @@
 	// settleTime is how long a change takes to show: the pace takes 100 ms,
 	// and the latency is that of the last half second.
 	settleTime = 600 * time.Millisecond
+	// startingLoad is assumed of a serving task that gives no figure yet: half of
+	// what it may bear, so that fillers are slowed before its users come.
+	startingLoad = loadLimit / 2
 	// ownWeight is the weight of a new figure of a serving task's own load.
 	ownWeight = 0.4
 	// unknownWeight is assumed of pairs of kinds that nothing is known of.
@@ -38,6 +41,8 @@
 	// full is the whole share; paces are multiples of unit, in percent.
 	full = 100
 	unit = 10
+	// unknownPace stands for the pace of a run that another process paced.
+	unknownPace = -1
 	// raisePause is the least time between two rises of a pace.
 	raisePause = 300 * time.Millisecond
 	// bisections find the limit on weights well within a unit of pace.
@@ -62,7 +67,8 @@
 	halted  bool
 	weights map[pair]float64
 	own     map[string]float64
-	paces   map[work.Stop]int
+	// paces are those in force by the worker's word.
+	paces  map[work.Stop]int
 	raised  time.Duration
 	// trust is the share of the budgets that is used; it falls while a tail
 	// latency is too high in spite of the model.
@@ -82,6 +88,13 @@
 	}
 }
 
+// Confirm takes the worker's word that a pace is in force. A change that is
+// not confirmed is decided anew.
+func (p *Pacer) Confirm(run work.Stop, percent int) { p.paces[run] = percent }
+
+// Adopt takes a run whose pace is not known: it is set in any case.
+func (p *Pacer) Adopt(run work.Stop) { p.paces[run] = unknownPace }
+
 func (p *Pacer) weight(fill, serve string) float64 {
 	if w, ok := p.weights[pair{fill, serve}]; ok {
 		return w
@@ -134,7 +147,7 @@
 		s, ok := starts[a.Task]
 		switch {
 		case !ok:
-		case s.Target > 0 && a.Gauge > 0:
+		case s.Target > 0:
 			servers = append(servers, server{a.Task, s.Image, a.Gauge * float64(time.Millisecond) / float64(s.Target)})
 		case s.Fills:
 			run := work.Stop{Task: a.Task, Run: a.Run}
@@ -197,6 +210,9 @@
 
 // ownLoad is the smoothed load of a serving task without its fillers.
 func (p *Pacer) ownLoad(s server, fillers []filler) float64 {
+	if s.ratio == 0 {
+		return startingLoad
+	}
 	load := estimator.Load(s.ratio)
 	for i := range fillers {
 		load -= fillers[i].used * p.weight(fillers[i].image, s.image)
@@ -255,8 +271,8 @@
 		if !ok {
 			current = full
 		}
-		if pace < current || pace > current && mayRaise {
-			changes[f.run], p.paces[f.run] = pace, pace
+		if pace < current || current == unknownPace || pace > current && mayRaise {
+			changes[f.run] = pace
 			if pace > current {
 				p.raised = now
 			}
--- a/internal/side/pacer/pacer_test.go
+++ b/internal/side/pacer/pacer_test.go
@@ -56,6 +56,7 @@
 	}
 	for run, pace := range v.pacer.Decide(active, v.starts, work.Size{Millis: capacity}, v.now) {
 		v.paces[run.Task] = pace
+		v.pacer.Confirm(run, pace)
 	}
 	if v.ratio() > 1 {
 		v.over += 250 * time.Millisecond
@@ -122,3 +123,18 @@
 		t.Errorf("changes (-want +got):\n%s", diff)
 	}
 }
+
+func TestAServingTaskWithoutAFigureIsGivenRoom(t *testing.T) {
+	p := New()
+	p.Learn([]work.Press{{Fill: "hot", Serve: "feed", Weight: 5}})
+	starts := map[string]work.Start{
+		"feed": {Task: "feed", Run: 1, Target: target, Serves: true, Image: "feed"},
+		"hot":  {Task: "hot", Run: 1, Fills: true, Image: "hot", Millis: 2 * size},
+	}
+	active := []work.Active{{Task: "feed", Run: 1}, {Task: "hot", Run: 1, Gauge: 2 * size}}
+	changes := p.Decide(active, starts, work.Size{Millis: capacity}, time.Second)
+	// A weight of 5 on a quarter of the VM would add 1.25 to the load; half of 0.77 is left.
+	if diff := cmp.Diff(map[work.Stop]int{{Task: "hot", Run: 1}: 30}, changes); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
--- a/internal/side/warden/hold.go
+++ b/internal/side/warden/hold.go
@@ -65,7 +65,7 @@
 	if w.session.current == 0 {
 		return call, true, true
 	}
-	call.Wait = pollWait
+	call.Wait = w.wait()
 	if len(w.ends) > 0 {
 		call.Wait = 0
 	}
@@ -78,6 +78,20 @@
 	return call, false, true
 }
 
+// wait is how long a poll may wait for an end.
+func (w *Warden) wait() time.Duration {
+	fills, serves := false, false
+	for i := range w.active {
+		start := w.starts[w.active[i].Task]
+		fills = fills || start.Fills
+		serves = serves || start.Target > 0
+	}
+	if w.Pacer != nil && fills && serves {
+		return pacingWait
+	}
+	return pollWait
+}
+
 func (w *Warden) call() executor.Call {
 	return executor.Call{VM: w.session.vm, Born: w.session.born, Fence: w.session.fence}
 }
@@ -144,6 +158,8 @@
 	changed := sync || w.differs(state)
 	w.active = state.Active
 	for i := range w.active {
+		_, known := w.starts[w.active[i].Task]
+		w.active[i].Unknown = !known
 		if percent, ok := w.paces[work.Stop{Task: w.active[i].Task, Run: w.active[i].Run}]; ok {
 			w.active[i].Pace = percent
 		}
@@ -153,7 +169,9 @@
 		if e.Number > w.seen {
 			w.ends = append(w.ends, e)
 		}
-		delete(w.starts, e.Task)
+		if w.starts[e.Task].Run == e.Run {
+			delete(w.starts, e.Task)
+		}
 	}
 	w.settlePending(state)
 	if changed {
--- a/internal/side/warden/order.go
+++ b/internal/side/warden/order.go
@@ -40,6 +40,9 @@
 	if len(o.Presses) > 0 && w.Pacer != nil {
 		w.Pacer.Learn(o.Presses)
 	}
+	for i := range o.Kinds {
+		w.describe(&o.Kinds[i])
+	}
 	for _, run := range o.Settled {
 		delete(w.voids, run)
 	}
@@ -52,6 +55,22 @@
 	w.Changed()
 }
 
+// describe takes the kind of a run that an earlier process of the agent
+// started, and may have paced.
+func (w *Warden) describe(s *work.Start) {
+	for i := range w.active {
+		a := &w.active[i]
+		if !a.Unknown || a.Task != s.Task || a.Run != s.Run {
+			continue
+		}
+		a.Unknown = false
+		w.starts[s.Task] = *s
+		if w.Pacer != nil && s.Fills {
+			w.Pacer.Adopt(work.Stop{Task: s.Task, Run: s.Run})
+		}
+	}
+}
+
 // forget drops ends that are in the log.
 func (w *Warden) forget(seen int64) {
 	w.seen = seen
@@ -132,6 +151,10 @@
 		}
 	case rejection == executor.Accepted:
 		w.accepted(call.Call, run)
+		if call.Start.Fills {
+			// It works in full until it is told its pace.
+			w.pace(ctx)
+		}
 	case rejection == executor.Outdated:
 		w.await(ctx, call.Call, run, string(rejection))
 	default:
@@ -216,11 +239,14 @@
 	return false
 }
 
-// pace sets the shares that the pacer decides.
+// pace sets the shares that the pacer decides, one call after the other so that
+// a newer decision is never overtaken by an older one.
 func (w *Warden) pace(ctx context.Context) {
 	if w.Pacer == nil {
 		return
 	}
+	w.pacing.Lock()
+	defer w.pacing.Unlock()
 	w.mu.Lock()
 	changes := w.Pacer.Decide(w.active, w.starts, w.vitals.Size, w.Clock())
 	call := w.call()
@@ -231,6 +257,7 @@
 			continue
 		}
 		w.mu.Lock()
+		w.Pacer.Confirm(run, percent)
 		w.paces[run] = percent
 		w.mu.Unlock()
 	}
--- a/internal/side/warden/warden.go
+++ b/internal/side/warden/warden.go
@@ -19,6 +19,9 @@
 	// pollWait is how long a poll of the worker waits for an end. The lease is
 	// extended with each poll.
 	pollWait = 250 * time.Millisecond
+	// pacingWait is the same while runs that fill work beside runs that serve:
+	// a latency is that of the last half second, so four figures show its course.
+	pacingWait = 125 * time.Millisecond
 	// seenPause is how long a poll is put off while ends wait for the log.
 	seenPause = 60 * time.Millisecond
 	// retryPause is the pause after a poll that failed.
@@ -81,6 +84,8 @@
 
 	signal chan struct{}
 	slots  chan struct{}
+	// pacing keeps calls that set paces in order.
+	pacing sync.Mutex
 	group  sync.WaitGroup
 }
 
@@ -96,6 +101,10 @@
 type Pacer interface {
 	// Decide returns the new paces, in percent, of runs that should change.
 	Decide(active []work.Active, starts map[string]work.Start, capacity work.Size, now time.Duration) map[work.Stop]int
+	// Confirm takes the worker's word that a pace is in force.
+	Confirm(run work.Stop, percent int)
+	// Adopt takes a run whose pace is not known.
+	Adopt(run work.Stop)
 	// Learn takes what the leader knows of kinds of tasks.
 	Learn(presses []work.Press)
 }
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -24,6 +24,10 @@
 
 	// Task corresponds to the JSON schema field "task".
 	Task string `json:"task" cbor:"task" yaml:"task"`
+
+	// An earlier process of the agent started it, so that this one does not know its
+	// kind.
+	Unknown bool `json:"unknown" cbor:"unknown" yaml:"unknown"`
 }
 
 // Policy service that must approve the VMs of a queue.
@@ -200,6 +204,10 @@
 	// Fence corresponds to the JSON schema field "fence".
 	Fence int64 `json:"fence" cbor:"fence" yaml:"fence"`
 
+	// Runs at work that an earlier process of the agent started, without their job's
+	// description.
+	Kinds []Start `json:"kinds" cbor:"kinds" yaml:"kinds"`
+
 	// Rises with each batch of orders on a connection.
 	Number int64 `json:"number" cbor:"number" yaml:"number"`
 
