Foresee the load of serving tasks, and learn pairs by how sure they are

Tails cover half a second, so they still showed fillers that had been slowed, and the pacer and the planner took that for the task's own load. A new kind of filler got half of its error blamed on kinds that were well known. The own load of a serving job swings like a sine of about ten seconds (0.2 to 0.7), and fillers were placed by its present value and paced after it had risen. Each job has its own phase.

Change: loads are compared with the peak of what fillers used in the time that a tail covers; weights are learned as by a Kalman filter without covariances, new pairs start from what is known of their kind; the pacer follows the slope of a load and decides for 0.3 s ahead; the planner fits a second-order recurrence to the load of each serving step and places fillers by the next four seconds, up to a load of 0.68; ten fillers may move in a pass; VMs are gone through by name, so that the same events lead to the same decisions.

--- /dev/null
+++ b/internal/job/estimator/forecast_test.go
@@ -0,0 +1,55 @@
+package estimator
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func TestAForecastFollowsALoadThatSwings(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	load := func(at float64) float64 { return 0.42 + 0.25*math.Sin(2*math.Pi*at/11) }
+	var f Forecast
+	start := time.Unix(0, 0)
+	at, worst, sum, count := 0.0, 0.0, 0.0, 0.0
+	for ; at < 40; at += 0.25 {
+		f.Observe(load(at)+0.03*random.NormFloat64(), start.Add(time.Duration(at*float64(time.Second))))
+		ahead := f.Ahead(4)
+		if at < 15 {
+			continue
+		}
+		for i, x := range ahead {
+			// The last whole sample is up to a second old.
+			miss := math.Abs(x - load(at+float64(i)))
+			worst = max(worst, miss)
+			sum += miss
+			count++
+		}
+	}
+	if mean := sum / count; mean > 0.08 {
+		t.Errorf("forecasts miss by %.3f on average and %.3f at worst; a swing is 0.25", mean, worst)
+	}
+}
+
+func TestAForecastOfASteadyLoadStays(t *testing.T) {
+	var f Forecast
+	for i := range 80 {
+		f.Observe(0.5, time.Unix(0, int64(i)*250_000_000))
+	}
+	for _, x := range f.Ahead(4) {
+		if math.Abs(x-0.5) > 1e-6 {
+			t.Errorf("forecast %.3f, want 0.5", x)
+		}
+	}
+}
+
+func TestNothingIsToldOfAShortPast(t *testing.T) {
+	var f Forecast
+	for i := range 10 {
+		f.Observe(0.5, time.Unix(0, int64(i)*250_000_000))
+	}
+	if got := f.Ahead(4); got != nil {
+		t.Errorf("forecast %v after 2.5 s", got)
+	}
+}
--- a/internal/job/planner/advice.go
+++ b/internal/job/planner/advice.go
@@ -43,7 +43,7 @@
 			if s.free == 0 || len(b.unasked(s, now)) == 0 || s.ticketed(b, now) >= s.free {
 				continue
 			}
-			if c := b.rank(s, now); best == nil || c.before(best) {
+			if c := b.rank(s, now); best == nil || c.before(best, b.Settings.Policy) {
 				best = &c
 			}
 		}
@@ -58,7 +58,7 @@
 // ticketed counts the VMs that have room and may run a step.
 func (s *step) ticketed(b *Book, now time.Time) int {
 	count := 0
-	for _, v := range b.vms {
+	for _, v := range b.sorted {
 		if v.usable(now) && v.fits(s.spec) && s.holds(v, now) {
 			count++
 		}
@@ -78,7 +78,8 @@
 // unasked returns the VMs of a step's pool with room that nothing is known of.
 func (b *Book) unasked(s *step, now time.Time) []string {
 	var names []string
-	for name, v := range b.vms {
+	for _, v := range b.sorted {
+		name := v.name
 		t, asked := s.tickets[name]
 		known := asked && t.born == v.session.Born && now.Before(t.until)
 		if !known && v.vitals.Pool == s.job.record.Queue.Pool && v.usable(now) && v.fits(s.spec) {
--- a/internal/job/planner/book.go
+++ b/internal/job/planner/book.go
@@ -20,15 +20,30 @@
 	MaxLease time.Duration
 	// FarFactor is how many times as long a task takes away from its rack.
 	FarFactor float64
+	// Policy is the order of jobs, ByWorth where it is empty.
+	Policy Policy
 }
 
+// Policy is the order in which jobs that wait are placed.
+type Policy string
+
+// The policies. ByDeadline and ByArrival are baselines to compare with.
+const (
+	ByWorth    Policy = "worth"
+	ByDeadline Policy = "deadline"
+	ByArrival  Policy = "arrival"
+)
+
 // Book is the state of the planner.
 type Book struct {
 	Settings Settings
 
-	jobs  map[string]*job
-	vms   map[string]*vm
-	began time.Time
+	jobs map[string]*job
+	vms  map[string]*vm
+	// sorted are the VMs by name, so that the same events lead to the same
+	// decisions.
+	sorted []*vm
+	began  time.Time
 	// numbered counts jobs in the order in which they were added.
 	numbered int
 
--- a/internal/job/planner/cost.go
+++ b/internal/job/planner/cost.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"slices"
 
 	"knapweedspur/internal/wire/work"
@@ -15,9 +16,9 @@
 	loadCost = 0.3
 	// loadLimit is the load of a serving task up to which its VM is filled;
 	// beyond, the agent slows fillers down.
-	loadLimit = 0.74
+	loadLimit = 0.68
 	// usualLoad is assumed of a serving task that has less load now: it swings.
-	usualLoad = 0.3
+	usualLoad = 0.45
 	// leastRise keeps a pace finite.
 	leastRise = 0.001
 	// leastPace is the least share at which a filler is assumed to work.
@@ -57,23 +58,43 @@
 func (b *Book) fillCost(v *vm, s *step, load float64) float64 {
 	share := float64(s.spec.Size.Millis) / float64(max(v.vitals.Size.Millis, 1))
 	placed := v.placedShares()
-	pace, excess := 1.0, 0.0
+	var paces [forecastLength]float64
+	seconds := max(1, min(int(math.Ceil(s.spec.Estimate.Seconds())), forecastLength))
+	for i := range seconds {
+		paces[i] = 1
+	}
+	excess := 0.0
 	for _, p := range v.runs {
 		serve := p.step.spec
 		if serve.Target <= 0 {
 			continue
 		}
 		rise := share * b.interference.Weight(s.spec.Image, serve.Image)
-		before := max(p.step.load, usualLoad) + b.interference.Rise(serve.Image, placed)
-		if before+rise <= loadLimit {
-			continue
+		before := b.interference.Rise(serve.Image, placed)
+		for i := range seconds {
+			own := p.step.expected(i)
+			if own+before+rise <= loadLimit {
+				continue
+			}
+			paces[i] = min(paces[i], max((loadLimit-own-before)/max(rise, leastRise), leastPace))
+			excess = max(excess, rise)
 		}
-		pace = min(pace, max((loadLimit-before)/max(rise, leastRise), leastPace))
-		excess = max(excess, rise)
+	}
+	pace := 0.0
+	for i := range seconds {
+		pace += paces[i] / float64(seconds)
 	}
 	return max(1, load)/pace + loadCost*load + pressCost*excess
 }
 
+// expected is the load of a serving step after some seconds.
+func (s *step) expected(seconds int) float64 {
+	if s.ahead == nil {
+		return max(s.load, usualLoad)
+	}
+	return s.ahead[seconds]
+}
+
 // placedShares returns what kinds of fillers use of a VM when all work in full.
 func (v *vm) placedShares() map[string]float64 {
 	shares := map[string]float64{}
--- a/internal/job/planner/fill.go
+++ b/internal/job/planner/fill.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -23,7 +24,7 @@
 	moveGain = 2.0
 	// maxMoves bounds the fillers that are moved in one pass, so that the
 	// next ones see where the first went.
-	maxMoves = 3
+	maxMoves = 10
 	// movedRest is how long a task that was moved stays.
 	movedRest = 2 * time.Second
 	// tellEvery is the interval at which agents hear of interference.
@@ -41,12 +42,12 @@
 	}
 	b.relocated = now
 	moves := 0
-	for _, v := range b.vms {
-		for _, p := range v.runs {
+	for _, v := range b.sorted {
+		for _, p := range b.heldBack(v, now) {
 			if moves >= maxMoves {
 				return
 			}
-			if b.heldBack(p, now) && b.move(p, now) {
+			if b.move(p, now) {
 				moves++
 			}
 		}
@@ -57,7 +58,21 @@
 // moved, in percent.
 const littleDone = 15
 
-func (b *Book) heldBack(p *placement, now time.Time) bool {
+// heldBack returns the fillers of a VM that might be moved.
+func (b *Book) heldBack(v *vm, now time.Time) []*placement {
+	var list []*placement
+	for _, p := range v.runs {
+		if p.heldBack(now) {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(p, o *placement) int {
+		return cmp.Or(cmp.Compare(p.step.job.number, o.step.job.number), cmp.Compare(p.step.key.Step, o.step.key.Step), cmp.Compare(p.index, o.index))
+	})
+	return list
+}
+
+func (p *placement) heldBack(now time.Time) bool {
 	s := p.step
 	t := &s.tasks[p.index]
 	i := runIndex(t, p.run)
@@ -71,7 +86,7 @@
 	s := p.step
 	t := &s.tasks[p.index]
 	best := math.Inf(1)
-	for _, v := range b.vms {
+	for _, v := range b.sorted {
 		if v == p.vm || v.vitals.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) {
 			continue
 		}
@@ -87,7 +102,7 @@
 
 // tell sends agents what is known of the pairs on their VMs.
 func (b *Book) tell(now time.Time) {
-	for _, v := range b.vms {
+	for _, v := range b.sorted {
 		if !v.synced || v.serving == 0 || v.filled == 0 || now.Sub(v.toldAt) < tellEvery {
 			continue
 		}
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"knapweedspur/internal/job/estimator"
 	"knapweedspur/internal/job/keeper"
 	"knapweedspur/internal/wire/work"
 )
@@ -34,7 +35,11 @@
 	written bool
 	started time.Time
 	// load is the load of a serving step without fillers beside it, 0 to 1.
-	load float64
+	load     float64
+	forecast estimator.Forecast
+	// ahead are the loads to expect at the ends of the next seconds, nil while
+	// they are not known.
+	ahead []float64
 	// tickets are what the policy service said, by VM.
 	tickets map[string]ticket
 }
--- a/internal/job/planner/learn.go
+++ b/internal/job/planner/learn.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"knapweedspur/internal/job/estimator"
@@ -15,6 +17,9 @@
 	// saveEvery is the interval at which the log gets what was learned, so that
 	// the next leader need not begin anew.
 	saveEvery = 2 * time.Second
+	// forecastLength is the time for which the load of a serving step is
+	// foreseen, in seconds: beyond, a filler can be moved.
+	forecastLength = 4
 	// baseFloor keeps the weight of an undisturbed task finite.
 	baseFloor = 0.03
 )
@@ -32,29 +37,49 @@
 		return
 	}
 	b.learned = now
+	steps, samples := b.sample(now)
+	if len(samples) > 0 && now.Sub(b.saved) > saveEvery {
+		b.saved = now
+		b.records = append(b.records, keeper.EstimatesRecord(&work.Estimates{Pairs: b.interference.Pairs()}))
+	}
+	for _, s := range steps {
+		list := samples[s]
+		s.load = b.ownLoad(s.spec.Image, list)
+		s.forecast.Observe(s.load, now)
+		s.ahead = s.forecast.Ahead(forecastLength)
+		for i := range list {
+			b.interference.Observe(s.spec.Image, list[i].load, s.load, list[i].shares)
+		}
+	}
+}
+
+// sample returns the loads of serving tasks by their steps, in a fixed order.
+func (b *Book) sample(now time.Time) ([]*step, map[*step][]sample) {
 	samples := map[*step][]sample{}
-	for _, v := range b.vms {
-		if v.serving == 0 || !v.synced {
+	var steps []*step
+	for _, v := range b.sorted {
+		if !v.synced {
+			v.peaks = estimator.Peaks{}
 			continue
 		}
-		shares := v.shares()
+		if v.serving == 0 && v.filled == 0 {
+			continue
+		}
+		shares := v.peaks.Observe(v.shares(), now.Sub(b.began))
 		for _, p := range v.runs {
 			if p.step.spec.Target > 0 && p.active && p.gauge > 0 {
 				ratio := p.gauge * float64(time.Millisecond) / float64(p.step.spec.Target)
+				if samples[p.step] == nil {
+					steps = append(steps, p.step)
+				}
 				samples[p.step] = append(samples[p.step], sample{estimator.Load(ratio), shares})
 			}
 		}
 	}
-	if len(samples) > 0 && now.Sub(b.saved) > saveEvery {
-		b.saved = now
-		b.records = append(b.records, keeper.EstimatesRecord(&work.Estimates{Pairs: b.interference.Pairs()}))
-	}
-	for s, list := range samples {
-		s.load = b.ownLoad(s.spec.Image, list)
-		for i := range list {
-			b.interference.Observe(s.spec.Image, list[i].load-s.load, list[i].shares)
-		}
-	}
+	slices.SortFunc(steps, func(s, o *step) int {
+		return cmp.Or(cmp.Compare(s.job.number, o.job.number), cmp.Compare(s.key.Step, o.key.Step), cmp.Compare(s.key.Occurrence, o.key.Occurrence))
+	})
+	return steps, samples
 }
 
 // shares returns what kinds of fillers use of a VM.
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -47,7 +47,7 @@
 		return
 	}
 	b.judgeLoad(queue, now)
-	sort.Slice(queue, func(i, j int) bool { return queue[i].before(&queue[j]) })
+	sort.Slice(queue, func(i, j int) bool { return queue[i].before(&queue[j], b.Settings.Policy) })
 	left := maxPlacements
 	for i := range queue {
 		if left <= 0 {
@@ -187,7 +187,7 @@
 func (b *Book) choose(s *step, t *work.Task, now time.Time) *vm {
 	var best *vm
 	var bestCost float64
-	for _, v := range b.vms {
+	for _, v := range b.sorted {
 		if v.vitals.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) {
 			continue
 		}
--- a/internal/job/planner/rank.go
+++ b/internal/job/planner/rank.go
@@ -23,7 +23,7 @@
 // lateFactor is how many times its objective a job may take and still be of use.
 const lateFactor = 3
 
-func (c *candidate) before(o *candidate) bool {
+func (c *candidate) before(o *candidate, policy Policy) bool {
 	if serves := c.step.spec.Target > 0; serves || o.step.spec.Target > 0 {
 		if serves != (o.step.spec.Target > 0) {
 			return serves
@@ -34,6 +34,9 @@
 		// What fills takes nothing that the others reserve but memory.
 		return !fills
 	}
+	if policy == ByArrival {
+		return c.step.job.number < o.step.job.number
+	}
 	if c.late != o.late {
 		return c.late < o.late
 	}
@@ -41,7 +44,7 @@
 	if a.record.Queue.Priority != z.record.Queue.Priority {
 		return a.record.Queue.Priority < z.record.Queue.Priority
 	}
-	if c.short && c.late < 2 && c.left != o.left {
+	if policy != ByDeadline && c.short && c.late < 2 && c.left != o.left {
 		return c.left < o.left
 	}
 	if !c.deadline.Equal(o.deadline) {
@@ -50,6 +53,9 @@
 	if a.number != z.number {
 		return a.number < z.number
 	}
+	if c.step.key.Occurrence != o.step.key.Occurrence {
+		return c.step.key.Occurrence < o.step.key.Occurrence
+	}
 	return c.step.key.Step < o.step.key.Step
 }
 
@@ -135,7 +141,7 @@
 // that is always assumed: what serving tasks let them use is not known before.
 func (b *Book) judgeLoad(queue []candidate, now time.Time) {
 	capacity, work, wait, count := 0.0, 0.0, 0.0, 0.0
-	for _, v := range b.vms {
+	for _, v := range b.sorted {
 		if v.usable(now) {
 			capacity += float64(v.vitals.Size.Millis-v.served) / 1000
 		}
--- a/internal/job/planner/summary.go
+++ b/internal/job/planner/summary.go
@@ -14,7 +14,7 @@
 	b.summarized = now
 	var usable, open, size, memory, reserved, held, busy, fills, slowed int
 	var worked float64
-	for _, v := range b.vms {
+	for _, v := range b.sorted {
 		if !v.usable(now) {
 			continue
 		}
--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -2,8 +2,10 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
+	"knapweedspur/internal/job/estimator"
 	"knapweedspur/internal/job/keeper"
 	"knapweedspur/internal/wire/work"
 )
@@ -62,6 +64,9 @@
 	serving int
 	served  int
 
+	// peaks are the shares that fillers used while the latencies were measured.
+	peaks estimator.Peaks
+
 	// told is what the agent was last told of interference, and when.
 	told   map[work.Press]bool
 	toldAt time.Time
@@ -80,6 +85,8 @@
 	if v == nil {
 		v = &vm{name: name, runs: map[runKey]*placement{}, settled: map[int64]bool{}}
 		b.vms[name] = v
+		i, _ := slices.BinarySearchFunc(b.sorted, name, func(v *vm, name string) int { return strings.Compare(v.name, name) })
+		b.sorted = slices.Insert(b.sorted, i, v)
 	}
 	return v
 }
@@ -170,7 +177,7 @@
 
 // replace ends the runs of workers that were on the same host before.
 func (b *Book) replace(v *vm, h *work.Hello, now time.Time) {
-	for _, former := range b.vms {
+	for _, former := range b.sorted {
 		if former == v || h.Host == "" || former.session.Host != h.Host || former.session.Born >= h.Vitals.Born {
 			continue
 		}
@@ -281,7 +288,7 @@
 // watch revokes sessions of agents that are not heard, and ends runs on VMs
 // whose lease is over.
 func (b *Book) watch(now time.Time) {
-	for _, v := range b.vms {
+	for _, v := range b.sorted {
 		since := v.heard
 		if since.Before(b.began) {
 			since = b.began
@@ -301,7 +308,7 @@
 // Unheard returns how many of the VMs that were heard in this term are not
 // heard now, and how many were.
 func (b *Book) Unheard(now time.Time, limit time.Duration) (unheard, total int) {
-	for _, v := range b.vms {
+	for _, v := range b.sorted {
 		if v.heard.Before(b.began) || v.session.Revoked || !v.gone.IsZero() {
 			continue
 		}
--- a/internal/side/pacer/pacer.go
+++ b/internal/side/pacer/pacer.go
@@ -38,6 +38,13 @@
 	unknownWeight = 1.0
 	// harmless is a weight that asks for no pace.
 	harmless = 0.05
+	// slopeWeight is the weight of a new figure in the rate at which a load
+	// changes, leastPassed the time in seconds below which none is told.
+	slopeWeight = 0.05
+	leastPassed = 0.1
+	// lookAhead is the time until a decision shows in full: the next poll and
+	// the delay of a pace.
+	lookAhead = 300 * time.Millisecond
 	// full is the whole share; paces are multiples of unit, in percent.
 	full = 100
 	unit = 10
@@ -66,10 +73,12 @@
 	over    time.Duration
 	halted  bool
 	weights map[pair]float64
-	own     map[string]float64
+	own     map[string]*trend
+	// peaks are the shares that fillers used while the latencies were measured.
+	peaks estimator.Peaks
 	// paces are those in force by the worker's word.
 	paces  map[work.Stop]int
-	raised  time.Duration
+	raised time.Duration
 	// trust is the share of the budgets that is used; it falls while a tail
 	// latency is too high in spite of the model.
 	trust  float64
@@ -78,7 +87,7 @@
 
 // New returns a pacer that knows nothing.
 func New() *Pacer {
-	return &Pacer{weights: map[pair]float64{}, own: map[string]float64{}, paces: map[work.Stop]int{}, trust: 1}
+	return &Pacer{weights: map[pair]float64{}, own: map[string]*trend{}, paces: map[work.Stop]int{}, trust: 1}
 }
 
 // Learn takes what the leader knows of pairs of kinds.
@@ -130,8 +139,13 @@
 		}
 		return p.changes(fillers, now)
 	}
+	shares := map[string]float64{}
+	for i := range fillers {
+		shares[fillers[i].image] += fillers[i].used
+	}
+	peaks := p.peaks.Observe(shares, now)
 	for _, s := range servers {
-		budget := max(loadLimit-p.ownLoad(s, fillers), leastBudget)
+		budget := max(loadLimit-p.ownLoad(s, peaks, now), leastBudget)
 		p.divide(fillers, s.image, budget*p.trust)
 	}
 	return p.changes(fillers, now)
@@ -209,20 +223,38 @@
 }
 
 // ownLoad is the smoothed load of a serving task without its fillers.
-func (p *Pacer) ownLoad(s server, fillers []filler) float64 {
+func (p *Pacer) ownLoad(s server, shares map[string]float64, now time.Duration) float64 {
 	if s.ratio == 0 {
 		return startingLoad
 	}
 	load := estimator.Load(s.ratio)
-	for i := range fillers {
-		load -= fillers[i].used * p.weight(fillers[i].image, s.image)
+	for image, share := range shares {
+		load -= share * p.weight(image, s.image)
+	}
+	t := p.own[s.task]
+	if t == nil {
+		t = &trend{level: max(load, 0), at: now}
+		p.own[s.task] = t
 	}
-	load = max(load, 0)
-	if old, ok := p.own[s.task]; ok {
-		load = old + ownWeight*(load-old)
+	return t.ahead(max(load, 0), now)
+}
+
+// trend is a smoothed figure with the rate at which it changes.
+type trend struct {
+	level, slope float64
+	at           time.Duration
+}
+
+// ahead takes a new figure and returns the one to expect when a decision takes
+// effect. A fall is not relied upon.
+func (t *trend) ahead(figure float64, now time.Duration) float64 {
+	if passed := (now - t.at).Seconds(); passed > 0 {
+		expected := t.level + t.slope*passed
+		t.level = expected + ownWeight*(figure-expected)
+		t.slope += slopeWeight * (figure - expected) / max(passed, leastPassed)
+		t.at = now
 	}
-	p.own[s.task] = load
-	return load
+	return max(t.level, 0) + max(t.slope, 0)*lookAhead.Seconds()
 }
 
 // divide lowers paces until the fillers press on a kind of serving task no
