--- a/internal/standin/commander/commander.go
+++ b/internal/standin/commander/commander.go
@@ -21,6 +21,7 @@
 	State    stateCommand    `cmd:"" help:"Measure the folded state of many tasks."`
 	Fit      fitCommand      `cmd:"" help:"Fit lines through measured sizes."`
 	Soak     soakCommand     `cmd:"" help:"Run the real programs on loopback under faults by a seed, and check the promises."`
+	Lab      labCommand      `cmd:"" help:"Try decisions in virtual time, without a network."`
 	Verify   verifyCommand   `cmd:"" help:"Check what workers and upstreams saw against the promises."`
 }
 
