--- a/internal/standin/commander/lab.go
+++ b/internal/standin/commander/lab.go
@@ -84,6 +84,9 @@
 	if err := c.print(env, c.Policy, results); err != nil {
 		return err
 	}
+	if c.JSON {
+		return nil
+	}
 	mean, half := interval(results, func(r *emulator.Result) float64 { return r.Total })
 	over, _ := interval(results, func(r *emulator.Result) float64 { return r.Over.Seconds() })
 	fmt.Fprintf(env.out, "mean worth %.3f ± %.3f, over %.0f s\n", mean, half, over)
@@ -110,6 +113,9 @@
 	for _, r := range base {
 		bases[r.Seed] = r.Total
 	}
+	if c.JSON {
+		return nil
+	}
 	mean, half := interval(with, func(r *emulator.Result) float64 { return r.Total - bases[r.Seed] })
 	fmt.Fprintf(env.out, "%s less %s: %+.3f ± %.3f (95 %%, %d pairs)\n", c.With, c.Base, mean, half, len(with))
 	return nil
