Forget trends and paces of tasks that are gone, and slopes of long ago

The pacer's trends and the warden's paces were kept for all tasks that an agent ever saw, in a process that is to run for months.

Ruled out: that the halt after half the harm time covers it; it acts after 2 s.

Change: a slope older than 2 s is begun anew; trends go with their tasks, paces with the end of their run.

Measured: three tests failed before the mend (0.00 for 0.50; 2 trends for 1; 1 pace for 0) and pass after it.

--- a/internal/job/estimator/forecast.go
+++ b/internal/job/estimator/forecast.go
@@ -40,8 +40,8 @@
 	f.count++
 }
 
-// Ahead returns the loads to expect at the ends of the next seconds, nil while
-// too little is known. It goes on with the second-order linear recurrence that
+// Ahead returns the loads to expect in the next seconds, nil while too little is
+// known. It lags by about half a second, since samples are means. It goes on with the second-order linear recurrence that
 // fits the past best, within the range of the past.
 func (f *Forecast) Ahead(seconds int) []float64 {
 	n := len(f.samples)
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -37,7 +37,7 @@
 	// load is the load of a serving step without fillers beside it, 0 to 1.
 	load     float64
 	forecast estimator.Forecast
-	// ahead are the loads to expect at the ends of the next seconds, nil while
+	// ahead are the loads to expect in the next seconds, nil while
 	// they are not known.
 	ahead []float64
 	// tickets are what the policy service said, by VM.
--- a/internal/side/pacer/pacer.go
+++ b/internal/side/pacer/pacer.go
@@ -42,6 +42,9 @@
 	// changes, leastPassed the time in seconds below which none is told.
 	slopeWeight = 0.05
 	leastPassed = 0.1
+	// trendLife is how long a slope holds without a new figure: a fifth of the
+	// shortest swing that was seen, about ten seconds.
+	trendLife = 2 * time.Second
 	// lookAhead is the time until a decision shows in full: the next poll and
 	// the delay of a pace.
 	lookAhead = 300 * time.Millisecond
@@ -156,12 +159,14 @@
 	var fillers []filler
 	var servers []server
 	present := map[work.Stop]bool{}
+	serving := map[string]bool{}
 	for i := range active {
 		a := &active[i]
 		s, ok := starts[a.Task]
 		switch {
 		case !ok:
 		case s.Target > 0:
+			serving[a.Task] = true
 			servers = append(servers, server{a.Task, s.Image, a.Gauge * float64(time.Millisecond) / float64(s.Target)})
 		case s.Fills:
 			run := work.Stop{Task: a.Task, Run: a.Run}
@@ -169,6 +174,11 @@
 			fillers = append(fillers, filler{run: run, image: s.Image, used: a.Gauge / capacity, full: float64(s.Millis) / capacity, pace: 1})
 		}
 	}
+	for task := range p.own {
+		if !serving[task] {
+			delete(p.own, task)
+		}
+	}
 	for run := range p.paces {
 		if !present[run] {
 			delete(p.paces, run)
@@ -232,7 +242,7 @@
 		load -= share * p.weight(image, s.image)
 	}
 	t := p.own[s.task]
-	if t == nil {
+	if t == nil || now-t.at > trendLife {
 		t = &trend{level: max(load, 0), at: now}
 		p.own[s.task] = t
 	}
--- a/internal/side/pacer/pacer_test.go
+++ b/internal/side/pacer/pacer_test.go
@@ -162,3 +162,26 @@
 		}
 	}
 }
+
+// An agent that was suspended, or had no fillers for a while, must not go on
+// with a slope of long ago.
+func TestAnOldTrendIsNotFollowed(t *testing.T) {
+	v := newVM(0.5, map[string]float64{"hot": 3})
+	falling := &trend{level: 0.6, slope: -0.1, at: v.now}
+	v.pacer.own["feed"] = falling
+	v.now += time.Minute
+	if got := v.pacer.ownLoad(server{task: "feed", image: "feed", ratio: 0.4}, nil, v.now); got < 0.49 {
+		t.Errorf("a load of 0.50 is taken for %.2f after a minute without figures", got)
+	}
+}
+
+// An agent runs for months: nothing may be kept of tasks that are gone.
+func TestNothingIsKeptOfTasksThatAreGone(t *testing.T) {
+	v := newVM(0.5, map[string]float64{"hot": 3})
+	v.step()
+	v.pacer.own["gone"] = &trend{}
+	v.step()
+	if diff := cmp.Diff(1, len(v.pacer.own)); diff != "" {
+		t.Errorf("trends kept (-want +got):\n%s", diff)
+	}
+}
--- a/internal/side/warden/hold.go
+++ b/internal/side/warden/hold.go
@@ -169,6 +169,7 @@
 		if e.Number > w.seen {
 			w.ends = append(w.ends, e)
 		}
+		delete(w.paces, work.Stop{Task: e.Task, Run: e.Run})
 		if w.starts[e.Task].Run == e.Run {
 			delete(w.starts, e.Task)
 		}
--- a/internal/side/warden/pace_test.go
+++ b/internal/side/warden/pace_test.go
@@ -100,3 +100,22 @@
 		}
 	})
 }
+
+// An agent runs for months: nothing may be kept of runs that are gone.
+func TestNothingIsKeptOfRunsThatAreGone(t *testing.T) {
+	beside(t, func(w *Warden, k *pacedWorker) {
+		order(w, t, &work.Orders{Number: 2, Starts: []work.Start{filler}})
+		time.Sleep(time.Second)
+		if diff := cmp.Diff(1, len(w.paces)); diff != "" {
+			t.Errorf("paces of a filler at work (-want +got):\n%s", diff)
+		}
+		k.mu.Lock()
+		k.active = k.active[:1]
+		k.ends = []work.End{{Number: 1, Task: "fill", Run: 1, How: "done"}}
+		k.mu.Unlock()
+		time.Sleep(time.Second)
+		if diff := cmp.Diff(0, len(w.paces)); diff != "" {
+			t.Errorf("paces after its end (-want +got):\n%s", diff)
+		}
+	})
+}
