planner: let fillers wait under a new leader too

Steps restored from the log have no start time, so every waiting filler counted as overdue and took any VM; and until the new leader had learned the loads of serving steps it assumed low ones. Ruled out: loss of the learned weights, which are in the log. Change: the wait counts from when the occurrence was due, which every leader knows; the measured latency of a serving run stands for the load of its step until that is learned.

--- a/internal/job/planner/cost.go
+++ b/internal/job/planner/cost.go
@@ -76,7 +76,7 @@
 		rise := share * pl.interference.Weight(s.spec.Image, serving.Image)
 		placedRise := pl.interference.AddedLoad(serving.Image, placed)
 		for i := range seconds {
-			ownLoad := p.step.expectedLoad(i)
+			ownLoad := p.expectedLoad(i)
 			if ownLoad+placedRise+rise <= servingLoadLimit {
 				continue
 			}
@@ -91,13 +91,18 @@
 	return max(1, load)/pace + loadCost*load + overloadCost*excessRise
 }
 
-// expectedLoad returns the expected load of a serving step after the given
-// number of seconds.
-func (s *step) expectedLoad(seconds int) float64 {
-	if s.forecastLoads == nil {
+// expectedLoad returns the expected load of a serving run after the given number
+// of seconds. A new leader has the measured load of a run before it has learned
+// that of the step.
+func (p *placement) expectedLoad(seconds int) float64 {
+	switch s := p.step; {
+	case s.forecastLoads != nil:
+		return s.forecastLoads[seconds]
+	case s.load > 0:
 		return max(s.load, minServingLoad)
+	default:
+		return max(p.measuredLoad(), minServingLoad)
 	}
-	return s.forecastLoads[seconds]
 }
 
 // fullPaceFillerShares returns, by image, the shares of the VM that fillers use
--- a/internal/job/planner/interference.go
+++ b/internal/job/planner/interference.go
@@ -71,12 +71,11 @@
 		}
 		shares := v.fillerPeaks.Observe(v.measuredFillerShares(), now.Sub(pl.termStart))
 		for _, p := range v.runs {
-			if p.step.spec.LatencyTarget > 0 && p.active && p.measurement > 0 {
-				ratio := p.measurement * float64(time.Millisecond) / float64(p.step.spec.LatencyTarget)
+			if load := p.measuredLoad(); load > 0 {
 				if samples[p.step] == nil {
 					steps = append(steps, p.step)
 				}
-				samples[p.step] = append(samples[p.step], sample{estimator.LoadFromLatency(ratio), shares})
+				samples[p.step] = append(samples[p.step], sample{load, shares})
 			}
 		}
 	}
@@ -86,6 +85,16 @@
 	return steps, samples
 }
 
+// measuredLoad returns the load that the latency of a serving run shows, fillers
+// included, or 0 if the run does not serve or has no latency yet.
+func (p *placement) measuredLoad() float64 {
+	target := p.step.spec.LatencyTarget
+	if target <= 0 || !p.active || p.measurement <= 0 {
+		return 0
+	}
+	return estimator.LoadFromLatency(p.measurement * float64(time.Millisecond) / float64(target))
+}
+
 // measuredFillerShares returns, by image, the shares of the VM that fillers use
 // now.
 func (v *vm) measuredFillerShares() map[string]float64 {
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -225,7 +225,7 @@
 // waitedTooLong reports whether a step has waited so long that it accepts any
 // cost.
 func (pl *Planner) waitedTooLong(s *step, now time.Time) bool {
-	return now.Sub(s.startedAt) > time.Duration(maxFillerWaitFactor*float64(timeObjective(s.job.record)))
+	return now.Sub(s.dueAt()) > time.Duration(maxFillerWaitFactor*float64(timeObjective(s.job.record)))
 }
 
 // countRuns counts the runs of a step on the VM.
--- a/internal/job/planner/rank.go
+++ b/internal/job/planner/rank.go
@@ -82,10 +82,7 @@
 // rank returns a step as a candidate with its urgency.
 func (pl *Planner) rank(s *step, now time.Time) candidate {
 	j := s.job
-	start := j.record.AcceptedAt
-	if j.record.Occurrences > 0 {
-		start = j.record.DueAt.Add(time.Duration(s.key.Occurrence) * j.record.Interval)
-	}
+	start := s.dueAt()
 	objective := timeObjective(j.record)
 	c := candidate{step: s, deadline: start.Add(objective), remainingWork: j.remainingWork(s.key.Occurrence)}
 	if s.spec.LongRunning {
@@ -103,6 +100,16 @@
 	return c
 }
 
+// dueAt returns when the occurrence of the step was due. Unlike startedAt, it is
+// known to every leader.
+func (s *step) dueAt() time.Time {
+	record := s.job.record
+	if record.Occurrences > 0 {
+		return record.DueAt.Add(time.Duration(s.key.Occurrence) * record.Interval)
+	}
+	return record.AcceptedAt
+}
+
 const (
 	// New serving steps wait so that they can be placed together, because their
 	// jobs often arrive in groups and run far longer than the delay. They are
