jobreducer: a record for each task instead of each step

Cause: each change of a task wrote the state of its whole step. A step of 39 tasks that end one by one wrote 39 records of about 4 kB; every entry reads every record. Change: tasks have records of their own. A running task writes a new checkpoint at most once a second; before, it went along with any change of the step.

--- a/internal/job/jobreducer/jobreducer.go
+++ b/internal/job/jobreducer/jobreducer.go
@@ -18,13 +18,13 @@
 
 // Keys and key prefixes. The first letter of a key says what the record holds.
 const (
-	jobPrefix      = "j/"
-	progressPrefix = "p/"
-	outcomePrefix  = "o/"
-	cancelPrefix   = "c/"
-	sessionPrefix  = "v/"
-	memberPrefix   = "m/"
-	termKey        = "t"
+	jobPrefix     = "j/"
+	taskPrefix    = "p/"
+	outcomePrefix = "o/"
+	cancelPrefix  = "c/"
+	sessionPrefix = "v/"
+	memberPrefix  = "m/"
+	termKey       = "t"
 
 	estimatesKey = "w"
 )
@@ -37,8 +37,7 @@
 )
 
 const (
-	// MaxTaskBytes is the limit for the encoded state of one task in the record
-	// of its step.
+	// MaxTaskBytes is the limit for the encoded state of one task.
 	MaxTaskBytes = 256
 	// MaxExcludedVMs limits the VMs that the state of a task lists as
 	// excluded.
@@ -50,11 +49,19 @@
 	Occurrence, Step int
 }
 
+// TaskKey identifies one task of a job.
+type TaskKey struct {
+	StepKey
+	Index int
+}
+
 // Job is the state of one job in the log. Description is nil once the job has
-// ended and the record of its description was removed.
+// ended and the record of its description was removed. Tasks holds the tasks that
+// were ever placed; each has a record of its own, since the tasks of a wide step
+// change one by one.
 type Job struct {
 	Description *work.Job
-	Progress    map[StepKey]*work.StepProgress
+	Tasks       map[TaskKey]*work.Task
 	Outcome     *work.Outcome
 	Cancel      *work.Cancel
 }
@@ -64,11 +71,9 @@
 
 // Started reports whether any run of a task of the job was ever placed.
 func (j *Job) Started() bool {
-	for _, p := range j.Progress {
-		for i := range p.Tasks {
-			if p.Tasks[i].LastRun > 0 {
-				return true
-			}
+	for _, t := range j.Tasks {
+		if t.LastRun > 0 {
+			return true
 		}
 	}
 	return false
@@ -116,13 +121,13 @@
 		return applyValue(r, func(v *work.WorkRecord) { s.update(name, func(j *Job) { j.Outcome = v.Outcome }) })
 	case cancelPrefix:
 		return applyValue(r, func(v *work.WorkRecord) { s.update(name, func(j *Job) { j.Cancel = v.Cancel }) })
-	case progressPrefix:
-		id, key, err := parseStepKey(name)
+	case taskPrefix:
+		id, key, err := parseTaskKey(name)
 		if err != nil {
 			return trace.BadParameter("record at offset %d: %v", r.Offset, err)
 		}
 		return applyValue(r, func(v *work.WorkRecord) {
-			s.update(id, func(j *Job) { setOrDelete(j.Progress, key, v.Progress) })
+			s.update(id, func(j *Job) { setOrDelete(j.Tasks, key, v.Task) })
 		})
 	}
 	return trace.BadParameter("record at offset %d has unknown key %q", r.Offset, r.Key)
@@ -133,11 +138,11 @@
 func (s *State) update(id string, update func(j *Job)) {
 	j := s.Jobs[id]
 	if j == nil {
-		j = &Job{Progress: map[StepKey]*work.StepProgress{}}
+		j = &Job{Tasks: map[TaskKey]*work.Task{}}
 		s.Jobs[id] = j
 	}
 	update(j)
-	if j.Description == nil && j.Outcome == nil && j.Cancel == nil && len(j.Progress) == 0 {
+	if j.Description == nil && j.Outcome == nil && j.Cancel == nil && len(j.Tasks) == 0 {
 		delete(s.Jobs, id)
 	}
 }
@@ -163,17 +168,20 @@
 	return nil
 }
 
-func parseStepKey(name string) (string, StepKey, error) {
+func parseTaskKey(name string) (string, TaskKey, error) {
 	parts := strings.Split(name, ".")
-	if len(parts) != 3 {
-		return "", StepKey{}, fmt.Errorf("key %q does not identify a step", name)
+	if len(parts) != 4 {
+		return "", TaskKey{}, fmt.Errorf("key %q does not identify a task", name)
 	}
-	occurrence, err := strconv.Atoi(parts[1])
-	if err != nil {
-		return "", StepKey{}, err
+	var numbers [3]int
+	for i := range numbers {
+		number, err := strconv.Atoi(parts[i+1])
+		if err != nil {
+			return "", TaskKey{}, err
+		}
+		numbers[i] = number
 	}
-	step, err := strconv.Atoi(parts[2])
-	return parts[0], StepKey{occurrence, step}, err
+	return parts[0], TaskKey{StepKey{numbers[0], numbers[1]}, numbers[2]}, nil
 }
 
 func newRecord(key string, v *work.WorkRecord) journal.Record {
@@ -214,9 +222,9 @@
 	return newRecord(jobPrefix+j.ID, &work.WorkRecord{Job: j})
 }
 
-// ProgressRecord returns the record of a step's progress.
-func ProgressRecord(id string, key StepKey, p *work.StepProgress) journal.Record {
-	return newRecord(progressKey(id, key), &work.WorkRecord{Progress: p})
+// TaskRecord returns the record of the state of a task.
+func TaskRecord(id string, key TaskKey, t *work.Task) journal.Record {
+	return newRecord(taskRecordKey(id, key), &work.WorkRecord{Task: t})
 }
 
 // OutcomeRecord returns the record of how a job ended.
@@ -251,15 +259,15 @@
 func OutcomeTombstone(id string) journal.Record { return journal.Record{Key: outcomePrefix + id} }
 
 // JobTombstones returns the records that remove the description, cancellation
-// and progress of a job.
-func JobTombstones(id string, steps []StepKey) []journal.Record {
+// and tasks of a job.
+func JobTombstones(id string, tasks []TaskKey) []journal.Record {
 	records := []journal.Record{{Key: jobPrefix + id}, {Key: cancelPrefix + id}}
-	for _, key := range steps {
-		records = append(records, journal.Record{Key: progressKey(id, key)})
+	for _, key := range tasks {
+		records = append(records, journal.Record{Key: taskRecordKey(id, key)})
 	}
 	return records
 }
 
-func progressKey(id string, key StepKey) string {
-	return fmt.Sprintf("%s%s.%d.%d", progressPrefix, id, key.Occurrence, key.Step)
+func taskRecordKey(id string, key TaskKey) string {
+	return fmt.Sprintf("%s%s.%d.%d.%d", taskPrefix, id, key.Occurrence, key.Step, key.Index)
 }
--- a/internal/job/jobreducer/size_test.go
+++ b/internal/job/jobreducer/size_test.go
@@ -18,12 +18,8 @@
 	for i := range MaxExcludedVMs {
 		task.ExcludedVMs = append(task.ExcludedVMs, fmt.Sprintf("i-0123456789%02d", i))
 	}
-	const tasks = 500
-	progress := &work.StepProgress{}
-	for range tasks {
-		progress.Tasks = append(progress.Tasks, task)
-	}
-	if size := len(ProgressRecord(strings.Repeat("f", 16), StepKey{Occurrence: 9999, Step: 99}, progress).Value); size > tasks*MaxTaskBytes {
-		t.Errorf("%d bytes for a task, the limit is %d", size/tasks, MaxTaskBytes)
+	record := TaskRecord(strings.Repeat("f", 16), TaskKey{StepKey{Occurrence: 9999, Step: 99}, 9999}, &task)
+	if size := len(record.Value); size > MaxTaskBytes {
+		t.Errorf("%d bytes for a task, the limit is %d", size, MaxTaskBytes)
 	}
 }
--- a/internal/job/planner/harness_test.go
+++ b/internal/job/planner/harness_test.go
@@ -17,7 +17,9 @@
 	planner    *Planner
 	state      *jobreducer.State
 	nextOffset int64
-	vms        map[string]*simulatedVM
+	// writtenBytes is the size of all records that the planner produced.
+	writtenBytes int
+	vms          map[string]*simulatedVM
 	// starts holds the starts that the VMs carried out, in order.
 	starts []work.Start
 }
@@ -94,6 +96,7 @@
 	for _, r := range batch.Records {
 		r.Offset = s.nextOffset
 		s.nextOffset++
+		s.writtenBytes += len(r.Key) + len(r.Value)
 		if err := s.state.Apply(r); err != nil {
 			s.t.Fatalf("record %q: %v", r.Key, err)
 		}
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -36,8 +36,6 @@
 	// Tasks by state: waiting ones have no run, running ones have at least one,
 	// done ones completed successfully.
 	waiting, running, done int
-	// written is set once the log has a record of the step.
-	written bool
 	// startedAt is when the occurrence started, zero for a step that was
 	// restored from the log.
 	startedAt time.Time
@@ -90,6 +88,10 @@
 	return s.job.id + "." + strconv.Itoa(s.key.Occurrence) + "." + strconv.Itoa(s.key.Step) + "." + strconv.Itoa(index)
 }
 
+func (s *step) taskKey(index int) jobreducer.TaskKey {
+	return jobreducer.TaskKey{StepKey: s.key, Index: index}
+}
+
 // findTask returns the step and the index of the task with the given name, or a
 // nil step if there is none.
 func (pl *Planner) findTask(name string) (*step, int) {
@@ -151,15 +153,19 @@
 	if j.outcome == nil || j.dropped {
 		return
 	}
-	var keys []jobreducer.StepKey
-	for key, s := range j.steps {
+	for _, s := range j.steps {
 		if s.running > 0 || s.hasRuns() {
 			return
 		}
-		if s.written || pl.dirtySteps[s] {
-			keys = append(keys, key)
+	}
+	var keys []jobreducer.TaskKey
+	for _, s := range j.steps {
+		for i := range s.tasks {
+			if s.tasks[i].LastRun > 0 {
+				keys = append(keys, s.taskKey(i))
+			}
 		}
-		delete(pl.dirtySteps, s)
+		delete(pl.dirtyTasks, s)
 	}
 	j.dropped = true
 	pl.records = append(pl.records, jobreducer.JobTombstones(j.id, keys)...)
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -124,7 +124,7 @@
 	t.LastRun = run
 	t.Runs = append(t.Runs, r)
 	pl.addPlacement(s, index, r, now)
-	pl.markDirty(s)
+	pl.markDirty(s, index)
 	pl.logDecision("place", "task", s.taskName(index), "run", run, "vm", v.name, "fence", r.Fence, "heard", now.Sub(v.lastContact),
 		"used", v.reserved.Millicores, "filled", v.fillerMillicores, "memory", v.reserved.Memory, "serving", v.servingRuns, "size", v.workerStatus.Capacity.Millicores)
 	pl.sendStart(v.runs[runKey{s.taskName(index), run}])
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -74,8 +74,9 @@
 	lastMoveCheck time.Time
 
 	records []journal.Record
-	// dirtySteps holds the steps with changes that the next Flush writes.
-	dirtySteps  map[*step]bool
+	// dirtyTasks holds the tasks, by step and index, whose changes the next Flush
+	// writes.
+	dirtyTasks  map[*step]map[int]bool
 	commands    map[string]*work.Commands
 	grants      map[string]*work.Grant
 	logDecision func(decision string, fields ...any)
@@ -132,6 +133,9 @@
 	kindSentAt time.Time
 	// stopSentAt is when a stop was last sent.
 	stopSentAt time.Time
+	// checkpointWrittenAt is when a checkpoint of the run was last written to the
+	// log, at first when the run was placed.
+	checkpointWrittenAt time.Time
 	// firstSeen and firstPercent are the time and the progress of the first
 	// report of the run; both restart if the progress goes back.
 	firstSeen    time.Time
@@ -148,7 +152,7 @@
 func New(settings Settings, state *jobreducer.State, now time.Time, log func(string, ...any)) *Planner {
 	pl := &Planner{
 		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, termStart: now, logDecision: log,
-		dirtySteps: map[*step]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
+		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
 		interference: estimator.NewInterference(),
 	}
 	if state.Estimates != nil {
@@ -179,17 +183,14 @@
 	j := pl.newJob(id, stored.Description)
 	j.outcome = stored.Outcome
 	j.canceled = stored.Cancel != nil
-	for key, progress := range stored.Progress {
-		if key.Step >= len(j.record.Steps) {
+	for key, t := range stored.Tasks {
+		if key.Step >= len(j.record.Steps) || key.Index >= j.record.Steps[key.Step].Tasks {
 			continue
 		}
-		s := j.ensureStep(key)
-		s.written = true
-		for i := range min(len(progress.Tasks), len(s.tasks)) {
-			s.tasks[i] = copyTask(&progress.Tasks[i])
-			for _, r := range s.tasks[i].Runs {
-				pl.addPlacement(s, i, r, now)
-			}
+		s := j.ensureStep(key.StepKey)
+		s.tasks[key.Index] = copyTask(t)
+		for _, r := range t.Runs {
+			pl.addPlacement(s, key.Index, r, now)
 		}
 		s.recount()
 		j.startedOccurrences = max(j.startedOccurrences, key.Occurrence+1)
@@ -211,15 +212,14 @@
 // Flush returns the records, commands and grants that were produced since the
 // last call.
 func (pl *Planner) Flush() *Batch {
-	for s := range pl.dirtySteps {
-		tasks := make([]work.Task, len(s.tasks))
-		copy(tasks, s.tasks)
-		s.written = true
-		pl.records = append(pl.records, jobreducer.ProgressRecord(s.job.id, s.key, &work.StepProgress{Tasks: tasks}))
+	for s, indexes := range pl.dirtyTasks {
+		for i := range indexes {
+			pl.records = append(pl.records, jobreducer.TaskRecord(s.job.id, s.taskKey(i), &s.tasks[i]))
+		}
 	}
 	batch := &Batch{Records: pl.records, Commands: pl.commands, Grants: pl.grants, onConfirm: pl.onConfirm}
 	pl.records, pl.onConfirm = nil, nil
-	pl.dirtySteps = map[*step]bool{}
+	pl.dirtyTasks = map[*step]map[int]bool{}
 	pl.commands = map[string]*work.Commands{}
 	pl.grants = map[string]*work.Grant{}
 	return batch
--- a/internal/job/planner/planner_test.go
+++ b/internal/job/planner/planner_test.go
@@ -47,9 +47,9 @@
 			t.Fatal(err)
 		}
 	}
-	progress := state.Jobs[jobID(1)].Progress[jobreducer.StepKey{}]
-	for i := range progress.Tasks {
-		if len(progress.Tasks[i].Runs) != 1 {
+	for _, start := range batch.Commands["a"].Starts {
+		_, i := s.planner.findTask(start.Task)
+		if task := state.Jobs[jobID(1)].Tasks[jobreducer.TaskKey{Index: i}]; task == nil || len(task.Runs) != 1 {
 			t.Errorf("the start of task %d was sent, but its run is not in the records of the batch", i)
 		}
 	}
@@ -103,7 +103,7 @@
 	if len(s.starts) != 2 {
 		t.Errorf("want two starts, got %d", len(s.starts))
 	}
-	if j := s.state.Jobs[jobID(1)]; j.Description != nil || len(j.Progress) != 0 {
+	if j := s.state.Jobs[jobID(1)]; j.Description != nil || len(j.Tasks) != 0 {
 		t.Errorf("the log still describes the job: %+v", j)
 	}
 }
--- a/internal/job/planner/rank.go
+++ b/internal/job/planner/rank.go
@@ -160,7 +160,7 @@
 	capacity, totalWork, totalWait, count := 0.0, 0.0, 0.0, 0.0
 	for _, v := range pl.sortedVMs {
 		if v.usable(now) {
-			capacity += float64(v.workerStatus.Capacity.Millicores-v.servingMillicores) / 1000
+			capacity += float64(v.workerStatus.Capacity.Millicores-v.longRunningMillicores) / 1000
 		}
 	}
 	for i := range candidates {
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -8,6 +8,11 @@
 	"knapweedspur/internal/wire/work"
 )
 
+// checkpointWriteInterval is the least time between two records of a running task
+// that hold a new checkpoint. A task whose VM is lost begins again at the last
+// checkpoint in the log.
+const checkpointWriteInterval = time.Second
+
 // HandleReport processes a report of the state of a VM.
 func (pl *Planner) HandleReport(name string, r *work.Report, now time.Time) {
 	v := pl.vms[name]
@@ -70,9 +75,11 @@
 	}
 	task := &p.step.tasks[p.index]
 	if a.Checkpoint != "" && a.Checkpoint != task.Checkpoint && task.LastRun == a.Run {
-		// The checkpoint is written with the next change of the step. It does
-		// not cause a record by itself.
 		task.Checkpoint = a.Checkpoint
+		if now.Sub(p.checkpointWrittenAt) > checkpointWriteInterval {
+			p.checkpointWrittenAt = now
+			pl.markDirty(p.step, p.index)
+		}
 	}
 	if i := runIndex(task, a.Run); i >= 0 && task.Runs[i].StopReason != "" && now.Sub(p.stopSentAt) > stopRetryInterval {
 		p.stopSentAt = now
@@ -154,7 +161,7 @@
 		}
 		v.health.recordFailure(e.Task, now)
 	}
-	pl.markDirty(s)
+	pl.markDirty(s, index)
 	pl.finishIfTaskDecides(s, t, now)
 }
 
@@ -164,6 +171,7 @@
 	for i := range s.tasks {
 		if !s.tasks[i].Done {
 			s.tasks[i].Done = true
+			pl.markDirty(s, i)
 			pl.stopTaskRuns(s, i, "done", now)
 		}
 	}
--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -68,12 +68,12 @@
 	runs map[runKey]*placement
 	// reserved is what the runs reserve, and fillerMillicores the processor size
 	// of the runs that reserve no processors. servingRuns counts the runs with a
-	// latency objective, and servingMillicores is the processor size that they
-	// reserve.
-	reserved          work.Size
-	fillerMillicores  int
-	servingRuns       int
-	servingMillicores int
+	// latency objective, and longRunningMillicores is the processor size that
+	// long-running tasks reserve.
+	reserved              work.Size
+	fillerMillicores      int
+	servingRuns           int
+	longRunningMillicores int
 
 	// fillerPeaks holds the highest shares that fillers used within the window
 	// that a latency covers.
@@ -114,7 +114,7 @@
 // addPlacement adds a run that is in the log or about to be written to it.
 func (pl *Planner) addPlacement(s *step, index int, r work.Run, now time.Time) {
 	v := pl.ensureVM(r.VM)
-	p := &placement{step: s, index: index, run: r.Run, vm: v, fence: r.Fence, placedAt: now, pace: fullPace}
+	p := &placement{step: s, index: index, run: r.Run, vm: v, fence: r.Fence, placedAt: now, checkpointWrittenAt: now, pace: fullPace}
 	v.runs[runKey{s.taskName(index), r.Run}] = p
 	v.adjustReserved(s.spec, 1)
 }
@@ -127,9 +127,11 @@
 	} else {
 		v.reserved.Millicores += sign * spec.Size.Millicores
 	}
+	if spec.LongRunning && !spec.Filler {
+		v.longRunningMillicores += sign * spec.Size.Millicores
+	}
 	if spec.LatencyTarget > 0 {
 		v.servingRuns += sign
-		v.servingMillicores += sign * spec.Size.Millicores
 	}
 }
 
@@ -215,13 +217,17 @@
 	return slices.IndexFunc(t.Runs, func(r work.Run) bool { return r.Run == run })
 }
 
-// markDirty recounts the tasks of a step and marks it to be written to the log,
-// unless its job was dropped.
-func (pl *Planner) markDirty(s *step) {
+// markDirty recounts the tasks of a step and marks one of them to be written to
+// the log, unless its job was dropped.
+func (pl *Planner) markDirty(s *step, index int) {
 	s.recount()
-	if !s.job.dropped {
-		pl.dirtySteps[s] = true
+	if s.job.dropped {
+		return
+	}
+	if pl.dirtyTasks[s] == nil {
+		pl.dirtyTasks[s] = map[int]bool{}
 	}
+	pl.dirtyTasks[s][index] = true
 }
 
 // removePlacement removes a run from its VM and its task.
@@ -239,7 +245,7 @@
 func (pl *Planner) discardRun(p *placement) {
 	s := p.step
 	pl.removePlacement(p)
-	pl.markDirty(s)
+	pl.markDirty(s, p.index)
 	pl.dropEndedJob(s.job)
 }
 
@@ -266,7 +272,7 @@
 		return
 	}
 	r.StopReason = reason
-	pl.markDirty(s)
+	pl.markDirty(s, index)
 	v := pl.ensureVM(r.VM)
 	if p := v.runs[runKey{s.taskName(index), r.Run}]; p != nil && v.connected {
 		p.stopSentAt = now
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -494,12 +494,6 @@
 	Tasks int `json:"tasks" cbor:"tasks" yaml:"tasks"`
 }
 
-// State of the tasks of one step in one occurrence of a job.
-type StepProgress struct {
-	// Tasks corresponds to the JSON schema field "tasks".
-	Tasks []Task `json:"tasks" cbor:"tasks" yaml:"tasks"`
-}
-
 // State of a task.
 type Task struct {
 	// Done corresponds to the JSON schema field "done".
@@ -568,12 +562,12 @@
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *Outcome `json:"outcome,omitempty,omitzero" cbor:"outcome,omitempty" yaml:"outcome,omitempty"`
 
-	// Progress corresponds to the JSON schema field "progress".
-	Progress *StepProgress `json:"progress,omitempty,omitzero" cbor:"progress,omitempty" yaml:"progress,omitempty"`
-
 	// Session corresponds to the JSON schema field "session".
 	Session *Session `json:"session,omitempty,omitzero" cbor:"session,omitempty" yaml:"session,omitempty"`
 
+	// Task corresponds to the JSON schema field "task".
+	Task *Task `json:"task,omitempty,omitzero" cbor:"task,omitempty" yaml:"task,omitempty"`
+
 	// Term corresponds to the JSON schema field "term".
 	Term *Term `json:"term,omitempty,omitzero" cbor:"term,omitempty" yaml:"term,omitempty"`
 }
