planner: keep room for short jobs beside long-running tasks

Long-running tasks reserved 94.5 % of the processors before the first batch job came and 98 to 99 % later; steps of 0.6 s waited behind them and missed their objective. Cause: serving steps go first and fill each VM; nothing was left to short jobs. Change: a share of each pool's processors, twice the mean demand of short jobs, is kept free of long-running tasks. They take the last room of a VM only if there is no other. Exempt are tasks that were at work before, the first of a step, and those that would fit twice on a VM. Settings.FillVMs is the baseline.

--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -119,6 +119,7 @@
 		return
 	}
 	j := pl.newJob(record.ID, record)
+	pl.observeShortWork(record, now)
 	pl.startDueOccurrences(j, now)
 }
 
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -189,31 +189,44 @@
 }
 
 // chooseVM returns the VM with the lowest cost for a task, or nil if none is
-// suitable.
+// suitable. Long-running tasks take the last room of a VM only if there is no
+// other, and enough is left to short jobs.
 func (pl *Planner) chooseVM(s *step, t *work.Task, now time.Time) *vm {
+	spreadsGaps := s.spec.LongRunning && !s.spec.Filler && !pl.Settings.FillVMs
+	crowded := spreadsGaps && mayWait(s, t) && !pl.keepsRoom(s, now)
 	var best *vm
 	var bestCost float64
+	bestLeavesGap := false
 	for _, v := range pl.sortedVMs {
-		if v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) {
+		if !pl.suitable(v, s, now) {
 			continue
 		}
-		if s.spec.Label != "" && !slices.Contains(v.workerStatus.Labels, s.spec.Label) {
-			continue
-		}
-		if s.spec.MaxPerVM > 0 && v.countRuns(s) >= s.spec.MaxPerVM || !s.mayRunOn(v, now) {
+		leavesGap := spreadsGaps && v.fitsTwice(s.spec)
+		if crowded && !leavesGap || bestLeavesGap && !leavesGap {
 			continue
 		}
 		cost := pl.cost(v, s, t)
 		if s.spec.Filler && cost > maxFillerCost && !pl.waitedTooLong(s, now) {
 			continue
 		}
-		if best == nil || cost < bestCost || cost == bestCost && v.name < best.name {
-			best, bestCost = v, cost
+		if best == nil || leavesGap && !bestLeavesGap || cost < bestCost {
+			best, bestCost, bestLeavesGap = v, cost, leavesGap
 		}
 	}
 	return best
 }
 
+// suitable reports whether a task of a step may run on the VM and fits there.
+func (pl *Planner) suitable(v *vm, s *step, now time.Time) bool {
+	if v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) {
+		return false
+	}
+	if s.spec.Label != "" && !slices.Contains(v.workerStatus.Labels, s.spec.Label) {
+		return false
+	}
+	return (s.spec.MaxPerVM == 0 || v.countRuns(s) < s.spec.MaxPerVM) && s.mayRunOn(v, now)
+}
+
 // maxFillerCost is the cost above which a filler waits instead of taking memory
 // on a VM where it would make little progress.
 const maxFillerCost = 2.0
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -28,6 +28,9 @@
 	FarFactor float64
 	// Policy is the order in which jobs are placed; empty means ByWorth.
 	Policy Policy
+	// FillVMs lets long-running tasks reserve whole VMs. It is a baseline for
+	// comparison; otherwise room is kept for short jobs.
+	FillVMs bool
 }
 
 // Policy is the order in which waiting jobs are placed.
@@ -59,6 +62,9 @@
 	// the order in which they are added.
 	lastJobNumber int
 
+	// shortWork is the demand of short jobs by pool.
+	shortWork map[string]*shortWork
+
 	interference *estimator.Interference
 	// lastLearned is when interference was last learned from latencies.
 	lastLearned time.Time
@@ -153,7 +159,7 @@
 	pl := &Planner{
 		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, termStart: now, logDecision: log,
 		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
-		interference: estimator.NewInterference(),
+		interference: estimator.NewInterference(), shortWork: map[string]*shortWork{},
 	}
 	if state.Estimates != nil {
 		pl.interference.Restore(state.Estimates.Pairs)
--- /dev/null
+++ b/internal/job/planner/room.go
@@ -0,0 +1,110 @@
+package planner
+
+import (
+	"math"
+	"time"
+
+	"knapweedspur/internal/wire/work"
+)
+
+// Long-running tasks reserve processors for far longer than short jobs have time
+// to wait. Where clients ask for more long-running tasks than fit, those that
+// arrive first would reserve every VM in full, and short jobs would miss their
+// objectives. So a share of the processors is kept free of long-running tasks, as
+// large as the short jobs that arrive need.
+
+const (
+	// shortWorkWindow is the time constant over which the demand of short jobs is
+	// averaged.
+	shortWorkWindow = 20 * time.Second
+	// initialShortShare is the demand of short jobs, as a share of the processors,
+	// that a leader assumes at first. The assumption fades with shortWorkWindow.
+	initialShortShare = 0.08
+	// roomFactor is how many times the mean demand of short jobs is kept free,
+	// because they arrive in bursts and do not fill gaps exactly.
+	roomFactor = 2.0
+	// minKeptShare is the share below which no room is kept, maxKeptShare the most
+	// that is kept.
+	minKeptShare, maxKeptShare = 0.01, 0.25
+)
+
+// shortWork averages the demand of jobs whose steps reserve processors for a
+// short time.
+type shortWork struct {
+	startedAt time.Time
+	// millicores is the mean demand of the jobs seen so far at updatedAt.
+	millicores float64
+	updatedAt  time.Time
+}
+
+// observe adds the work of a new job.
+func (w *shortWork) observe(job *work.Job, now time.Time) {
+	w.millicores = w.observed(now)
+	w.updatedAt = now
+	for i := range job.Steps {
+		if spec := &job.Steps[i]; !spec.LongRunning && !spec.Filler {
+			w.millicores += float64(spec.Tasks*spec.Size.Millicores) * spec.EstimatedDuration.Seconds() / shortWorkWindow.Seconds()
+		}
+	}
+}
+
+func (w *shortWork) observed(now time.Time) float64 {
+	return w.millicores * decay(now.Sub(w.updatedAt))
+}
+
+// keptShare returns the share of the processors to keep free of long-running
+// tasks, given those of all VMs in millicores.
+func (w *shortWork) keptShare(capacity int, now time.Time) float64 {
+	demand := w.observed(now)/float64(max(capacity, 1)) + initialShortShare*decay(now.Sub(w.startedAt))
+	share := roomFactor * demand
+	if share < minKeptShare {
+		return 0
+	}
+	return min(share, maxKeptShare)
+}
+
+func decay(elapsed time.Duration) float64 {
+	return math.Exp(-elapsed.Seconds() / shortWorkWindow.Seconds())
+}
+
+// observeShortWork adds the work of a new job to the demand in its pool.
+func (pl *Planner) observeShortWork(job *work.Job, now time.Time) {
+	pl.poolShortWork(job.Queue.Pool).observe(job, now)
+}
+
+func (pl *Planner) poolShortWork(pool string) *shortWork {
+	w := pl.shortWork[pool]
+	if w == nil {
+		w = &shortWork{startedAt: pl.termStart, updatedAt: pl.termStart}
+		pl.shortWork[pool] = w
+	}
+	return w
+}
+
+// keepsRoom reports whether another task of a long-running step would leave enough
+// of its pool to short jobs. The gaps may be on any VMs of the pool: the same share
+// of each VM would cost the long-running tasks far more, since they are large.
+func (pl *Planner) keepsRoom(s *step, now time.Time) bool {
+	pool := s.job.record.Queue.Pool
+	capacity, reserved := 0, s.spec.Size.Millicores
+	for _, v := range pl.sortedVMs {
+		if v.workerStatus.Pool == pool && v.usable(now) {
+			capacity += v.workerStatus.Capacity.Millicores
+			reserved += v.longRunningMillicores
+		}
+	}
+	share := pl.poolShortWork(pool).keptShare(capacity, now)
+	return float64(reserved) <= (1-share)*float64(capacity)
+}
+
+// mayWait reports whether a task of a long-running step may wait for short jobs. One
+// that was at work, and the first of its step, may not.
+func mayWait(s *step, t *work.Task) bool { return t.LastRun == 0 && s.running > 0 }
+
+// fitsTwice reports whether the VM has room for two tasks of a step. One of them
+// is then placed in any case.
+func (v *vm) fitsTwice(spec *work.Step) bool {
+	twice := *spec
+	twice.Size = work.Size{Millicores: 2 * spec.Size.Millicores, Memory: 2 * spec.Size.Memory, Accelerators: 2 * spec.Size.Accelerators}
+	return v.fits(&twice)
+}
