planner: spread the gaps for short jobs only where room is short

Cause: long-running tasks left the last room of a VM open even where all of them and the short jobs fit, which mixes kinds of serving tasks on VMs. Change: they do so only in a pool where all that run and wait would not leave the room that is kept for short jobs.

--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -47,6 +47,7 @@
 		return
 	}
 	pl.markOverload(candidates, now)
+	pl.markCrowdedPools(candidates, now)
 	sort.Slice(candidates, func(i, j int) bool { return candidates[i].before(&candidates[j], pl.Settings.Policy) })
 	remaining := maxPlacements
 	for i := range candidates {
@@ -189,11 +190,11 @@
 }
 
 // chooseVM returns the VM with the lowest cost for a task, or nil if none is
-// suitable. Long-running tasks take the last room of a VM only if there is no
-// other, and enough is left to short jobs.
+// suitable. In a crowded pool, long-running tasks take the last room of a VM only
+// if there is no other, and enough is left to short jobs.
 func (pl *Planner) chooseVM(s *step, t *work.Task, now time.Time) *vm {
-	spreadsGaps := s.spec.LongRunning && !s.spec.Filler && !pl.Settings.FillVMs
-	crowded := spreadsGaps && mayWait(s, t) && !pl.keepsRoom(s, now)
+	spreadsGaps := reservesForLong(s.spec) && pl.crowdedPools[s.job.record.Queue.Pool]
+	crowded := spreadsGaps && mayWait(s, t) && !pl.leavesRoom(s.job.record.Queue.Pool, s.spec.Size.Millicores, now)
 	var best *vm
 	var bestCost float64
 	bestLeavesGap := false
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -62,8 +62,10 @@
 	// the order in which they are added.
 	lastJobNumber int
 
-	// shortWork is the demand of short jobs by pool.
-	shortWork map[string]*shortWork
+	// shortWork is the demand of short jobs by pool. crowdedPools are the pools in
+	// which long-running tasks ask for the room that is kept for short jobs.
+	shortWork    map[string]*shortWork
+	crowdedPools map[string]bool
 
 	interference *estimator.Interference
 	// lastLearned is when interference was last learned from latencies.
--- a/internal/job/planner/room.go
+++ b/internal/job/planner/room.go
@@ -81,12 +81,34 @@
 	return w
 }
 
-// keepsRoom reports whether another task of a long-running step would leave enough
-// of its pool to short jobs. The gaps may be on any VMs of the pool: the same share
-// of each VM would cost the long-running tasks far more, since they are large.
-func (pl *Planner) keepsRoom(s *step, now time.Time) bool {
-	pool := s.job.record.Queue.Pool
-	capacity, reserved := 0, s.spec.Size.Millicores
+// reservesForLong reports whether the tasks of a step reserve processors for far
+// longer than a short job takes.
+func reservesForLong(spec *work.Step) bool { return spec.LongRunning && !spec.Filler }
+
+// markCrowdedPools finds the pools in which all long-running tasks, those that wait
+// included, would not leave enough to short jobs.
+func (pl *Planner) markCrowdedPools(candidates []candidate, now time.Time) {
+	pl.crowdedPools = map[string]bool{}
+	if pl.Settings.FillVMs {
+		return
+	}
+	waiting := map[string]int{}
+	for i := range candidates {
+		if s := candidates[i].step; reservesForLong(s.spec) {
+			waiting[s.job.record.Queue.Pool] += s.waiting * s.spec.Size.Millicores
+		}
+	}
+	for pool, millicores := range waiting {
+		pl.crowdedPools[pool] = !pl.leavesRoom(pool, millicores, now)
+	}
+}
+
+// leavesRoom reports whether further long-running tasks of the given size would
+// leave enough of a pool to short jobs. The gaps may be on any VMs of the pool: the
+// same share of each VM would cost the long-running tasks far more, since they are
+// large.
+func (pl *Planner) leavesRoom(pool string, millicores int, now time.Time) bool {
+	capacity, reserved := 0, millicores
 	for _, v := range pl.sortedVMs {
 		if v.workerStatus.Pool == pool && v.usable(now) {
 			capacity += v.workerStatus.Capacity.Millicores
--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -127,7 +127,7 @@
 	} else {
 		v.reserved.Millicores += sign * spec.Size.Millicores
 	}
-	if spec.LongRunning && !spec.Filler {
+	if reservesForLong(spec) {
 		v.longRunningMillicores += sign * spec.Size.Millicores
 	}
 	if spec.LatencyTarget > 0 {
