planner: jobs that can run nowhere take no room

Cause: read in the code, not seen in a run: one job with absurd sizes or durations would have raised the demand of short jobs to the limit of 25 % for minutes. Change: steps larger than any VM do not count, and no step counts for more than all its tasks at once. The limit on the tasks of a step has a new reason: a gang's records must fit in one append. Figures: the new test fails without the change (4 of 5 long-running tasks run).

--- a/internal/frontend/jobacceptor/jobacceptor.go
+++ b/internal/frontend/jobacceptor/jobacceptor.go
@@ -136,7 +136,8 @@
 		return nil
 	}
 	for i := range job.Steps {
-		// The state of a step must fit in a record, or no leader could write it.
+		// All tasks of a gang are placed together, so their records must fit in one
+		// append; the largest record is well below that.
 		if limit := a.MaxRecordBytes / jobreducer.MaxTaskBytes; job.Steps[i].Tasks > limit {
 			return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Invalid, Reason: fmt.Sprintf("step %d has %d tasks, the limit is %d", i, job.Steps[i].Tasks, limit)}
 		}
--- a/internal/frontend/jobacceptor/jobacceptor_test.go
+++ b/internal/frontend/jobacceptor/jobacceptor_test.go
@@ -149,8 +149,7 @@
 	})
 }
 
-// A step whose state does not fit in a record would keep the leader from writing
-// anything.
+// A gang whose records do not fit in one append could be placed in part.
 func TestOversizedStepIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := keyedlogemulator.New()
--- a/internal/job/planner/room.go
+++ b/internal/job/planner/room.go
@@ -37,15 +37,12 @@
 	updatedAt  time.Time
 }
 
-// observe adds the work of a new job.
-func (w *shortWork) observe(job *work.Job, now time.Time) {
+// observe adds the work of a step. It counts for no more than all its tasks at once.
+func (w *shortWork) observe(spec *work.Step, now time.Time) {
 	w.millicores = w.observed(now)
 	w.updatedAt = now
-	for i := range job.Steps {
-		if spec := &job.Steps[i]; !spec.LongRunning && !spec.Filler {
-			w.millicores += float64(spec.Tasks*spec.Size.Millicores) * spec.EstimatedDuration.Seconds() / shortWorkWindow.Seconds()
-		}
-	}
+	duration := min(spec.EstimatedDuration, shortWorkWindow)
+	w.millicores += float64(spec.Tasks*spec.Size.Millicores) * duration.Seconds() / shortWorkWindow.Seconds()
 }
 
 func (w *shortWork) observed(now time.Time) float64 {
@@ -67,9 +64,20 @@
 	return math.Exp(-elapsed.Seconds() / shortWorkWindow.Seconds())
 }
 
-// observeShortWork adds the work of a new job to the demand in its pool.
+// observeShortWork adds the work of a new job to the demand in its pool, but for
+// steps that are too large for any VM.
 func (pl *Planner) observeShortWork(job *work.Job, now time.Time) {
-	pl.poolShortWork(job.Queue.Pool).observe(job, now)
+	largest := 0
+	for _, v := range pl.sortedVMs {
+		if v.workerStatus.Pool == job.Queue.Pool {
+			largest = max(largest, v.workerStatus.Capacity.Millicores)
+		}
+	}
+	for i := range job.Steps {
+		if spec := &job.Steps[i]; !spec.LongRunning && !spec.Filler && spec.Size.Millicores <= largest {
+			pl.poolShortWork(job.Queue.Pool).observe(spec, now)
+		}
+	}
 }
 
 func (pl *Planner) poolShortWork(pool string) *shortWork {
--- a/internal/job/planner/room_test.go
+++ b/internal/job/planner/room_test.go
@@ -126,6 +126,19 @@
 	}
 }
 
+// A job that can run nowhere must not take room from long-running tasks.
+func TestJobTooLargeForAnyVMTakesNoRoom(t *testing.T) {
+	s := newSimulation(t)
+	s.addVM("a", 10_000, 1000)
+	s.advance(6 * shortWorkWindow)
+	s.submitJob(jobID(1), stepSpec(100, 20_000))
+	s.submitJob(jobID(2), longRunningStep(5, 2000))
+	s.advance(time.Second)
+	if got := len(s.placements(jobID(2))); got != 5 {
+		t.Errorf("%d long-running tasks run, want all 5", got)
+	}
+}
+
 // Without short jobs the room that is kept for them is given up.
 func TestRoomIsReleasedWithoutShortJobs(t *testing.T) {
 	s := newSimulation(t)
