explain: tell the longest wait and the load meanwhile

Change: the timeline keeps the load lines within the longest wait for a placement, and the summary tells what waited and what used the processors.

--- a/internal/diagnostic/explainer/causes.go
+++ b/internal/diagnostic/explainer/causes.go
@@ -10,7 +10,7 @@
 // the order in which their causes are listed.
 func causes(t *Timeline) []string {
 	var found []string
-	for _, rule := range []func(*Timeline) string{refusedSubmission, unansweredSubmission, attemptsExhausted, failedRuns, lostRuns, movedRuns, longPlacementWait, leaderChange, logUnavailable, foldedLines} {
+	for _, rule := range []func(*Timeline) string{refusedSubmission, unansweredSubmission, attemptsExhausted, failedRuns, lostRuns, movedRuns, longPlacementWait, loadDuringWait, leaderChange, logUnavailable, foldedLines} {
 		if cause := rule(t); cause != "" {
 			found = append(found, cause)
 		}
--- a/internal/diagnostic/explainer/explainer.go
+++ b/internal/diagnostic/explainer/explainer.go
@@ -65,6 +65,7 @@
 		}
 	}
 	timeline.trim()
+	timeline.dropLoads()
 	timeline.Causes = causes(timeline)
 	return timeline, nil
 }
@@ -116,7 +117,7 @@
 // affectsAll reports whether an event affects all work.
 func (e *Event) affectsAll() bool {
 	switch e.Message {
-	case "lead begins", "lead ends", "fenced", "log lost", "log regained", "lines folded":
+	case "lead begins", "lead ends", "fenced", "log lost", "log regained", "lines folded", loadMessage:
 		return true
 	}
 	return false
--- a/internal/diagnostic/explainer/explainer_test.go
+++ b/internal/diagnostic/explainer/explainer_test.go
@@ -17,13 +17,16 @@
 		{"unknown outcome", logLine("01.0", "entry-1", "accept", `"job":"`+id+`","outcome":"the log gave no answer (unknown)"`), "could not tell"},
 		{"late", logLine("01.0", "entry-1", "accept", `"job":"`+id+`","outcome":"done"`) + logLine("04.5", "entry-2", "place", `"task":"`+id+`.0.0.1","vm":"v1"`), "Waited 3.5s"},
 		{"lost VM", logLine("01.0", "e", "place", `"task":"`+id+`.0.0.1","vm":"v1"`) + logLine("02.0", "e", "revoke", `"vm":"v1"`) + logLine("09.0", "e", "void", `"task":"`+id+`.0.0.1","vm":"v1","reason":"lapsed"`), "lapsed:1"},
+		{"no room", logLine("01.0", "e", "accept", `"job":"`+id+`","outcome":"done"`) + logLine("01.1", "e", "place", `"task":"`+id+`.0.0.1","vm":"v1"`) + logLine("02.0", "e", "end", `"task":"`+id+`.0.0.1","vm":"v1","how":"done"`) +
+			logLine("05.0", "e", "load", `"millis":400000,"reserved":332450,"busy":186045,"filled":170644,"fillers":68,"slowed":22,"waiting":1,"waiting_fillers":60`) + logLine("07.8", "e", "place", `"task":"`+id+`.0.1.5","vm":"v1"`),
+			"Waited 5.8s until " + id + ".0.1.5 was placed. Meanwhile 60 fillers and 1 other tasks waited; of 400 cores 332 were reserved, 186 in use by others than fillers and 171 by fillers; 22 of 68 fillers were slowed"},
 		{"attempts exhausted", logLine("01.0", "e", "end", `"task":"`+id+`.0.0.1","vm":"v1","how":"failed"`) + logLine("02.0", "e", "finish", `"job":"`+id+`","state":"failed"`), "Given up"},
 		{"moved", logLine("01.0", "e", "halt", `"task":"`+id+`.0.0.1","vm":"v1","reason":"move"`), "Moved 1 times"},
 		{"no leader", logLine("01.0", "e", "accept", `"job":"`+id+`","outcome":"done"`) + logLine("01.5", "e", "lead ends", `"reason":"fenced"`), "The lead changed"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			timeline, err := Read(id, strings.NewReader(logLine("00.5", "other", "place", `"task":"ffffffffffffffff.0.0.1","vm":"v9"`)+c.logs))
+			timeline, err := Read(id, strings.NewReader(logLine("00.5", "other", "place", `"task":"ffffffffffffffff.0.0.1","vm":"v9"`)+logLine("00.9", "e", "load", `"millis":1`)+c.logs))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -31,7 +34,7 @@
 				t.Errorf("causes: %s\nwant: %s", got, c.want)
 			}
 			for _, e := range timeline.Events {
-				if e.Process == "other" {
+				if e.Process == "other" || e.Message == loadMessage && c.name != "no room" {
 					t.Errorf("a line of another job is in the timeline: %+v", e)
 				}
 			}
