asyncwriter: keep rare messages beside frequent ones

Late jobs could not be explained. Change: a quarter of the limit more is kept for messages that were written less often than that within the second. Ruled out: a share for each message; a program with one message would then write a quarter of what it may.

--- a/internal/cli/commandrunner/site.go
+++ b/internal/cli/commandrunner/site.go
@@ -23,7 +23,7 @@
 
 // siteFlags are the settings that are not in the platform's settings file.
 type siteFlags struct {
-	Lines int `help:"Most log lines a second, warnings aside." env:"KNAPWEEDSPUR_LOG_LINES" default:"150"`
+	Lines int `help:"Most log lines a second, warnings and a quarter as many of rare messages aside." env:"KNAPWEEDSPUR_LOG_LINES" default:"150"`
 }
 
 // Validate checks the flags.
--- a/internal/diagnostic/asyncwriter/asyncwriter.go
+++ b/internal/diagnostic/asyncwriter/asyncwriter.go
@@ -19,11 +19,15 @@
 	queueLength = 2048
 	// rateWindow is the time over which lines are counted for the limit.
 	rateWindow = time.Second
+	// reserveShare is the part of the limit, 1/reserveShare, that may be written
+	// beyond it: lines whose message was written less often than that. So the many
+	// lines about single tasks do not push out the few about whole jobs.
+	reserveShare = 4
 )
 
-// LogWriter is a log writer that never blocks. Info lines beyond the rate limit
-// are folded: they are counted by message, and a line per rate window reports
-// the counts. Warnings and errors are not limited. Lines that find the queue full
+// LogWriter is a log writer that never blocks. Info lines beyond the rate limit,
+// and a reserve for rare messages, are folded: they are counted by message, and a
+// line per rate window reports the counts. Warnings and errors are not limited. Lines that find the queue full
 // are dropped and counted by Dropped.
 type LogWriter struct {
 	// Done is closed when the last line has been written.
@@ -37,13 +41,15 @@
 	mu          sync.Mutex
 	windowStart time.Time
 	windowCount int
-	folded      map[string]int
+	// admitted counts the info lines of the window by message, folded those that
+	// were not written.
+	admitted, folded map[string]int
 }
 
 // New returns a log writer that writes to out until it is closed. Info lines are
 // folded once limit lines were written within a second.
 func New(out io.Writer, limit int) *LogWriter {
-	w := &LogWriter{Done: make(chan struct{}), lines: make(chan []byte, queueLength), limit: limit, folded: map[string]int{}}
+	w := &LogWriter{Done: make(chan struct{}), lines: make(chan []byte, queueLength), limit: limit, admitted: map[string]int{}, folded: map[string]int{}}
 	go w.run(out)
 	return w
 }
@@ -72,12 +78,21 @@
 	defer w.mu.Unlock()
 	if now.Sub(w.windowStart) > rateWindow {
 		w.reportFolded(now)
-		w.windowStart, w.windowCount = now, 0
+		w.windowStart, w.windowCount, w.admitted = now, 0, map[string]int{}
 	}
-	if w.windowCount >= w.limit && bytes.Contains(line, infoLevel) {
-		w.folded[messageOf(line)]++
-		return false
+	if !bytes.Contains(line, infoLevel) {
+		w.windowCount++
+		return true
 	}
+	message := messageOf(line)
+	if w.windowCount >= w.limit {
+		reserve := w.limit / reserveShare
+		if w.admitted[message] >= reserve || w.windowCount >= w.limit+reserve {
+			w.folded[message]++
+			return false
+		}
+	}
+	w.admitted[message]++
 	w.windowCount++
 	return true
 }
--- a/internal/diagnostic/asyncwriter/asyncwriter_test.go
+++ b/internal/diagnostic/asyncwriter/asyncwriter_test.go
@@ -56,6 +56,29 @@
 	}
 }
 
+// A leader that places hundreds of tasks a second must still tell how each job
+// ended, or nobody can explain a late one.
+func TestRareMessagesAreKeptBesideFrequentOnes(t *testing.T) {
+	var out bytes.Buffer
+	const limit = 100
+	w := New(&out, limit)
+	logger := hclog.New(&hclog.LoggerOptions{Output: w, JSONFormat: true})
+	for i := range 500 {
+		logger.Info("place", "task", "t")
+		logger.Info("end", "task", "t")
+		if i%25 == 0 {
+			logger.Info("finish", "job", "j")
+		}
+	}
+	w.Close()
+	if got := strings.Count(out.String(), `"finish","@timestamp"`); got != 20 {
+		t.Errorf("%d of 20 lines about jobs were written", got)
+	}
+	if got := strings.Count(out.String(), "\n"); got > limit+limit/reserveShare+1 {
+		t.Errorf("%d lines passed a limit of %d and its reserve", got, limit)
+	}
+}
+
 func BenchmarkLine(b *testing.B) {
 	w := New(new(bytes.Buffer), 200)
 	logger := hclog.New(&hclog.LoggerOptions{Output: w, JSONFormat: true})
