soak: settings that change and a loss of all power

Change: settings files are rewritten with a hangup to their process throughout; after the faults of an even seed all processes are killed at once and all workers forget what they ran. Both draw from a source of their own, so earlier faults of a seed stay.

--- a/internal/standin/soaktester/checker.go
+++ b/internal/standin/soaktester/checker.go
@@ -55,6 +55,13 @@
 	c.violations = append(c.violations, fmt.Sprintf("%6.2fs ", now.Sub(c.startedAt).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// fail adds a violation that the soak itself found.
+func (c *checker) fail(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addViolation(time.Now(), format, args...)
+}
+
 func jobOf(task string) string { return strings.SplitN(task, ".", 2)[0] }
 
 // Started checks the start of a run against the history.
--- a/internal/standin/soaktester/fault.go
+++ b/internal/standin/soaktester/fault.go
@@ -1,6 +1,8 @@
 package soaktester
 
 import (
+	"math/rand/v2"
+	"os"
 	"syscall"
 	"time"
 
@@ -58,6 +60,37 @@
 	}
 }
 
+// meanHangupInterval is the mean time between changes of a settings file.
+const meanHangupInterval = 2 * time.Second
+
+// changeSettings rewrites the settings file of a random process and sends it a
+// hangup, again and again while faults are injected. It draws from a source of its
+// own, so that the other faults of a seed stay the same.
+func (s *soak) changeSettings() {
+	random := rand.New(rand.NewPCG(s.config.Seed, 4))
+	for start := time.Now(); time.Since(start) < s.config.FaultDuration; {
+		time.Sleep(time.Duration(random.Int64N(int64(2 * meanHangupInterval))))
+		target := s.processes()[random.IntN(len(s.processes()))]
+		if err := os.WriteFile(target.settingsPath, target.settings, 0o600); err != nil {
+			s.checker.fail("rewrite the settings of %s: %v", target.name, err)
+			return
+		}
+		target.signal(syscall.SIGHUP)
+	}
+}
+
+// losePower kills all processes at the same moment and restarts all workers, which
+// forget everything.
+func (s *soak) losePower() {
+	for _, p := range s.processes() {
+		p.signal(syscall.SIGKILL)
+	}
+	for _, w := range s.workers {
+		w.StartInstance(time.Now())
+	}
+	s.faultCount++
+}
+
 // clearFaults ends all faults.
 func (s *soak) clearFaults() {
 	s.logService.SetFaults(keyedlogemulator.Faults{})
--- a/internal/standin/soaktester/soaktester.go
+++ b/internal/standin/soaktester/soaktester.go
@@ -28,7 +28,8 @@
 type Config struct {
 	// Binary is the program under test.
 	Binary string
-	// Seed determines the faults and the jobs.
+	// Seed determines the faults and the jobs. After an even seed's faults all
+	// processes and workers lose power at once.
 	Seed uint64
 	// FaultDuration is how long faults are injected and jobs submitted.
 	FaultDuration time.Duration
@@ -83,6 +84,8 @@
 	ip            string
 	clientAddress netip.AddrPort
 	env           string
+	settingsPath  string
+	settings      []byte
 	logFile       *os.File
 	proxy         *faultinjector.Proxy
 	mu            sync.Mutex
@@ -113,7 +116,11 @@
 	defer cancel()
 	time.Sleep(warmUpTime)
 	s.group.Go(func() { s.submitJobs(ctx) })
+	s.group.Go(s.changeSettings)
 	s.injectFaults()
+	if s.config.Seed%2 == 0 {
+		s.losePower()
+	}
 	s.clearFaults()
 	time.Sleep(settleTime)
 	cancel()
@@ -223,11 +230,11 @@
 		Name: p.name, IsEntry: p.role == "entry", IP: p.ip, FirstPort: basePort, LogAddress: proxyAddress,
 		WorkerAddress: fmt.Sprintf("%s:%d", s.address(3, max(index-s.config.Entries, 0)), basePort),
 	}
-	path := filepath.Join(s.config.LogDir, p.name+".json")
-	if err := os.WriteFile(path, settings.SettingsFile(), 0o600); err != nil {
+	p.settingsPath, p.settings = filepath.Join(s.config.LogDir, p.name+".json"), settings.SettingsFile()
+	if err := os.WriteFile(p.settingsPath, p.settings, 0o600); err != nil {
 		return err
 	}
-	p.env = platformemulator.SettingsEnv(path)
+	p.env = platformemulator.SettingsEnv(p.settingsPath)
 	logFile, err := os.Create(filepath.Join(s.config.LogDir, p.name+".log"))
 	p.logFile = logFile
 	return err
