--- a/internal/diagnostic/asyncwriter/asyncwriter.go
+++ b/internal/diagnostic/asyncwriter/asyncwriter.go
@@ -27,8 +27,8 @@
 
 // LogWriter is a log writer that never blocks. Info lines beyond the rate limit,
 // and a reserve for rare messages, are folded: they are counted by message, and a
-// line per rate window reports the counts. Warnings and errors are not limited. Lines that find the queue full
-// are dropped and counted by Dropped.
+// line per rate window reports the counts. Warnings and errors are not limited.
+// Lines that find the queue full are dropped and counted by Dropped.
 type LogWriter struct {
 	// Done is closed when the last line has been written.
 	Done chan struct{}
--- a/internal/job/jobreducer/jobreducer.go
+++ b/internal/job/jobreducer/jobreducer.go
@@ -1,5 +1,5 @@
-// Package jobreducer rebuilds the state that the work log holds (jobs, the progress
-// of their steps, the sessions of VMs, the current leader and the entries), and
+// Package jobreducer rebuilds the state that the work log holds (jobs, the state of
+// their tasks, the sessions of VMs, the current leader and the entries), and
 // builds the records that change it. An entry is a server process that accepts
 // jobs and may lead; the log knows it as a member.
 package jobreducer
