soak: end its processes when it is interrupted

The logs of all entries say 'address already in use': seven programs of a soak that was ended by hand half an hour before still ran at its addresses, so clients asked entries of another log. Change: a soak that gets SIGINT or SIGTERM kills its processes first. SIGKILL still leaves them.

--- a/internal/standin/soaktester/soaktester.go
+++ b/internal/standin/soaktester/soaktester.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -112,6 +113,7 @@
 		return nil, err
 	}
 	defer s.stopAll()
+	go s.stopOnSignal()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	time.Sleep(warmUpTime)
@@ -278,8 +280,34 @@
 	}
 }
 
+// interruptedExitCode is the exit code of a soak that a signal stopped.
+const interruptedExitCode = 130
+
+// stopOnSignal stops everything when the soak itself is interrupted. Processes that
+// it left behind would keep the addresses of the next soak in its slot.
+func (s *soak) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	select {
+	case <-signals:
+		s.killProcesses()
+		os.Exit(interruptedExitCode)
+	case <-s.stopped:
+	}
+}
+
 // stopAll kills the processes and stops the proxies and servers.
 func (s *soak) stopAll() {
+	s.killProcesses()
+	for _, p := range s.processes() {
+		p.proxy.Close()
+	}
+	close(s.stopped)
+	s.group.Wait()
+}
+
+func (s *soak) killProcesses() {
 	for _, p := range s.processes() {
 		p.mu.Lock()
 		p.stopping = true
@@ -288,8 +316,5 @@
 			_ = p.cmd.Process.Kill()
 		}
 		p.mu.Unlock()
-		p.proxy.Close()
 	}
-	close(s.stopped)
-	s.group.Wait()
 }
