--- a/internal/sidecar/supervisor/poll.go
+++ b/internal/sidecar/supervisor/poll.go
@@ -25,6 +25,9 @@
 			s.waitForWakeup(ctx, retryPause)
 			continue
 		}
+		if state.UnreadableRows > 0 {
+			s.Logger.Error("worker lists rows that cannot be decoded", "vm", call.VM, "rows", state.UnreadableRows)
+		}
 		if s.handleHoldState(call, state, firstHold, sent, s.Clock()) {
 			s.waitForWakeup(ctx, unackedEndsPause)
 		}
--- a/internal/sidecar/workercontroller/workercontroller.go
+++ b/internal/sidecar/workercontroller/workercontroller.go
@@ -82,6 +82,9 @@
 	Ends              []work.RunEnd
 	// MoreEnds is set if the worker has more ends than it lists.
 	MoreEnds bool
+	// UnreadableRows counts the rows of the lists that could not be decoded. MoreEnds
+	// is set if there are any, since a run that is not listed may be in one of them.
+	UnreadableRows int
 }
 
 // Worker runs tasks. After an error other than ErrMisdirected the call may still
