leader: an unexpected error ends a leadership, not the entry's process

Cause: a panic in the planner took the whole entry down, and a job in the log that no planner can work with did so at each leader in turn. Ruled out: HTTP handlers, which the server guards already. Change: the planner runs guarded and the entry steps down for 4 s; records of jobs with impossible steps are skipped by every process.

--- a/internal/job/jobreducer/jobreducer.go
+++ b/internal/job/jobreducer/jobreducer.go
@@ -116,7 +116,7 @@
 	case memberPrefix:
 		return applyValue(r, func(v *work.WorkRecord) { setOrDelete(s.Members, name, v.Member) })
 	case jobPrefix:
-		return applyValue(r, func(v *work.WorkRecord) { s.update(name, func(j *Job) { j.Description = v.Job }) })
+		return s.applyJob(r, name)
 	case outcomePrefix:
 		return applyValue(r, func(v *work.WorkRecord) { s.update(name, func(j *Job) { j.Outcome = v.Outcome }) })
 	case cancelPrefix:
@@ -133,6 +133,43 @@
 	return trace.BadParameter("record at offset %d has unknown key %q", r.Offset, r.Key)
 }
 
+// applyJob applies the record of a job. A description that no planner can work with,
+// such as one that another release wrote, is an error.
+func (s *State) applyJob(r journal.Record, id string) error {
+	var invalid error
+	err := applyValue(r, func(v *work.WorkRecord) {
+		if invalid = validateJob(v.Job); invalid == nil {
+			s.update(id, func(j *Job) { j.Description = v.Job })
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return trace.Wrap(invalid, "record %q at offset %d", r.Key, r.Offset)
+}
+
+// validateJob checks what every planner relies on. A nil job is a tombstone.
+func validateJob(job *work.Job) error {
+	if job == nil {
+		return nil
+	}
+	if len(job.Steps) == 0 || job.Occurrences < 0 || job.Interval < 0 {
+		return trace.BadParameter("job with %d steps, %d occurrences, interval %s", len(job.Steps), job.Occurrences, job.Interval)
+	}
+	for i := range job.Steps {
+		step := &job.Steps[i]
+		if step.Tasks <= 0 || step.EstimatedDuration < 0 || step.Size.Millicores < 0 || step.Size.Memory < 0 || step.Size.Accelerators < 0 {
+			return trace.BadParameter("step %d has %d tasks of %+v for %s", i, step.Tasks, step.Size, step.EstimatedDuration)
+		}
+		for _, dependency := range step.DependsOn {
+			if dependency < 0 || dependency >= i {
+				return trace.BadParameter("step %d depends on step %d", i, dependency)
+			}
+		}
+	}
+	return nil
+}
+
 // update applies a change to the state of a job, and deletes the state if nothing
 // is left in it.
 func (s *State) update(id string, update func(j *Job)) {
@@ -205,6 +242,9 @@
 	id = r.Key[len(jobPrefix):]
 	switch {
 	case strings.HasPrefix(r.Key, jobPrefix) && v.Job != nil && v.Job.ID == id:
+		if err := validateJob(v.Job); err != nil {
+			return "", nil, false, trace.Wrap(err, "record %q", r.Key)
+		}
 		return id, v.Job, false, nil
 	case strings.HasPrefix(r.Key, cancelPrefix) && v.Cancel != nil:
 		return id, nil, true, nil
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
@@ -57,6 +59,10 @@
 	// isolatedPause is how long an entry that stepped down because it was
 	// isolated from most agents does not claim again.
 	isolatedPause = 4 * time.Second
+	// failedPause is how long an entry whose planner failed does not claim again, so
+	// that another one leads first: the failure may depend on what only this entry
+	// was told.
+	failedPause = 4 * time.Second
 	// epochRandomBits is the number of low bits of an epoch that are random, so
 	// that two claims made at the same time almost always differ.
 	epochRandomBits = 12
@@ -168,12 +174,14 @@
 		if j == nil {
 			return
 		}
-		if j.Description != nil && j.Outcome == nil {
-			l.planner.AddJob(j.Description, now)
-		}
-		if j.Cancel != nil {
-			l.planner.CancelJob(id, now)
-		}
+		l.guard(func() {
+			if j.Description != nil && j.Outcome == nil {
+				l.planner.AddJob(j.Description, now)
+			}
+			if j.Cancel != nil {
+				l.planner.CancelJob(id, now)
+			}
+		})
 	})
 	l.wake()
 }
@@ -204,10 +212,24 @@
 	if l.planner == nil {
 		return
 	}
-	f(l.planner, time.Now())
+	now := time.Now()
+	l.guard(func() { f(l.planner, now) })
 	l.wake()
 }
 
+// guard calls f, which uses the planner, and ends the leadership if f panics. The
+// next leader rebuilds the planner from the log; no command of the broken one was
+// sent before its records. The caller holds the lock.
+func (l *Leader) guard(f func()) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			l.Logger.Error("the planner failed", "epoch", l.epoch, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+			l.stepDown("the planner failed", failedPause)
+		}
+	}()
+	f()
+}
+
 // Resign hands the leadership to another entry. This entry never claims it again.
 func (l *Leader) Resign() {
 	l.mu.Lock()
@@ -340,8 +362,10 @@
 			return
 		}
 		l.epoch = l.claimedEpoch
-		l.planner = planner.New(l.Settings, state, now, l.logDecision)
-		l.planner.Resume(state, now)
+		l.guard(func() {
+			l.planner = planner.New(l.Settings, state, now, l.logDecision)
+			l.planner.Resume(state, now)
+		})
 	})
 	if l.planner == nil {
 		return false
--- a/internal/job/leader/loop.go
+++ b/internal/job/leader/loop.go
@@ -73,10 +73,16 @@
 		l.proposals = nil
 		return nil, proposals
 	}
-	records, proposals := l.takeProposals(now)
-	l.planner.Tick(now)
-	batch := l.planner.Flush()
-	batch.Records = append(records, batch.Records...)
+	proposals := l.proposals
+	l.proposals = nil
+	var batch *planner.Batch
+	l.guard(func() {
+		records := l.planProposals(proposals, now)
+		l.planner.Tick(now)
+		planned := l.planner.Flush()
+		planned.Records = append(records, planned.Records...)
+		batch = planned
+	})
 	return batch, proposals
 }
 
--- a/internal/job/leader/offer.go
+++ b/internal/job/leader/offer.go
@@ -66,11 +66,9 @@
 	}
 }
 
-// takeProposals passes the waiting proposals to the planner and returns them with
-// their records. The caller holds the lock.
-func (l *Leader) takeProposals(now time.Time) ([]journal.Record, []*proposal) {
-	proposals := l.proposals
-	l.proposals = nil
+// planProposals passes proposals to the planner and returns their records. The
+// caller holds the lock.
+func (l *Leader) planProposals(proposals []*proposal, now time.Time) []journal.Record {
 	var records []journal.Record
 	for _, p := range proposals {
 		for _, r := range p.records {
@@ -78,7 +76,7 @@
 			l.planClientRecord(r, now)
 		}
 	}
-	return records, proposals
+	return records
 }
 
 // planClientRecord passes a client's record to the planner before it is in the
