jobacceptor: no job is accepted by a configuration of 3 s ago

Cause: an entry that was suspended or cut off from the operators' stream used its old queues until its next read (the story of a permission that had run out). Change: it refuses, unrun, while its configuration is older than 3 s, but for jobs it knows.

--- a/internal/frontend/jobacceptor/jobacceptor.go
+++ b/internal/frontend/jobacceptor/jobacceptor.go
@@ -28,6 +28,10 @@
 	// reported or jobs are counted, and of a configuration from which the absence
 	// of a queue is reported. An entry with an older view is not ready.
 	maxViewAge = 1500 * time.Millisecond
+	// maxConfigAge is the age of the configuration from which no job is accepted: its
+	// queue may have been removed while this process was suspended or cut off. It
+	// covers two polls of a log that takes half a second for an answer.
+	maxConfigAge = 3 * time.Second
 	// maxUnanswered is how long the log may leave this entry without an answer
 	// before it is assumed to be unreachable, so that a request is refused without
 	// an attempt to append.
@@ -142,6 +146,9 @@
 			return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Invalid, Reason: fmt.Sprintf("step %d has %d tasks, the limit is %d", i, job.Steps[i].Tasks, limit)}
 		}
 	}
+	if a.ConfigAge() > maxConfigAge {
+		return a.resolve(jobreducer.JobRecord(job).Key, a.unavailable("the configuration may be out of date"), now)
+	}
 	job.Queue, job.AcceptedAt = q.Queue, now
 	record := jobreducer.JobRecord(job)
 	if len(record.Value)+len(record.Key) >= a.MaxRecordBytes {
--- a/internal/frontend/jobacceptor/outage_test.go
+++ b/internal/frontend/jobacceptor/outage_test.go
@@ -45,6 +45,23 @@
 	})
 }
 
+// An entry that was suspended, or cut off from the operators' stream, must not accept
+// jobs for a queue that may have been removed meanwhile.
+func TestOutdatedConfigurationAcceptsNoJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, stop := startAcceptor(t, keyedlogemulator.New())
+		a.ConfigAge = func() time.Duration { return 5 * time.Second }
+		if err := submit(a, jobID); verdict.Of(err) != verdict.Unrun {
+			t.Errorf("with a configuration of 5 s ago: %v, want unrun", err)
+		}
+		a.ConfigAge = func() time.Duration { return 0 }
+		if err := submit(a, jobID); err != nil {
+			t.Errorf("with a current configuration: %v", err)
+		}
+		stop()
+	})
+}
+
 // Load: clients that retry up to four times, as told, during an outage of the log.
 // All must get their job accepted, and none later after the outage than the outage
 // lasted, but for the rounding of Retry-After to whole seconds and the time until
