Evacuation: a failure domain that the operators evacuate gets no new work

Change: the watcher of the operators' stream keeps the evacuated domains with the offset and age of what it read, and replaces them at a reload. The leader places nothing there, nor while its view is older than half of the bound; it stops runs that were placed before and have not started. Agents learn the domains from heartbeat replies, keep those of the highest offset, and refuse starts there and while they know nothing recent. A stop of a run whose start was lost now ends in a void run; before, it was sent again without end and held its room. Records that no one serves give one line and the gauge unserved_requests.

--- a/internal/frontend/agentbroker/agentbroker.go
+++ b/internal/frontend/agentbroker/agentbroker.go
@@ -32,7 +32,10 @@
 type Broker struct {
 	Follower *logfollower.Follower
 	Leader   *leader.Leader
-	Logger   hclog.Logger
+	// Evacuation returns the evacuated failure domains, nil while they are not known.
+	// If it is nil, they are never known.
+	Evacuation func() *work.Evacuation
+	Logger     hclog.Logger
 
 	mu    sync.Mutex
 	conns map[string]*agentConn
@@ -143,6 +146,9 @@
 // session, the leader and the entries.
 func (b *Broker) heartbeatReply(heartbeat *work.Heartbeat) *work.HeartbeatReply {
 	e := &work.HeartbeatReply{Number: heartbeat.Number}
+	if b.Evacuation != nil {
+		e.Evacuation = b.Evacuation()
+	}
 	leading := b.Leader.Leading()
 	b.Follower.View(func(state *jobreducer.State, age time.Duration) {
 		e.Age = age
--- a/internal/frontend/queuecataloger/queuecataloger.go
+++ b/internal/frontend/queuecataloger/queuecataloger.go
@@ -1,5 +1,6 @@
-// Package queuecataloger holds the queues that the operators' configuration
-// defines, and finds the queue of a request.
+// Package queuecataloger follows the operators' stream. It holds the queues that
+// their configuration defines, finds the queue of a request, and holds the failure
+// domains that are to get no new work.
 package queuecataloger
 
 import (
@@ -16,6 +17,25 @@
 	Host, Prefix string
 }
 
+// Change is what a record of the operators' stream changes: a *Catalog, a
+// *DomainChange or an *UnservedRequest.
+type Change interface{ isChange() }
+
+// DomainChange requests that the VMs of a failure domain get no new work, or takes
+// that back.
+type DomainChange struct {
+	Domain    string
+	TakenBack bool
+}
+
+// UnservedRequest is a request that this version does not know, or that it is no
+// longer made.
+type UnservedRequest struct{ TakenBack bool }
+
+func (*Catalog) isChange()         {}
+func (*DomainChange) isChange()    {}
+func (*UnservedRequest) isChange() {}
+
 // Catalog is one version of the configuration.
 type Catalog struct {
 	Version int64
--- a/internal/frontend/queuecataloger/queuecataloger_test.go
+++ b/internal/frontend/queuecataloger/queuecataloger_test.go
@@ -49,10 +49,11 @@
 			}
 		}
 		appendConfig("3")
-		w := &Watcher{Journal: log, Cataloger: &Cataloger{}, Logger: hclog.NewNullLogger(), Done: make(chan struct{}), Decode: func(r journal.Record) (*Catalog, error) {
+		w := &Watcher{Journal: log, Cataloger: &Cataloger{}, Logger: hclog.NewNullLogger(), Decode: func(r journal.Record) (Change, error) {
 			version, err := strconv.ParseInt(string(r.Value), 10, 64)
 			return &Catalog{Version: version}, err
 		}}
+		w.Init()
 		ctx, stop := context.WithCancel(t.Context())
 		go w.Run(ctx)
 		time.Sleep(time.Second)
--- a/internal/frontend/queuecataloger/watcher.go
+++ b/internal/frontend/queuecataloger/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -16,25 +17,42 @@
 const (
 	// pollWait is how long a read of the configuration waits for a change.
 	pollWait = 500 * time.Millisecond
+	// reloadWait is how long the read after a reload waits. Usually there is nothing
+	// to read, and the requests are not known before.
+	reloadWait = time.Millisecond
 	// minBackoff is the pause after a failed read; it doubles up to maxBackoff.
 	minBackoff = 30 * time.Millisecond
 	maxBackoff = 300 * time.Millisecond
 )
 
-// Watcher updates the catalog from the operators' stream.
+// Watcher updates the catalog and the operators' requests from their stream.
 type Watcher struct {
 	Journal   journal.Journal
 	Cataloger *Cataloger
-	// Decode decodes a catalog from a record. It returns nil for a record that
-	// holds no catalog.
-	Decode func(journal.Record) (*Catalog, error)
+	// Decode decodes a record. It returns nil for a record that changes nothing.
+	Decode func(journal.Record) (Change, error)
 	Logger hclog.Logger
+	// Clock returns the time since boot. If nil, Init sets the clock of the VM.
+	Clock func() time.Duration
 	// Done is closed when Run has returned.
 	Done chan struct{}
 
 	// lastReadSent is when the last successful read was sent, on the boot clock.
 	lastReadSent atomic.Int64
 	nextOffset   int64
+	requests     *requests
+	published    atomic.Pointer[publishedRequests]
+	// skipped holds the offsets of records that cannot be decoded, by key.
+	skipped map[string]int64
+}
+
+// Init prepares the watcher. It must be called before any other method.
+func (w *Watcher) Init() {
+	if w.Clock == nil {
+		w.Clock = bootclock.Now
+	}
+	w.Done = make(chan struct{})
+	w.requests, w.skipped = newRequests(), map[string]int64{}
 }
 
 // Age returns the time since the configuration was last known to be current.
@@ -43,7 +61,7 @@
 	if sent == 0 {
 		return 24 * time.Hour
 	}
-	return bootclock.Now() - time.Duration(sent)
+	return w.Clock() - time.Duration(sent)
 }
 
 // Run follows the operators' stream until the context ends.
@@ -51,12 +69,12 @@
 	defer close(w.Done)
 	needsReload, unavailable, backoff := true, false, minBackoff
 	for ctx.Err() == nil {
-		sent := bootclock.Now()
+		sent := w.Clock()
 		var err error
 		if needsReload {
 			err = w.reload(ctx)
 		} else {
-			err = w.readNext(ctx)
+			err = w.readNext(ctx, pollWait, sent)
 		}
 		var truncated *journal.TruncatedError
 		switch {
@@ -80,37 +98,59 @@
 	}
 }
 
+// reload rebuilds the requests from the newest record of each key. It reads what
+// follows as well, since the newest records are not those of one moment.
 func (w *Watcher) reload(ctx context.Context) error {
-	next, err := journal.ReadNewest(ctx, w.Journal, w.apply)
+	former := w.requests
+	rebuilt := newRequests()
+	next, err := journal.ReadNewest(ctx, w.Journal, func(r journal.Record) { w.apply(rebuilt, former, r) })
 	if err != nil {
 		return err
 	}
-	w.nextOffset = next
-	return nil
+	if next < w.nextOffset {
+		return fmt.Errorf("the operators' stream ends at offset %d and was read up to %d before", next, w.nextOffset)
+	}
+	w.requests, w.nextOffset = rebuilt, next
+	return w.readNext(ctx, reloadWait, w.Clock())
 }
 
-func (w *Watcher) readNext(ctx context.Context) error {
-	page, err := w.Journal.Read(ctx, w.nextOffset, pollWait)
+// readNext reads the records that follow, and publishes the requests once it has read
+// all. The call is sent at the given time on the boot clock.
+func (w *Watcher) readNext(ctx context.Context, wait, sent time.Duration) error {
+	page, err := w.Journal.Read(ctx, w.nextOffset, wait)
 	if err != nil {
 		return err
 	}
 	for _, r := range page.Records {
-		w.apply(r)
+		w.apply(w.requests, w.requests, r)
 		w.nextOffset = r.Offset + 1
 	}
+	if w.nextOffset >= page.Head {
+		w.publish(sent)
+	}
 	return nil
 }
 
-func (w *Watcher) apply(r journal.Record) {
-	catalog, err := w.Decode(r)
+// apply applies a record to the requests and the catalog. A record that cannot be
+// decoded leaves its key as it is in the former requests.
+func (w *Watcher) apply(requests, former *requests, r journal.Record) {
+	change, err := w.Decode(r)
 	if err != nil {
-		w.Logger.Error("configuration record skipped", "offset", r.Offset, "error", err.Error())
-		return
-	}
-	if catalog == nil {
+		if offset, known := w.skipped[r.Key]; !known || r.Offset > offset {
+			w.skipped[r.Key] = r.Offset
+			w.Logger.Error("operator record skipped", "key", r.Key, "offset", r.Offset, "error", err.Error())
+		}
+		requests.keep(r.Key, former)
 		return
 	}
-	if w.Cataloger.Update(catalog) {
-		w.Logger.Info("configuration in force", "version", catalog.Version, "queues", len(catalog.Queues), "offset", r.Offset)
+	switch c := change.(type) {
+	case *Catalog:
+		if w.Cataloger.Update(c) {
+			w.Logger.Info("configuration in force", "version", c.Version, "queues", len(c.Queues), "offset", r.Offset)
+		}
+	case *DomainChange:
+		requests.setDomain(r.Key, c)
+	case *UnservedRequest:
+		requests.setUnserved(r, c)
 	}
 }
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -87,6 +87,9 @@
 	// CPUShare is the entry's share of the processors, in cores. Entries with a
 	// larger share claim earlier.
 	CPUShare float64
+	// Evacuation returns the evacuated failure domains, nil while they are not known.
+	// If it is nil, they are never known.
+	Evacuation func() *work.Evacuation
 	// PolicyService decides which VMs may run a step, nil if there is none.
 	PolicyService PolicyService
 	// Client sends requests to other entries.
@@ -125,6 +128,9 @@
 	if l.RandomBelow == nil {
 		l.RandomBelow = rand.Int64N
 	}
+	if l.Evacuation == nil {
+		l.Evacuation = func() *work.Evacuation { return nil }
+	}
 	l.wakeup = make(chan struct{}, 1)
 	l.lastLeaderRecord = now
 	l.Done = make(chan struct{})
@@ -341,6 +347,7 @@
 		}
 		l.epoch = l.claimedEpoch
 		l.planner = planner.New(l.Settings, state, now, l.logDecision)
+		l.planner.SetEvacuation(l.Evacuation(), now)
 		l.planner.Resume(state, now)
 	})
 	if l.planner == nil {
--- a/internal/job/leader/loop.go
+++ b/internal/job/leader/loop.go
@@ -74,6 +74,7 @@
 		return nil, proposals
 	}
 	records, proposals := l.takeProposals(now)
+	l.planner.SetEvacuation(l.Evacuation(), now)
 	l.planner.Tick(now)
 	batch := l.planner.Flush()
 	batch.Records = append(records, batch.Records...)
--- a/internal/job/planner/harness_test.go
+++ b/internal/job/planner/harness_test.go
@@ -26,6 +26,10 @@
 	starts []work.Start
 	// runs checks that no task runs twice, and makes leases lapse; nil for neither.
 	runs *runChecker
+	// evacuation is what the leader knows of evacuated failure domains, and
+	// maxRequestAge how old that may be.
+	evacuation    *work.Evacuation
+	maxRequestAge time.Duration
 }
 
 // simulatedVM is a VM with its agent and worker.
@@ -39,6 +43,7 @@
 	silent          bool
 	deregistered    bool
 	ignoreStops     bool
+	loseStarts      bool
 	active          []work.RunStatus
 	ends            []work.RunEnd
 	voids           []work.VoidRun
@@ -61,7 +66,7 @@
 
 // restart replaces the leader by a new process that knows only the log.
 func (s *simulation) restart() {
-	s.planner = New(Settings{MaxLease: 6 * time.Second, FarFactor: 2}, s.state, s.now, func(string, ...any) {})
+	s.planner = New(Settings{MaxLease: 6 * time.Second, FarFactor: 2, MaxRequestAge: s.maxRequestAge}, s.state, s.now, func(string, ...any) {})
 	s.planner.Resume(s.state, s.now)
 	for name := range s.vms {
 		s.sendHello(name)
@@ -71,8 +76,13 @@
 
 // addVM adds a VM with a worker and connects its agent.
 func (s *simulation) addVM(name string, millicores, memory int, labels ...string) *simulatedVM {
+	return s.addVMIn("", name, millicores, memory, labels...)
+}
+
+// addVMIn adds a VM in a failure domain.
+func (s *simulation) addVMIn(domain, name string, millicores, memory int, labels ...string) *simulatedVM {
 	v := &simulatedVM{host: "host-" + name, workerStatus: work.WorkerStatus{
-		VM: name, Incarnation: s.now.UnixMilli(), Pool: "pool", Capacity: work.Size{Millicores: millicores, Memory: memory}, Labels: labels,
+		VM: name, Zone: domain, Incarnation: s.now.UnixMilli(), Pool: "pool", Capacity: work.Size{Millicores: millicores, Memory: memory}, Labels: labels,
 	}}
 	s.vms[name] = v
 	s.sendHello(name)
@@ -106,6 +116,7 @@
 // runPass runs a planning pass, applies its records to the log state and
 // carries out its commands.
 func (s *simulation) runPass() {
+	s.planner.SetEvacuation(s.evacuation, s.now)
 	s.planner.Tick(s.now)
 	batch := s.planner.Flush()
 	for _, r := range batch.Records {
@@ -144,7 +155,7 @@
 		}
 	}
 	for _, start := range commands.Starts {
-		if !v.hasRun(start.Task, start.Run) {
+		if !v.loseStarts && !v.hasRun(start.Task, start.Run) {
 			s.starts = append(s.starts, start)
 			s.runs.start(s, v, start)
 			v.mute.starts = append(v.mute.starts, work.RunRef{Task: start.Task, Run: start.Run})
@@ -155,7 +166,9 @@
 		if v.ignoreStops {
 			break
 		}
-		s.endRun(v, stop.Task, "stopped")
+		if !s.endRun(v, stop.Task, "stopped") {
+			v.voids = append(v.voids, work.VoidRun{Task: stop.Task, Run: stop.Run, Reason: voidReasonStopped})
+		}
 	}
 }
 
@@ -178,17 +191,18 @@
 	return false
 }
 
-// endRun ends the run of a task on a VM.
-func (s *simulation) endRun(v *simulatedVM, task, outcome string) {
+// endRun ends the run of a task on a VM. It returns false if there is none.
+func (s *simulation) endRun(v *simulatedVM, task, outcome string) bool {
 	for i, a := range v.active {
 		if a.Task == task {
 			v.lastEnd++
 			v.ends = append(v.ends, work.RunEnd{Number: v.lastEnd, Task: task, Run: a.Run, Outcome: outcome})
 			s.runs.end(v, v.ends[len(v.ends)-1])
 			v.active = append(v.active[:i:i], v.active[i+1:]...)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // endAllRuns ends all runs on all VMs that are not silent.
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -220,7 +220,7 @@
 
 // suitable reports whether a task of a step may run on the VM and fits there.
 func (pl *Planner) suitable(v *vm, s *step, now time.Time) bool {
-	if v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) {
+	if v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) || !pl.mayStart(v, s, now) {
 		return false
 	}
 	if s.spec.Label != "" && !slices.Contains(v.workerStatus.Labels, s.spec.Label) {
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -26,6 +26,9 @@
 	// FarFactor is the factor by which a task takes longer on a VM outside the
 	// rack that holds its data.
 	FarFactor float64
+	// MaxRequestAge is how long after the operators' requests were last known to be
+	// complete tasks may still be placed, 0 for no limit.
+	MaxRequestAge time.Duration
 	// Policy is the order in which jobs are placed; empty means ByWorth.
 	Policy Policy
 	// FillVMs lets long-running tasks reserve whole VMs. It is a baseline for
@@ -55,7 +58,8 @@
 	vms  map[string]*vm
 	// sortedVMs holds the VMs ordered by name, so that the same events always
 	// lead to the same decisions.
-	sortedVMs []*vm
+	sortedVMs  []*vm
+	evacuation evacuation
 	// termStart is when this leader's term began.
 	termStart time.Time
 	// lastJobNumber is the number of the job added last. Jobs are numbered in
--- a/internal/job/planner/rank.go
+++ b/internal/job/planner/rank.go
@@ -159,7 +159,7 @@
 func (pl *Planner) markOverload(candidates []candidate, now time.Time) {
 	capacity, totalWork, totalWait, count := 0.0, 0.0, 0.0, 0.0
 	for _, v := range pl.sortedVMs {
-		if v.usable(now) {
+		if v.usable(now) && !pl.evacuated(v) {
 			capacity += float64(v.workerStatus.Capacity.Millicores-v.longRunningMillicores) / 1000
 		}
 	}
--- a/internal/job/planner/relocate.go
+++ b/internal/job/planner/relocate.go
@@ -113,7 +113,7 @@
 	t := &s.tasks[p.index]
 	bestCost := math.Inf(1)
 	for _, v := range pl.sortedVMs {
-		if v == p.vm || v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) {
+		if v == p.vm || v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) || !pl.mayStart(v, s, now) {
 			continue
 		}
 		bestCost = min(bestCost, pl.cost(v, s, t))
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -49,7 +49,7 @@
 		pl.handleVoid(v, &r.Voids[i], now)
 	}
 	if !r.MoreEnds {
-		pl.reconcile(v, r.CommandsHandled, reported, firstReport)
+		pl.reconcile(v, r.CommandsHandled, reported, firstReport, now)
 	}
 	if r.LeaseExpired {
 		pl.revokeSession(v, "the worker does not answer and its lease is over", now)
@@ -218,17 +218,25 @@
 	pl.dropEndedJob(j)
 }
 
-// voidReasonTicket is the reason for a run that did not start because the
-// worker did not accept its ticket.
-const voidReasonTicket = "ticket"
+// Reasons for a run that did not start which say nothing of its VM's health: the worker
+// did not accept its ticket, the VM's failure domain is evacuated or may be as far as its
+// agent knows, and the leader stopped the run.
+const (
+	voidReasonTicket    = "ticket"
+	voidReasonEvacuated = "evacuated"
+	voidReasonUnknown   = "requests unknown"
+	voidReasonStopped   = "stopped"
+)
 
 // handleVoid processes a run that never started.
 func (pl *Planner) handleVoid(v *vm, x *work.VoidRun, now time.Time) {
 	if p := v.runs[runKey{x.Task, x.Run}]; p != nil {
 		pl.logDecision("void", "task", x.Task, "run", x.Run, "vm", v.name, "reason", x.Reason)
-		if x.Reason == voidReasonTicket {
+		switch x.Reason {
+		case voidReasonTicket:
 			p.step.dropTicket(v.name)
-		} else {
+		case voidReasonEvacuated, voidReasonUnknown, voidReasonStopped:
+		default:
 			v.health.recordRefusal(now)
 		}
 		pl.discardRun(p)
@@ -238,7 +246,7 @@
 
 // reconcile compares the runs placed on a VM with those in its agent's report.
 // It discards those that are missing or sends their start again.
-func (pl *Planner) reconcile(v *vm, handled int64, reported map[runKey]bool, firstReport bool) {
+func (pl *Planner) reconcile(v *vm, handled int64, reported map[runKey]bool, firstReport bool, now time.Time) {
 	for key, p := range v.runs {
 		if reported[key] {
 			continue
@@ -249,7 +257,9 @@
 			pl.logDecision("void", "task", key.task, "run", key.run, "vm", v.name, "reason", "not there under the new fence")
 			pl.discardRun(p)
 		case p.startCommandsNumber == 0 || p.startCommandsNumber <= handled:
-			pl.sendStart(p)
+			if !pl.stopUnstarted(p, now) {
+				pl.sendStart(p)
+			}
 		}
 	}
 }
--- a/internal/job/planner/room.go
+++ b/internal/job/planner/room.go
@@ -118,7 +118,7 @@
 func (pl *Planner) leavesRoom(pool string, millicores int, now time.Time) bool {
 	capacity, reserved := 0, millicores
 	for _, v := range pl.sortedVMs {
-		if v.workerStatus.Pool == pool && v.usable(now) {
+		if v.workerStatus.Pool == pool && v.usable(now) && !pl.evacuated(v) {
 			capacity += v.workerStatus.Capacity.Millicores
 			reserved += v.longRunningMillicores
 		}
--- a/internal/job/planner/summary.go
+++ b/internal/job/planner/summary.go
@@ -12,13 +12,16 @@
 		return
 	}
 	pl.lastLoadLog = now
-	var usable, withoutServing, millicores, memory, reserved, reservedMemory, busy, fillers, slowed int
+	var usable, evacuated, withoutServing, millicores, memory, reserved, reservedMemory, busy, fillers, slowed int
 	var fillerUse float64
 	for _, v := range pl.sortedVMs {
 		if !v.usable(now) {
 			continue
 		}
 		usable++
+		if pl.evacuated(v) {
+			evacuated++
+		}
 		if v.servingRuns == 0 {
 			withoutServing++
 		}
@@ -46,7 +49,7 @@
 			waiting += s.waiting
 		}
 	}
-	pl.logDecision("load", "vms", usable, "without_serving", withoutServing, "millis", millicores, "reserved", reserved, "busy", busy,
+	pl.logDecision("load", "vms", usable, "evacuated", evacuated, "without_serving", withoutServing, "millis", millicores, "reserved", reserved, "busy", busy,
 		"memory", memory, "held", reservedMemory, "fillers", fillers, "slowed", slowed, "filled", int(fillerUse),
 		"waiting", waiting, "waiting_fillers", waitingFillers)
 }
--- a/internal/sidecar/reporter/reporter.go
+++ b/internal/sidecar/reporter/reporter.go
@@ -324,6 +324,10 @@
 		c.Logger.Info("leader found", "entry", l.address.String(), "epoch", reply.Epoch)
 		c.RequestReport()
 	}
+	// The requests come first: a session that is confirmed may start tasks at once.
+	if ok && reply.Evacuation != nil {
+		c.Supervisor.RecordEvacuation(reply.Evacuation, sent.at-reply.Evacuation.Age)
+	}
 	if ok && reply.SessionValid {
 		c.Supervisor.RecordConfirmation(sent.heartbeat, sent.at-reply.Age)
 	}
--- a/internal/sidecar/supervisor/order.go
+++ b/internal/sidecar/supervisor/order.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"knapweedspur/internal/clock/waiter"
@@ -67,8 +68,16 @@
 		return
 	}
 	s.stopping[run] = call
+	unknown := !s.isListed(run)
+	if unknown {
+		// Its start was lost. It is pending until a list that is read after the
+		// stop tells.
+		s.pending[run] = true
+	}
 	s.group.Go(func() {
-		s.stop(ctx, call, run)
+		if s.stop(ctx, call, run) && unknown {
+			s.awaitListing(ctx, call, run, "stopped")
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.stopping[run] == call {
@@ -131,6 +140,15 @@
 	return false
 }
 
+// isListed reports whether a run is in the next report.
+func (s *Supervisor) isListed(run work.RunRef) bool {
+	if _, void := s.voids[run]; void || s.pending[run] {
+		return true
+	}
+	return slices.ContainsFunc(s.active, func(a work.RunStatus) bool { return a.Task == run.Task && a.Run == run.Run }) ||
+		slices.ContainsFunc(s.ends, func(e work.RunEnd) bool { return e.Task == run.Task && e.Run == run.Run })
+}
+
 // startRun sends a start to the worker in the background, or records the run as
 // void if it must not start.
 func (s *Supervisor) startRun(ctx context.Context, start work.Start) {
@@ -139,6 +157,7 @@
 		return
 	}
 	if refusal := s.startRefusal(); refusal != "" {
+		s.logRefusal(run, refusal)
 		s.voids[run] = refusal
 		return
 	}
@@ -161,7 +180,7 @@
 	case s.leaseExpired:
 		return "lapsed"
 	}
-	return ""
+	return s.evacuationRefusal()
 }
 
 // executeStart sends a start to the worker and handles the result. If the call
@@ -171,6 +190,9 @@
 	defer func() { <-s.startSlots }()
 	s.mu.Lock()
 	refusal := s.startRefusal()
+	if refusal != "" {
+		s.logRefusal(run, refusal)
+	}
 	s.mu.Unlock()
 	if refusal != "" {
 		s.voidRun(call.Call, run, refusal)
--- a/internal/sidecar/supervisor/supervisor.go
+++ b/internal/sidecar/supervisor/supervisor.go
@@ -48,6 +48,9 @@
 	Logger hclog.Logger
 	// MaxLease is the longest lease that the worker accepts.
 	MaxLease time.Duration
+	// MaxRequestAge is how long after the operators' requests were last known to be
+	// complete tasks may still start, 0 for no limit.
+	MaxRequestAge time.Duration
 	// Pacer decides the pace of fillers; nil disables pacing.
 	Pacer Pacer
 	// Clock returns the time since boot, Steady the same without the time that
@@ -67,7 +70,8 @@
 	heartbeatAt  time.Duration
 	deregistered bool
 
-	session session
+	evacuation evacuation
+	session    session
 	// confirmedAt is the latest time, on the boot clock, at which the session
 	// was in force in the log according to an entry; 0 if none has confirmed it
 	// yet.
@@ -276,7 +280,7 @@
 	if s.workerStatus.VM == "" {
 		return nil
 	}
-	r := &work.Report{Fence: s.session.accepted, WorkerStatus: s.workerStatus, LeaseExpired: s.leaseExpired, Deregistered: s.deregistered, SessionConfirmed: s.confirmedAt > 0}
+	r := &work.Report{Fence: s.session.accepted, WorkerStatus: s.workerStatus, LeaseExpired: s.leaseExpired, Deregistered: s.deregistered, SessionConfirmed: s.confirmedAt > 0 && s.evacuation.recent(s.Clock(), s.MaxRequestAge)}
 	r.WorkerStatus.DrainRemaining = max(0, r.WorkerStatus.DrainRemaining-(s.Clock()-s.heartbeatAt))
 	if epoch == s.epoch {
 		r.CommandsHandled = s.handledCommands
--- a/internal/site/sitebuilder/agent.go
+++ b/internal/site/sitebuilder/agent.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"knapweedspur/internal/link/connector"
+	"knapweedspur/internal/metric/exporter"
 	"knapweedspur/internal/sidecar/pacer"
 	"knapweedspur/internal/sidecar/reporter"
 	"knapweedspur/internal/sidecar/supervisor"
@@ -44,8 +45,11 @@
 	taskPacer := pacer.New()
 	taskPacer.MaxTargetMiss = s.MaxTargetMiss
 	a.supervisor = &supervisor.Supervisor{
-		Worker: &platform.WorkerClient{Address: s.WorkerAddress, Client: client}, Logger: logger, MaxLease: s.MaxLease, OnChange: a.reporter.RequestReport, OnSessionStart: a.reporter.SendHeartbeatsNow, Pacer: taskPacer,
+		Worker: &platform.WorkerClient{Address: s.WorkerAddress, Client: client}, Logger: logger, MaxLease: s.MaxLease,
+		// The rest of the bound is for the call to the worker.
+		MaxRequestAge: s.EvacuationBound * 3 / 4, OnChange: a.reporter.RequestReport, OnSessionStart: a.reporter.SendHeartbeatsNow, Pacer: taskPacer,
 	}
+	exporter.Publish("evacuation_refusals", func() any { return a.supervisor.EvacuationRefusals() })
 	a.reporter.Supervisor = a.supervisor
 	a.reporter.Init()
 	a.supervisor.Init()
--- a/internal/site/sitebuilder/entry.go
+++ b/internal/site/sitebuilder/entry.go
@@ -84,18 +84,20 @@
 	}
 	catalog := &queuecataloger.Cataloger{}
 	e.watcher = &queuecataloger.Watcher{
-		Journal: stream(platform.OperatorStream), Cataloger: catalog, Decode: platform.DecodeCatalog,
-		Logger: logger, Done: make(chan struct{}),
+		Journal: stream(platform.OperatorStream), Cataloger: catalog, Decode: platform.DecodeOperatorRecord,
+		Logger: logger,
 	}
+	e.watcher.Init()
 	e.leader = &leader.Leader{
 		Journal: e.workStream, Logger: logger, Name: s.VMName, Incarnation: e.incarnation, Address: s.PeerAddress,
-		Settings: planner.Settings{MaxLease: s.MaxLease, FarFactor: s.FarFactor}, Client: client, CPUShare: s.CPUShare, MaxAppendBytes: s.MaxAppendBytes,
+		Settings:   planner.Settings{MaxLease: s.MaxLease, FarFactor: s.FarFactor, MaxRequestAge: s.EvacuationBound / 2},
+		Evacuation: e.watcher.Evacuation, Client: client, CPUShare: s.CPUShare, MaxAppendBytes: s.MaxAppendBytes,
 	}
 	if s.PolicyAddress.IsValid() {
 		e.leader.PolicyService = &platform.PolicyClient{Address: s.PolicyAddress, Client: client}
 	}
 	e.follower = &logfollower.Follower{Journal: e.workStream, Logger: logger, Observer: e.leader}
-	e.broker = &agentbroker.Broker{Follower: e.follower, Leader: e.leader, Logger: logger}
+	e.broker = &agentbroker.Broker{Follower: e.follower, Leader: e.leader, Evacuation: e.watcher.Evacuation, Logger: logger}
 	e.leader.Follower, e.leader.Agents = e.follower, e.broker
 	e.acceptor = &jobacceptor.Acceptor{
 		Journal: e.workStream, Follower: e.follower, Leader: e.leader, Cataloger: catalog, ConfigAge: e.watcher.Age,
@@ -105,6 +107,8 @@
 	e.acceptor.AcceptLatency = exporter.NewHistogram("accept_us")
 	exporter.Publish("view_age_us", func() any { return e.follower.Age().Microseconds() })
 	exporter.Publish("leading_epoch", func() any { return e.leader.Leading() })
+	exporter.Publish("evacuated", func() any { return e.watcher.Evacuation() })
+	exporter.Publish("unserved_requests", func() any { return e.watcher.Unserved() })
 	exporter.Publish("work", func() any { return e.workCounts() })
 	e.follower.Init()
 	e.leader.Init(time.Now())
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -57,6 +57,19 @@
 	VM string `json:"vm" cbor:"vm" yaml:"vm"`
 }
 
+// The failure domains that the operators want to get no new work, as one process
+// knows them.
+type Evacuation struct {
+	// Time since these were all records of the stream.
+	Age time.Duration `json:"age" cbor:"age" yaml:"age"`
+
+	// Names of the failure domains, in order.
+	Domains []string `json:"domains" cbor:"domains" yaml:"domains"`
+
+	// Offset of the operators' stream up to which its records are reflected.
+	Offset int64 `json:"offset" cbor:"offset" yaml:"offset"`
+}
+
 // Tells an agent that its session is recorded in the log.
 type Grant struct {
 	// Incarnation of the VM's worker: its start time in Unix milliseconds.
@@ -95,6 +108,10 @@
 	// Newest term that the entry knows.
 	Epoch int64 `json:"epoch" cbor:"epoch" yaml:"epoch"`
 
+	// Requests of the operators in this view, absent while the entry does not know
+	// them.
+	Evacuation *Evacuation `json:"evacuation,omitempty,omitzero" cbor:"evacuation,omitempty" yaml:"evacuation,omitempty"`
+
 	// Address of the leader.
 	Leader netip.AddrPort `json:"leader" cbor:"leader" yaml:"leader"`
 
