--- a/internal/job/leader/loop.go
+++ b/internal/job/leader/loop.go
@@ -78,6 +78,7 @@
 	var batch *planner.Batch
 	l.guard(func() {
 		records := l.planProposals(proposals, now)
+		l.planner.SetEvacuation(l.Evacuation(), now)
 		l.planner.Tick(now)
 		planned := l.planner.Flush()
 		planned.Records = append(records, planned.Records...)
