Speeds: learn which VMs are slow or fail often, and give them less work

Cause: the cost of a placement knew the load of a VM and not its speed, and a VM that failed every second run was never suspect for long. Change: internal/job/healthtracker compares the progress of runs with that of the same step elsewhere, and counts failures by job; a VM on trial gets one run at a time, then more.

--- a/internal/job/planner/cost.go
+++ b/internal/job/planner/cost.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"knapweedspur/internal/wire/work"
 )
@@ -33,10 +34,12 @@
 	// VMs stay free of them.
 	mixedImagesCost  = 1.0
 	firstServingCost = 0.3
+	// minSlowCost is the least cost on a slow VM before its speed is applied.
+	minSlowCost = 1.0
 )
 
 // cost returns the cost of running a task on a VM. Lower is better.
-func (pl *Planner) cost(v *vm, s *step, t *work.Task) float64 {
+func (pl *Planner) cost(v *vm, s *step, t *work.Task, now time.Time) float64 {
 	capacity := float64(max(v.workerStatus.Capacity.Millicores, 1))
 	load := float64(v.expectedUse()+v.fillerUse()+s.spec.Size.Millicores) / capacity
 	var cost float64
@@ -51,6 +54,10 @@
 	if s.spec.DataRack != "" && !slices.Contains(v.workerStatus.Labels, s.spec.DataRack) {
 		cost *= pl.Settings.FarFactor
 	}
+	if speed := v.health.Speed(now); speed < 1 && !v.mayTry(s, now) {
+		// The cost of a serving task may be negative.
+		cost = max(cost, minSlowCost) / speed
+	}
 	if slices.Contains(t.ExcludedVMs, v.name) {
 		cost += excludedVMCost
 	}
--- a/internal/job/planner/health_test.go
+++ b/internal/job/planner/health_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -35,7 +36,7 @@
 		t.Fatal("the VM gets work just after the jobs failed")
 	}
 	s.submitJob(jobID(4), longRunningSpec(4))
-	s.advance(suspectPause + 200*time.Millisecond)
+	s.advance(healthtracker.SuspectPause + 200*time.Millisecond)
 	if n := len(s.placements(jobID(4))); n != 1 {
 		t.Fatalf("%d tasks are tried on the suspect VM, want 1", n)
 	}
@@ -59,7 +60,7 @@
 	s.submitJob(jobID(4), longRunningSpec(4))
 	s.submitJob(jobID(5), longRunningSpec(4))
 	for range 3 {
-		s.advance(suspectPause + 200*time.Millisecond)
+		s.advance(healthtracker.SuspectPause + 200*time.Millisecond)
 		tried := 0
 		for _, id := range []string{jobID(4), jobID(5)} {
 			for task := range s.placements(id) {
@@ -82,7 +83,7 @@
 	s.failOnce(a, jobID(3))
 	s.submitJob(jobID(4), longRunningSpec(4))
 	for attempt := range 3 {
-		s.advance(suspectPause + 200*time.Millisecond)
+		s.advance(healthtracker.SuspectPause + 200*time.Millisecond)
 		tried := s.placements(jobID(4))
 		if len(tried) != 1 {
 			t.Fatalf("attempt %d: %d runs are tried, want 1", attempt, len(tried))
@@ -91,7 +92,7 @@
 			s.endRun(a, task, endFailed)
 		}
 		s.sendReport("a")
-		s.advance(suspectPause / 2)
+		s.advance(healthtracker.SuspectPause / 2)
 		if tried := s.placements(jobID(4)); len(tried) != 0 {
 			t.Fatalf("attempt %d: %d runs are tried within the pause", attempt, len(tried))
 		}
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"knapweedspur/internal/job/estimator"
+	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/wire/work"
 )
@@ -46,6 +47,10 @@
 	// forecastLoads are the expected loads in the next seconds, nil while they
 	// are not known.
 	forecastLoads []float64
+	rates         healthtracker.Rates
+	// avoidsSince is since when tasks wait although a VM that is on trial has room,
+	// zero if none does.
+	avoidsSince time.Time
 	// tickets are the answers of the policy service by VM.
 	tickets map[string]ticket
 }
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -18,6 +18,7 @@
 	pl.checkSessions(now)
 	pl.evacuateLeavingWorkers(now)
 	pl.learnInterference(now)
+	pl.judgeVMs(now)
 	pl.sendWeights(now)
 	for _, j := range pl.jobs {
 		if j.record != nil && j.record.Occurrences > 0 {
@@ -207,7 +208,7 @@
 		if crowded && !leavesGap || bestLeavesGap && !leavesGap {
 			continue
 		}
-		cost := pl.cost(v, s, t)
+		cost := pl.cost(v, s, t, now)
 		if s.spec.Filler && cost > maxFillerCost && !pl.waitedTooLong(s, now) {
 			continue
 		}
@@ -226,7 +227,7 @@
 	if s.spec.Label != "" && !slices.Contains(v.workerStatus.Labels, s.spec.Label) {
 		return false
 	}
-	return (s.spec.MaxPerVM == 0 || v.countRuns(s) < s.spec.MaxPerVM) && s.mayRunOn(v, now)
+	return (s.spec.MaxPerVM == 0 || v.countRuns(s) < s.spec.MaxPerVM) && s.mayRunOn(v, now) && pl.mayStart(v, s, now)
 }
 
 // maxFillerCost is the cost above which a filler waits instead of taking memory
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"knapweedspur/internal/job/estimator"
+	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/wire/work"
@@ -67,6 +68,9 @@
 	shortWork    map[string]*shortWork
 	crowdedPools map[string]bool
 
+	// declaredRates are the rates of runs relative to the declared durations.
+	declaredRates healthtracker.Rates
+
 	interference *estimator.Interference
 	// lastLearned is when interference was last learned from latencies.
 	lastLearned time.Time
@@ -148,6 +152,16 @@
 	// report of the run; both restart if the progress goes back.
 	firstSeen    time.Time
 	firstPercent int
+	// probeCounted is set once the run has shown that its VM works.
+	probeCounted bool
+	// sentAt is when the start was sent after it was in the log, zero for a run of
+	// an earlier leader.
+	sentAt time.Time
+	// The rate of the run is measured since windowStart, where its progress was
+	// windowPercent. rate is the last one, in percent per second, 0 if unknown.
+	windowStart   time.Time
+	windowPercent int
+	rate          float64
 }
 
 // runKey identifies a run of a task.
--- a/internal/job/planner/relocate.go
+++ b/internal/job/planner/relocate.go
@@ -116,7 +116,7 @@
 		if v == p.vm || v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) {
 			continue
 		}
-		bestCost = min(bestCost, pl.cost(v, s, t))
+		bestCost = min(bestCost, pl.cost(v, s, t, now))
 	}
 	currentCost := float64(fullPace) / float64(max(p.pace, 5))
 	if bestCost*minMoveSpeedup > currentCost && p.pace > stopPace {
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -24,6 +24,7 @@
 		return
 	}
 	firstReport := !v.synced
+	v.noteSilence(r, now)
 	v.lastContact, v.synced, v.workerStatus, v.workerSilence, v.sessionConfirmed = now, v.synced || !r.MoreEnds, r.WorkerStatus, r.WorkerSilence, r.SessionConfirmed
 	v.mayLeaveAt, v.hasUnknownRuns = time.Time{}, false
 	if r.WorkerStatus.Draining {
@@ -33,6 +34,7 @@
 		pl.discardReplacedWorkers(v, now)
 	}
 	reported := map[runKey]bool{}
+	v.noteProgress(r, now)
 	for i := range r.ActiveRuns {
 		pl.handleActive(v, &r.ActiveRuns[i], reported, now)
 	}
@@ -77,8 +79,10 @@
 	}
 	p.active, p.progressPercent, p.measurement = true, a.ProgressPercent, a.Measurement
 	if v.probeWorks(p, now) {
-		v.health.recordSuccess()
+		p.probeCounted = true
+		v.health.RecordSuccess(p.step.job.id, now)
 	}
+	pl.observeProgress(p, now)
 	if a.KindUnknown && now.Sub(p.kindSentAt) > kindRetryInterval {
 		p.kindSentAt = now
 		pl.pendingCommands(v).AdoptedRuns = append(pl.pendingCommands(v).AdoptedRuns, p.kindDescription())
@@ -151,6 +155,7 @@
 	}
 	pl.logDecision("end", "task", e.Task, "run", e.Run, "vm", v.name, "how", e.Outcome, "known", p != nil)
 	if p != nil {
+		pl.observeEnd(p, e, now)
 		pl.removePlacement(p)
 	}
 	if s != nil {
@@ -175,7 +180,7 @@
 	case e.Outcome == endDone && !s.spec.LongRunning && !t.Done:
 		t.Done = true
 		pl.stopTaskRuns(s, index, "done", now)
-		v.health.recordSuccess()
+		v.health.RecordSuccess(s.job.id, now)
 		if s.spec.Gang {
 			pl.finishGang(s, now)
 		}
@@ -185,7 +190,7 @@
 			t.ExcludedVMs = append(t.ExcludedVMs, v.name)
 			t.ExcludedVMs = t.ExcludedVMs[max(len(t.ExcludedVMs)-jobreducer.MaxExcludedVMs, 0):]
 		}
-		v.health.recordFailure(e.Task, now)
+		v.health.RecordFailure(s.job.id, now)
 	}
 	pl.markDirty(s, index)
 	pl.finishIfTaskDecides(s, t, now)
@@ -229,7 +234,7 @@
 		if x.Reason == voidReasonTicket {
 			p.step.dropTicket(v.name)
 		} else {
-			v.health.recordRefusal(now)
+			v.health.RecordRefusal(now)
 		}
 		pl.discardRun(p)
 	}
@@ -287,4 +292,5 @@
 	commands := pl.pendingCommands(p.vm)
 	commands.Starts = append(commands.Starts, start)
 	p.startCommandsNumber = commands.Number
+	pl.noteSent(p)
 }
--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"knapweedspur/internal/job/estimator"
+	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/wire/work"
 )
@@ -97,7 +98,10 @@
 	// unknownRunStoppedAt holds when stops of runs that are not placed on the VM were
 	// last sent.
 	unknownRunStoppedAt map[runKey]time.Time
-	health              vmHealth
+	health              healthtracker.Health
+	// silentAt is when the VM was last found silent, and progressedAt when one of its
+	// runs was last seen to progress.
+	silentAt, progressedAt time.Time
 }
 
 func (pl *Planner) ensureVM(name string) *vm {
@@ -121,6 +125,7 @@
 func (pl *Planner) addPlacement(s *step, index int, r work.Run, now time.Time) {
 	v := pl.ensureVM(r.VM)
 	p := &placement{step: s, index: index, run: r.Run, vm: v, fence: r.Fence, placedAt: now, checkpointWrittenAt: now, pace: fullPace}
+	s.avoidsSince = time.Time{}
 	v.runs[runKey{s.taskName(index), r.Run}] = p
 	v.adjustReserved(s.spec, 1)
 }
@@ -165,7 +170,7 @@
 		// Each worker process numbers its ends anew.
 		v.acknowledgedEnd = 0
 		v.processedEnds = map[int64]bool{}
-		v.health = vmHealth{}
+		v.health = healthtracker.Health{}
 	}
 	v.session = work.Session{VM: v.name, WorkerIncarnation: h.WorkerStatus.Incarnation, Fence: v.session.Fence + 1, AgentIncarnation: h.AgentIncarnation, Host: h.Host}
 	v.revokedAt, v.workerGoneAt, v.workerSilence = time.Time{}, time.Time{}, 0
