Hopeless jobs: retry what failed first, and start nothing more while a job is doubtful

Cause: one to three jobs in a hundred can never be done, and went on starting tasks until the one that fails had used up its tries. Change: a failed task comes first in its step; from its second own failure on no new task of the job begins while its last try runs, for at most twice its declared time; failures on VMs that fail for others do not count for that.

--- a/internal/job/healthtracker/healthtracker.go
+++ b/internal/job/healthtracker/healthtracker.go
@@ -165,6 +165,15 @@
 	return h.trial.cause
 }
 
+// Restore puts a VM on trial that an earlier leader had on trial. It may be tried at
+// once.
+func (h *Health) Restore(cause Cause, speed float64, now time.Time) {
+	h.trial = &trial{cause: cause, began: now, pause: firstPause, resumes: now, allowance: 1, judged: map[string]bool{}}
+	if cause == Slow {
+		h.samples = []sample{{logRatio: math.Log(max(speed, minSpeed)), evidence: maxEvidence, at: now, slowSince: now}}
+	}
+}
+
 // Update judges the VM by what is known now, and returns whether the judgement has
 // changed.
 func (h *Health) Update(now time.Time) bool {
@@ -177,7 +186,7 @@
 	}
 	failures, successes := h.countResults(now)
 	if failures >= flakyFailures && failures >= flakyShare*(failures+successes) {
-		h.trial = &trial{cause: Flaky, began: now, resumes: now.Add(SuspectPause), allowance: 1}
+		h.trial = &trial{cause: Flaky, began: now, resumes: now.Add(SuspectPause), allowance: 1, judged: map[string]bool{}}
 		return true
 	}
 	return false
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -208,6 +208,24 @@
 	l.wake()
 }
 
+// Uneven is what this entry, if it leads, knows about uneven VMs and tasks.
+type Uneven struct {
+	VMs      []work.VMTrial
+	Counters planner.Counters
+}
+
+// Uneven returns the VMs that get little work and the decisions of this term, both
+// empty if this entry does not lead.
+func (l *Leader) Uneven() Uneven {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.planner == nil {
+		return Uneven{}
+	}
+	vms, counters := l.planner.Uneven(time.Now())
+	return Uneven{vms, counters}
+}
+
 // Resign hands the leadership to another entry. This entry never claims it again.
 func (l *Leader) Resign() {
 	l.mu.Lock()
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -37,6 +37,11 @@
 	// Tasks by state: waiting ones have no run, running ones have at least one,
 	// done ones completed successfully.
 	waiting, running, done int
+	// retried counts the tasks that are not done and have failed.
+	retried int
+	// blamedFailures counts, by task, the failures that were the fault of a VM. A new
+	// leader does not know them.
+	blamedFailures map[int]int
 	// startedAt is when the occurrence started, zero for a step that was
 	// restored from the log.
 	startedAt time.Time
@@ -76,8 +81,11 @@
 
 // recount updates the numbers of tasks by state.
 func (s *step) recount() {
-	s.waiting, s.running, s.done = 0, 0, 0
+	s.waiting, s.running, s.done, s.retried = 0, 0, 0, 0
 	for i := range s.tasks {
+		if t := &s.tasks[i]; !t.Done && t.Failures > 0 {
+			s.retried++
+		}
 		switch t := &s.tasks[i]; {
 		case t.Done:
 			s.done++
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -67,12 +67,12 @@
 		return pl.placeGang(s, now)
 	}
 	placed := 0
-	for i := range s.tasks {
+	for _, i := range s.retriesFirst() {
 		if placed >= limit || s.waiting == 0 {
 			break
 		}
 		t := &s.tasks[i]
-		if t.Done || len(t.Runs) > 0 {
+		if t.Done || len(t.Runs) > 0 || pl.heldBack(s, t, now) {
 			continue
 		}
 		v := pl.chooseVM(s, t, now)
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -70,6 +70,12 @@
 
 	// declaredRates are the rates of runs relative to the declared durations.
 	declaredRates healthtracker.Rates
+	// trialsSavedAt is when the VMs on trial were last written to the log, savedTrials
+	// what was written.
+	trialsSavedAt time.Time
+	savedTrials   []work.VMTrial
+
+	counters Counters
 
 	interference *estimator.Interference
 	// lastLearned is when interference was last learned from latencies.
@@ -188,6 +194,7 @@
 			v.revokedAt = now
 		}
 	}
+	pl.restoreTrials(state.Speeds, now)
 	for id, stored := range state.Jobs {
 		pl.restoreJob(id, stored, now)
 	}
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -186,6 +186,7 @@
 		}
 	case e.Outcome == endFailed && p != nil:
 		t.Failures++
+		s.noteBlame(index, v, now)
 		if !slices.Contains(t.ExcludedVMs, v.name) {
 			t.ExcludedVMs = append(t.ExcludedVMs, v.name)
 			t.ExcludedVMs = t.ExcludedVMs[max(len(t.ExcludedVMs)-jobreducer.MaxExcludedVMs, 0):]
@@ -193,7 +194,7 @@
 		v.health.RecordFailure(s.job.id, now)
 	}
 	pl.markDirty(s, index)
-	pl.finishIfTaskDecides(s, t, now)
+	pl.finishIfTaskDecides(s, index, now)
 }
 
 // finishGang marks all tasks of a gang done. The completion of one task
@@ -210,11 +211,12 @@
 
 // finishIfTaskDecides ends the job if the change of this task decides its
 // outcome.
-func (pl *Planner) finishIfTaskDecides(s *step, t *work.Task, now time.Time) {
-	j := s.job
+func (pl *Planner) finishIfTaskDecides(s *step, index int, now time.Time) {
+	j, t := s.job, &s.tasks[index]
 	if j.outcome == nil {
 		switch {
 		case !s.spec.LongRunning && !t.Done && t.Failures >= j.record.Queue.MaxFailures:
+			pl.noteHopeless(s, index, now)
 			pl.finishJob(j, jobreducer.Failed, now)
 		case s.done == len(s.tasks) && j.complete():
 			pl.finishJob(j, jobreducer.Completed, now)
--- a/internal/job/planner/speed.go
+++ b/internal/job/planner/speed.go
@@ -1,10 +1,12 @@
 package planner
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"knapweedspur/internal/job/healthtracker"
+	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -34,6 +36,11 @@
 	}
 }
 
+// heard reports whether the agent and the worker of a VM answer.
+func (v *vm) heard(now time.Time) bool {
+	return v.connected && v.synced && !v.session.Revoked && v.workerGoneAt.IsZero() && v.workerSilence < maxWorkerSilence && now.Sub(v.lastContact) < agentTimeout/2
+}
+
 // noteProgress notes whether any run on the VM has progressed. While none has, the list
 // of the worker may be an old one.
 func (v *vm) noteProgress(r *work.Report, now time.Time) {
@@ -114,11 +121,74 @@
 			continue
 		}
 		if cause := v.health.OnTrial(); cause != "" {
+			pl.counters.SlowVMs++
 			pl.logDecision("slow VM", "vm", v.name, "cause", string(cause), "speed", v.health.Speed(now), "runs", len(v.runs))
 		} else {
+			pl.counters.SoundAgain++
 			pl.logDecision("VM sound again", "vm", v.name, "cause", string(before))
 		}
 	}
+	pl.saveTrials(now)
+}
+
+const (
+	// trialSaveInterval is the least time between two records of the VMs on trial.
+	trialSaveInterval = 2 * time.Second
+	// maxSavedTrials bounds the VMs in the record, so that it stays below 2 KB.
+	maxSavedTrials = 20
+	// maxTrialAge is how old the record may be when a new leader reads it.
+	maxTrialAge = 10 * time.Second
+)
+
+// trials returns the VMs on trial, at most maxSavedTrials.
+func (pl *Planner) trials(now time.Time) []work.VMTrial {
+	list := []work.VMTrial{}
+	for _, v := range pl.sortedVMs {
+		if cause := v.health.OnTrial(); cause != "" && len(list) < maxSavedTrials {
+			speed := math.Round(100*v.health.Speed(now)) / 100
+			list = append(list, work.VMTrial{VM: v.name, WorkerIncarnation: v.session.WorkerIncarnation, Cause: string(cause), Speed: speed})
+		}
+	}
+	return list
+}
+
+// saveTrials writes the VMs on trial for the next leader when they have changed.
+func (pl *Planner) saveTrials(now time.Time) {
+	if now.Sub(pl.trialsSavedAt) < trialSaveInterval {
+		return
+	}
+	list := pl.trials(now)
+	if slices.EqualFunc(list, pl.savedTrials, func(a, b work.VMTrial) bool { return a.VM == b.VM && a.Cause == b.Cause }) {
+		return
+	}
+	pl.trialsSavedAt, pl.savedTrials = now, list
+	pl.records = append(pl.records, jobreducer.SpeedsRecord(&work.Speeds{VMs: list, WrittenAt: now}))
+}
+
+// restoreTrials puts VMs on trial that the last leader had on trial, if their workers
+// are still the same.
+func (pl *Planner) restoreTrials(speeds *work.Speeds, now time.Time) {
+	if speeds == nil || now.Sub(speeds.WrittenAt).Abs() > maxTrialAge {
+		return
+	}
+	for _, t := range speeds.VMs {
+		if v := pl.vms[t.VM]; v != nil && v.session.WorkerIncarnation == t.WorkerIncarnation {
+			v.health.Restore(healthtracker.Cause(t.Cause), t.Speed, now)
+		}
+	}
+	pl.savedTrials = speeds.VMs
+}
+
+// Counters count decisions about uneven VMs and tasks in this term.
+type Counters struct {
+	SlowVMs, SoundAgain int
+	// Hopeless jobs failed since a task failed as often as its queue allows.
+	Hopeless int
+}
+
+// Uneven returns the VMs on trial and the counters, for the metrics.
+func (pl *Planner) Uneven(now time.Time) ([]work.VMTrial, Counters) {
+	return pl.trials(now), pl.counters
 }
 
 // mayStart reports whether a VM on trial may get a task of a step. It may as the last
--- a/internal/job/planner/uneven_test.go
+++ b/internal/job/planner/uneven_test.go
@@ -235,3 +235,23 @@
 		t.Errorf("%d starts on the only VM, want 1", n)
 	}
 }
+
+// A new leader goes on with the VMs on trial, unless their worker is another one.
+func TestNewLeaderKnowsSlowVMs(t *testing.T) {
+	f := newFleet(t, 2)
+	slow := func(name string) bool { return f.planner.vms[name].health.OnTrial() == healthtracker.Slow }
+	for _, name := range []string{"vm00", "vm01"} {
+		for _, run := range []string{"a", "b"} {
+			f.planner.vms[name].health.ObserveRun(run, 0.1, healthtracker.PeerSpread, f.now)
+		}
+	}
+	f.play(100*time.Millisecond, 0, work.Step{})
+	if !slow("vm00") || !slow("vm01") {
+		t.Fatal("the VMs do not count as slow")
+	}
+	f.vms["vm01"].workerStatus.Incarnation++
+	f.restart()
+	if !slow("vm00") || slow("vm01") {
+		t.Errorf("under a new leader slow: %t, with another worker: %t; want true, false", slow("vm00"), slow("vm01"))
+	}
+}
--- a/internal/site/sitebuilder/entry.go
+++ b/internal/site/sitebuilder/entry.go
@@ -106,6 +106,7 @@
 	exporter.Publish("view_age_us", func() any { return e.follower.Age().Microseconds() })
 	exporter.Publish("leading_epoch", func() any { return e.leader.Leading() })
 	exporter.Publish("work", func() any { return e.workCounts() })
+	exporter.Publish("uneven", func() any { return e.leader.Uneven() })
 	e.follower.Init()
 	e.leader.Init(time.Now())
 	e.broker.Init()
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -417,6 +417,15 @@
 	Millicores int `json:"millis" cbor:"millis" yaml:"millis"`
 }
 
+// What a leader has learned about the speeds of VMs.
+type Speeds struct {
+	// When the leader wrote this.
+	WrittenAt time.Time `json:"at" cbor:"at" yaml:"at"`
+
+	// VMs that get little work.
+	VMs []VMTrial `json:"vms" cbor:"vms" yaml:"vms"`
+}
+
 // Command to start a run.
 type Start struct {
 	// Filler task: it runs on processor capacity that other tasks leave unused.
@@ -537,6 +546,21 @@
 	Incarnation string `json:"life" cbor:"life" yaml:"life"`
 }
 
+// A VM that gets little work because it was slow or failed often.
+type VMTrial struct {
+	// Incarnation of the VM's worker: its start time in Unix milliseconds.
+	WorkerIncarnation int64 `json:"born" cbor:"born" yaml:"born"`
+
+	// Why the VM gets little work.
+	Cause string `json:"cause" cbor:"cause" yaml:"cause"`
+
+	// Speed relative to other VMs, 1 if it is as fast.
+	Speed float64 `json:"speed" cbor:"speed" yaml:"speed"`
+
+	// VM corresponds to the JSON schema field "vm".
+	VM string `json:"vm" cbor:"vm" yaml:"vm"`
+}
+
 // A run that was not started and never will be.
 type VoidRun struct {
 	// Why the run was not started.
@@ -572,6 +596,9 @@
 	// Session corresponds to the JSON schema field "session".
 	Session *Session `json:"session,omitempty,omitzero" cbor:"session,omitempty" yaml:"session,omitempty"`
 
+	// Speeds corresponds to the JSON schema field "speeds".
+	Speeds *Speeds `json:"speeds,omitempty,omitzero" cbor:"speeds,omitempty" yaml:"speeds,omitempty"`
+
 	// Task corresponds to the JSON schema field "task".
 	Task *Task `json:"task,omitempty,omitzero" cbor:"task,omitempty" yaml:"task,omitempty"`
 
