Copies: a second run for tasks that are far slower than expected

Cause: steps say that they allow copies, and nothing used it; a task that a VM slows by 5 to 9 times held up its job. Change: internal/job/copier weighs the expected rest of a run against a new one elsewhere; the planner starts the copies that gain most while no work waits in the pool, within 2 % of the work done lately.

--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -53,6 +53,8 @@
 	// are not known.
 	forecastLoads []float64
 	rates         healthtracker.Rates
+	// endedTimes are the times of the latest runs that completed.
+	endedTimes []time.Duration
 	// avoidsSince is since when tasks wait although a VM that is on trial has room,
 	// zero if none does.
 	avoidsSince time.Time
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -28,6 +28,7 @@
 	pl.moveSlowFillers(now)
 	pl.expireOutcomes(now)
 	pl.plan(now)
+	pl.startCopies(now)
 }
 
 // plan places waiting tasks in order of urgency.
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"time"
 
+	"knapweedspur/internal/job/copier"
 	"knapweedspur/internal/job/estimator"
 	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/job/jobreducer"
@@ -75,7 +76,11 @@
 	trialsSavedAt time.Time
 	savedTrials   []work.VMTrial
 
-	counters Counters
+	// copyBudget bounds the copies, lastCopyCheck is when runs were last considered
+	// for one.
+	copyBudget    copier.Budget
+	lastCopyCheck time.Time
+	counters      Counters
 
 	interference *estimator.Interference
 	// lastLearned is when interference was last learned from latencies.
@@ -158,6 +163,11 @@
 	// report of the run; both restart if the progress goes back.
 	firstSeen    time.Time
 	firstPercent int
+	// copies is the run that this one is a copy of, 0 if it is none. copyWaste is the
+	// work that is thrown away at most, in core-seconds.
+	copies    int
+	copyCause copier.Cause
+	copyWaste float64
 	// probeCounted is set once the run has shown that its VM works.
 	probeCounted bool
 	// sentAt is when the start was sent after it was in the log, zero for a run of
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -176,6 +176,7 @@
 	if e.Checkpoint != "" && e.Run == t.LastRun {
 		t.Checkpoint = e.Checkpoint
 	}
+	pl.settleEnd(s, index, p, e, now)
 	switch {
 	case e.Outcome == endDone && !s.spec.LongRunning && !t.Done:
 		t.Done = true
--- a/internal/job/planner/speed.go
+++ b/internal/job/planner/speed.go
@@ -184,6 +184,9 @@
 	SlowVMs, SoundAgain int
 	// Hopeless jobs failed since a task failed as often as its queue allows.
 	Hopeless int
+	// Copies is the number of copies that were started, CopiesWon of those that
+	// completed first.
+	Copies, CopiesWon int
 }
 
 // Uneven returns the VMs on trial and the counters, for the metrics.
--- a/internal/job/planner/uneven_test.go
+++ b/internal/job/planner/uneven_test.go
@@ -25,13 +25,14 @@
 	seconds func(task string) float64
 	worked  map[string]float64
 	jobs    int
-	ended   map[string]time.Duration
-	// wasted and served are the seconds of work that was thrown away and done.
-	wasted, served float64
+	// occupied is for how long each run was at work, done the sum for those that
+	// completed.
+	occupied map[string]time.Duration
+	done     time.Duration
 }
 
 func newFleet(t *testing.T, vms int) *fleet {
-	f := &fleet{simulation: newSimulation(t), random: rand.New(rand.NewPCG(1, 1)), worked: map[string]float64{}, ended: map[string]time.Duration{}}
+	f := &fleet{simulation: newSimulation(t), random: rand.New(rand.NewPCG(1, 1)), worked: map[string]float64{}, occupied: map[string]time.Duration{}}
 	f.seconds = func(string) float64 { return 0.6 }
 	for i := range vms {
 		f.addVM(fmt.Sprintf("vm%02d", i), 4000, 100_000, fmt.Sprintf("rack%d", i/5))
@@ -66,6 +67,7 @@
 	}
 	for _, a := range slices.Clone(v.active) {
 		key := fmt.Sprintf("%s %d", a.Task, a.Run)
+		f.occupied[key] += tick
 		f.worked[key] += tick.Seconds() * speed
 		if percent := int(100 * f.worked[key] / f.seconds(a.Task)); percent < 100 {
 			i := slices.IndexFunc(v.active, func(o work.RunStatus) bool { return o.Task == a.Task })
@@ -76,7 +78,7 @@
 		if f.fails != nil && f.fails(name, a.Task, f.elapsed()) {
 			outcome = endFailed
 		} else {
-			f.ended[a.Task] = f.elapsed()
+			f.done += f.occupied[key]
 		}
 		f.endRun(v, a.Task, outcome)
 	}
@@ -85,6 +87,15 @@
 	}
 }
 
+// lostShare returns the share of the work that was not completed.
+func (f *fleet) lostShare() float64 {
+	total := time.Duration(0)
+	for _, d := range f.occupied {
+		total += d
+	}
+	return 1 - f.done.Seconds()/total.Seconds()
+}
+
 // startsOn returns how many runs a VM has been sent.
 func (f *fleet) startsOn(name string) int { return len(f.vms[name].mute.starts) }
 
