Copies: the simulated cluster checks that only steps that allow copies run twice

Cause: nothing showed that a step without the mark never gets a second run while others do. Change: a test beside TestNoTaskRunsTwice mixes both kinds under drawn faults and slow workers; workers report progress there; the share that copies may waste is a setting, 2 % without it.

--- a/internal/job/copier/copier.go
+++ b/internal/job/copier/copier.go
@@ -5,6 +5,7 @@
 package copier
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -19,10 +20,10 @@
 	scarceGainFactor = 3.0
 	// minEnded is the least number of ended runs of a step whose median is trusted.
 	minEnded = 3
-	// MaxWaste is the most work that copies may cause to be thrown away, as a share of
-	// the work that was done in about the last wasteWindow.
-	MaxWaste    = 0.02
-	wasteWindow = time.Minute
+	// DefaultMaxWaste is the most work that copies may cause to be thrown away, as a
+	// share of the work that was done in about the last wasteWindow.
+	DefaultMaxWaste = 0.02
+	wasteWindow     = time.Minute
 	// minStragglerChance is the least share of copies of stragglers that must have
 	// won lately. Whether a task takes long by its own nature, so that a copy takes
 	// as long, only shows then. stragglerRetry is how often one is tried otherwise.
@@ -92,6 +93,10 @@
 // Budget bounds the work that copies cause to be thrown away. A new leader begins with
 // nothing, and starts copies once enough work was done.
 type Budget struct {
+	// MaxWaste is the share of the work that may be thrown away, 0 for
+	// DefaultMaxWaste.
+	MaxWaste float64
+
 	served, wasted float64
 	updatedAt      time.Time
 	// stragglersWon of stragglersTried copies of stragglers completed first, with
@@ -137,7 +142,7 @@
 // still waste.
 func (b *Budget) Allows(c *Copy, pending float64, now time.Time) bool {
 	b.fade(now)
-	budget := MaxWaste * b.served
+	budget := cmp.Or(b.MaxWaste, DefaultMaxWaste) * b.served
 	if b.wasted+pending+c.Waste > budget {
 		return false
 	}
--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -156,7 +156,7 @@
 	p := &entryProcess{listener: c.network.listen(e.address)}
 	p.leader = &leader.Leader{
 		Journal: e.log, Logger: logger, Name: e.name, Incarnation: incarnation, Address: e.address, CPUShare: 1, MaxAppendBytes: 1 << 20,
-		Settings: planner.Settings{MaxLease: simulatedMaxLease, FarFactor: 2}, Client: c.network.client(e.address.Addr()),
+		Settings: planner.Settings{MaxLease: simulatedMaxLease, FarFactor: 2, MaxWaste: 0.5}, Client: c.network.client(e.address.Addr()),
 	}
 	p.follower = &logfollower.Follower{Journal: e.log, Logger: logger, Observer: p.leader, Clock: virtualTime}
 	broker := &agentbroker.Broker{Follower: p.follower, Leader: p.leader, Logger: logger}
@@ -280,10 +280,14 @@
 }
 
 // submit adds a job to the log.
-func (c *cluster) submit(id string, tasks int) {
+func (c *cluster) submit(id string, tasks int) { c.submitStep(id, work.Step{Tasks: tasks}) }
+
+// submitStep adds a job of one step to the log.
+func (c *cluster) submitStep(id string, step work.Step) {
+	step.Size, step.EstimatedDuration = work.Size{Millicores: 1000, Memory: 100}, time.Second
 	job := &work.Job{
 		ID: id, Spec: "spec", AcceptedAt: time.Now(), Queue: work.Queue{Name: "queue", Pool: "pool", MaxFailures: 100, Stretch: 2, Target: time.Second},
-		Steps: []work.Step{{Tasks: tasks, Size: work.Size{Millicores: 1000, Memory: 100}, EstimatedDuration: time.Second}},
+		Steps: []work.Step{step},
 	}
 	_, _ = c.log.Append(context.Background(), []journal.Record{jobreducer.JobRecord(job)}, nil) // fails only under injected faults
 }
--- a/internal/job/leader/runchecker_test.go
+++ b/internal/job/leader/runchecker_test.go
@@ -14,13 +14,17 @@
 // runs at the same time, nor a start after a run has ended as done if that end is
 // acknowledged then or later, unless the worker's lease lapsed between the two.
 type runChecker struct {
-	mu         sync.Mutex
-	startedAt  time.Time
-	active     map[string][]*simulatedRun
-	done       map[string][]*simulatedEnd
-	starts     int
-	events     []string
-	violations []string
+	mu        sync.Mutex
+	startedAt time.Time
+	active    map[string][]*simulatedRun
+	done      map[string][]*simulatedEnd
+	starts    int
+	// speculative holds the jobs whose tasks may have copies, copies counts the starts
+	// beside another run of their task.
+	speculative map[string]bool
+	copies      int
+	events      []string
+	violations  []string
 }
 
 type simulatedRun struct {
@@ -28,6 +32,15 @@
 	run      int
 	endsAt   time.Time
 	outcome  string
+	// sentAt is when the start was sent to the worker, duration how long the task
+	// takes.
+	sentAt   time.Time
+	duration time.Duration
+}
+
+// percent returns the progress of the run.
+func (r *simulatedRun) percent(now time.Time) int {
+	return max(0, min(99, int(100-100*r.endsAt.Sub(now)/r.duration)))
 }
 
 type simulatedEnd struct {
@@ -36,10 +49,22 @@
 	// lapsed is set if the lease lapsed since the end, acked if it was acknowledged
 	// before that, and startedAgain if a run of the task started since.
 	lapsed, acked, startedAgain bool
+	ackedAt                     time.Time
 }
 
+// lateStartMargin is how long after an acknowledged end a start may still be sent where
+// copies are allowed.
+const lateStartMargin = time.Second
+
 func newRunChecker() *runChecker {
-	return &runChecker{startedAt: time.Now(), active: map[string][]*simulatedRun{}, done: map[string][]*simulatedEnd{}}
+	return &runChecker{startedAt: time.Now(), active: map[string][]*simulatedRun{}, done: map[string][]*simulatedEnd{}, speculative: map[string]bool{}}
+}
+
+// allowCopies notes whether the tasks of a job may have copies.
+func (c *runChecker) allowCopies(job string, allowed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.speculative[job] = allowed
 }
 
 func (c *runChecker) logf(format string, args ...any) {
@@ -62,6 +87,10 @@
 	defer c.mu.Unlock()
 	c.starts++
 	c.note("worker %s starts %s run %d", r.vm, r.task, r.run)
+	if c.speculative[strings.Split(r.task, ".")[0]] {
+		c.startedCopy(r)
+		return
+	}
 	for _, other := range c.active[r.task] {
 		c.fail("two runs at the same time: %s run %d on %s beside run %d on %s", r.task, r.run, r.vm, other.run, other.vm)
 	}
@@ -74,6 +103,19 @@
 	c.active[r.task] = append(c.active[r.task], r)
 }
 
+// startedCopy checks a start where copies are allowed.
+func (c *runChecker) startedCopy(r *simulatedRun) {
+	if len(c.active[r.task]) > 0 {
+		c.copies++
+	}
+	for _, e := range c.done[r.task] {
+		if e.acked && r.sentAt.Sub(e.ackedAt) > lateStartMargin {
+			c.fail("start sent %s after an acknowledged end: %s run %d on %s", r.sentAt.Sub(e.ackedAt), r.task, r.run, r.vm)
+		}
+	}
+	c.active[r.task] = append(c.active[r.task], r)
+}
+
 // ended records that a run has ended, or has vanished with its worker.
 func (c *runChecker) ended(r *simulatedRun, e *simulatedEnd, outcome string) {
 	c.mu.Lock()
@@ -97,7 +139,7 @@
 	if e.Outcome != "done" || e.lapsed {
 		return
 	}
-	e.acked = true
+	e.acked, e.ackedAt = true, time.Now()
 	if e.startedAgain {
 		c.fail("end acknowledged after the task was started again: %s run %d on %s", e.Task, e.Run, e.vm)
 	}
@@ -108,7 +150,7 @@
 func (c *runChecker) report(t *testing.T) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t.Logf("%d starts, %d tasks done", c.starts, len(c.done))
+	t.Logf("%d starts, %d beside another run, %d tasks done", c.starts, c.copies, len(c.done))
 	for _, v := range c.violations {
 		t.Error(v)
 	}
--- a/internal/job/leader/runs_test.go
+++ b/internal/job/leader/runs_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"knapweedspur/internal/wire/work"
 )
 
 var (
@@ -131,6 +133,10 @@
 		c.betweenAgentAndEntries(f.vm, until, c.network.slow)
 		return nil
 	},
+	"worker-slow": func(_ *cluster, f *fault, until time.Time) func() {
+		f.vm.slow(until.Add(2 * time.Second))
+		return nil
+	},
 	// The worker restarts under its name.
 	"worker-reborn": func(_ *cluster, f *fault, _ time.Time) func() {
 		name := f.vm.workerName()
@@ -167,14 +173,17 @@
 	}
 }
 
-// enabledKinds returns the kinds of faults to draw from, in a fixed order.
+// enabledKinds returns the kinds of faults to draw from, in a fixed order. Slow
+// workers matter only where copies are allowed.
 func enabledKinds() []string {
 	if *faultKinds != "" {
 		return strings.Split(*faultKinds, ",")
 	}
 	var kinds []string
 	for kind := range faults {
-		kinds = append(kinds, kind)
+		if kind != "worker-slow" {
+			kinds = append(kinds, kind)
+		}
 	}
 	slices.Sort(kinds)
 	return kinds
@@ -196,26 +205,46 @@
 func TestNoTaskRunsTwice(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playFaults(t, seed) })
+			synctest.Test(t, func(t *testing.T) { playFaults(t, seed, enabledKinds(), false) })
+		})
+	}
+}
+
+// TestCopiesRunOnlyWhereAllowed injects the same faults while every second job allows
+// copies and workers are slow.
+func TestCopiesRunOnlyWhereAllowed(t *testing.T) {
+	kinds := enabledKinds()
+	for range len(kinds) {
+		kinds = append(kinds, "worker-slow")
+	}
+	copies := 0
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { copies += playFaults(t, seed, kinds, true) })
 		})
 	}
+	if copies == 0 {
+		t.Error("no task ran beside a copy, so the test shows nothing")
+	}
 }
 
 // playFaults submits jobs and injects faults for half a minute, with
-// two faults at a time on average.
-func playFaults(t *testing.T, seed uint64) {
+// two faults at a time on average. If speculative is set, every second job allows
+// copies. It returns how many runs were started beside another.
+func playFaults(t *testing.T, seed uint64, kinds []string, speculative bool) int {
 	c := newCluster(3, 4, seed)
 	type pending struct {
 		at  time.Time
 		end func()
 	}
 	var ends []pending
-	kinds := enabledKinds()
 	began, jobs := time.Now(), 0
 	for next := began.Add(5 * time.Second); time.Since(began) < 40*time.Second; {
 		if c.random.IntN(20) == 0 {
 			jobs++
-			c.submit(fmt.Sprintf("%016x", jobs), 1+c.random.IntN(4))
+			id, step := fmt.Sprintf("%016x", jobs), work.Step{Tasks: 1 + c.random.IntN(4), Speculative: speculative && jobs%2 == 0}
+			c.checker.allowCopies(id, step.Speculative)
+			c.submitStep(id, step)
 		}
 		c.run(simulatedTick)
 		now := time.Now()
@@ -239,4 +268,5 @@
 	c.stop()
 	t.Logf("%d jobs", jobs)
 	c.checker.report(t)
+	return c.checker.copies
 }
--- a/internal/job/leader/simulatedworker_test.go
+++ b/internal/job/leader/simulatedworker_test.go
@@ -51,6 +51,8 @@
 	// muteUntil is until when the worker's answers are lost, lateUntil until when
 	// half of the calls get no answer and take effect seconds later.
 	muteUntil, lateUntil time.Time
+	// slowUntil is until when runs are ten times slower.
+	slowUntil time.Time
 	// taskTime is the longest time that a task takes.
 	taskTime time.Duration
 }
@@ -91,6 +93,9 @@
 		return
 	}
 	for _, r := range w.active {
+		if now.Before(h.slowUntil) && r.outcome != "stopped" {
+			r.endsAt = r.endsAt.Add(simulatedTick * 9 / 10)
+		}
 		if !now.Before(r.endsAt) {
 			h.end(r, r.outcome)
 		}
@@ -209,8 +214,9 @@
 // Start starts a run. As a worker that does not guard its capacity, it rejects
 // nothing for lack of room.
 func (c *workerClient) Start(ctx context.Context, call workercontroller.StartCall) (workercontroller.StartResult, error) {
+	sentAt := time.Now()
 	result, err := callWorker(ctx, c, call.Call, simulatedOrderTimeout, 0, func(w *simulatedWorker, now time.Time) workercontroller.StartResult {
-		return c.host.start(w, call, now)
+		return c.host.start(w, call, sentAt, now)
 	})
 	if errors.Is(err, errFenced) {
 		return workercontroller.Fenced, nil
@@ -218,7 +224,7 @@
 	return result, err
 }
 
-func (h *simulatedHost) start(w *simulatedWorker, call workercontroller.StartCall, now time.Time) workercontroller.StartResult {
+func (h *simulatedHost) start(w *simulatedWorker, call workercontroller.StartCall, sentAt, now time.Time) workercontroller.StartResult {
 	task, run := call.Start.Task, call.Start.Run
 	current := w.active[task]
 	switch {
@@ -229,8 +235,9 @@
 	case call.LeaseEnd < w.clock(now):
 		return workercontroller.Expired
 	default:
-		r := &simulatedRun{vm: w.status.VM, task: task, run: run, outcome: "done"}
-		r.endsAt = now.Add(50*time.Millisecond + time.Duration(h.random.Int64N(int64(h.taskTime))))
+		r := &simulatedRun{vm: w.status.VM, task: task, run: run, outcome: "done", sentAt: sentAt}
+		r.duration = 50*time.Millisecond + time.Duration(h.random.Int64N(int64(h.taskTime)))
+		r.endsAt = now.Add(r.duration)
 		if h.random.IntN(20) == 0 {
 			r.outcome = "failed"
 		}
@@ -266,7 +273,7 @@
 		}
 		state := workercontroller.State{Clock: w.clock(now).Truncate(time.Millisecond), WorkerIncarnation: w.status.Incarnation}
 		for _, r := range w.active {
-			state.Active = append(state.Active, work.RunStatus{Task: r.task, Run: r.run, Pace: 100})
+			state.Active = append(state.Active, work.RunStatus{Task: r.task, Run: r.run, Pace: 100, ProgressPercent: r.percent(now)})
 		}
 		for _, e := range w.ends[:min(len(w.ends), maxListedEnds)] {
 			state.Ends = append(state.Ends, e.RunEnd)
@@ -298,6 +305,13 @@
 	}
 }
 
+// slow makes the runs slow until a time.
+func (h *simulatedHost) slow(until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.slowUntil = until
+}
+
 // drain lets the worker report that it drains.
 func (h *simulatedHost) drain() {
 	h.mu.Lock()
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -33,6 +33,9 @@
 	// FillVMs lets long-running tasks reserve whole VMs. It is a baseline for
 	// comparison; otherwise room is kept for short jobs.
 	FillVMs bool
+	// MaxWaste is the share of the work that copies of tasks may cause to be thrown
+	// away, 0 for the usual one.
+	MaxWaste float64
 }
 
 // Policy is the order in which waiting jobs are placed.
@@ -191,6 +194,7 @@
 	pl := &Planner{
 		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, termStart: now, logDecision: log,
 		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
+		copyBudget:   copier.Budget{MaxWaste: settings.MaxWaste},
 		interference: estimator.NewInterference(), shortWork: map[string]*shortWork{},
 	}
 	if state.Estimates != nil {
