--- a/internal/job/healthtracker/speed.go
+++ b/internal/job/healthtracker/speed.go
@@ -23,8 +23,10 @@
 	// trial.
 	tellingEvidence = 0.5
 	// PeerSpread is the standard deviation of the logarithm of the rates of the tasks
-	// of one step, DeclaredSpread that of the declared durations of steps.
-	PeerSpread, DeclaredSpread = 0.5, 1.0
+	// of one step.
+	PeerSpread = 0.5
+	// DeclaredSpread is that of the declared durations of steps.
+	DeclaredSpread = 1.0
 	// unknownSpeed is the speed that is assumed of a slow VM without recent runs, and
 	// minSpeed the lowest.
 	unknownSpeed, minSpeed = 0.5, 0.05
