--- a/internal/job/planner/domain.go
+++ b/internal/job/planner/domain.go
@@ -27,9 +27,9 @@
 	return slices.Contains(pl.evacuation.domains, v.workerStatus.Zone)
 }
 
-// mayStart reports whether a task of a step may start on the VM as far as the
-// operators' requests go.
-func (pl *Planner) mayStart(v *vm, _ *step, now time.Time) bool {
+// domainOpen reports whether a task may start on the VM as far as the operators'
+// requests go.
+func (pl *Planner) domainOpen(v *vm, now time.Time) bool {
 	limit := pl.Settings.MaxRequestAge
 	return !pl.evacuated(v) && (limit == 0 || now.Sub(pl.evacuation.knownAt) <= limit)
 }
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -18,6 +18,7 @@
 	pl.checkSessions(now)
 	pl.evacuateLeavingWorkers(now)
 	pl.learnInterference(now)
+	pl.judgeVMs(now)
 	pl.sendWeights(now)
 	for _, j := range pl.jobs {
 		if j.record != nil && j.record.Occurrences > 0 {
@@ -27,6 +28,7 @@
 	pl.moveSlowFillers(now)
 	pl.expireOutcomes(now)
 	pl.plan(now)
+	pl.startCopies(now)
 }
 
 // plan places waiting tasks in order of urgency.
@@ -66,12 +68,12 @@
 		return pl.placeGang(s, now)
 	}
 	placed := 0
-	for i := range s.tasks {
+	for _, i := range s.retriesFirst() {
 		if placed >= limit || s.waiting == 0 {
 			break
 		}
 		t := &s.tasks[i]
-		if t.Done || len(t.Runs) > 0 {
+		if t.Done || len(t.Runs) > 0 || pl.heldBack(s, t, now) {
 			continue
 		}
 		v := pl.chooseVM(s, t, now)
@@ -207,7 +209,7 @@
 		if crowded && !leavesGap || bestLeavesGap && !leavesGap {
 			continue
 		}
-		cost := pl.cost(v, s, t)
+		cost := pl.cost(v, s, t, now)
 		if s.spec.Filler && cost > maxFillerCost && !pl.waitedTooLong(s, now) {
 			continue
 		}
@@ -226,7 +228,12 @@
 	if s.spec.Label != "" && !slices.Contains(v.workerStatus.Labels, s.spec.Label) {
 		return false
 	}
-	return (s.spec.MaxPerVM == 0 || v.countRuns(s) < s.spec.MaxPerVM) && s.mayRunOn(v, now)
+	return (s.spec.MaxPerVM == 0 || v.countRuns(s) < s.spec.MaxPerVM) && s.mayRunOn(v, now) && pl.mayStart(v, s, now)
+}
+
+// mayStart reports whether a task of a step may start on a VM that has room for it.
+func (pl *Planner) mayStart(v *vm, s *step, now time.Time) bool {
+	return pl.domainOpen(v, now) && pl.worthTrying(v, s, now)
 }
 
 // maxFillerCost is the cost above which a filler waits instead of taking memory
--- a/internal/site/sitebuilder/entry.go
+++ b/internal/site/sitebuilder/entry.go
@@ -110,6 +110,7 @@
 	exporter.Publish("evacuated", func() any { return e.watcher.Evacuation() })
 	exporter.Publish("unserved_requests", func() any { return e.watcher.Unserved() })
 	exporter.Publish("work", func() any { return e.workCounts() })
+	exporter.Publish("uneven", func() any { return e.leader.Uneven() })
 	e.follower.Init()
 	e.leader.Init(time.Now())
 	e.broker.Init()
