--- a/internal/job/jobreducer/jobreducer.go
+++ b/internal/job/jobreducer/jobreducer.go
@@ -27,6 +27,7 @@
 	termKey       = "t"
 
 	estimatesKey = "w"
+	forecastKey  = "f"
 )
 
 // The final states of a job.
@@ -88,6 +89,8 @@
 	// Estimates are the interference estimates that leaders have stored, nil if
 	// there are none.
 	Estimates *work.InterferenceEstimates
+	// Forecast is the newest forecast of room, nil if there is none.
+	Forecast *work.RoomForecast
 	// Next is the offset of the first record that is not yet applied.
 	Next int64
 }
@@ -106,6 +109,9 @@
 	if r.Key == estimatesKey {
 		return applyValue(r, func(v *work.WorkRecord) { s.Estimates = v.Estimates })
 	}
+	if r.Key == forecastKey {
+		return applyValue(r, func(v *work.WorkRecord) { s.Forecast = v.Forecast })
+	}
 	if len(r.Key) < len(jobPrefix) {
 		return trace.BadParameter("record at offset %d has unknown key %q", r.Offset, r.Key)
 	}
@@ -217,6 +223,11 @@
 	return newRecord(estimatesKey, &work.WorkRecord{Estimates: e})
 }
 
+// ForecastRecord returns the record of a leader's forecast of room.
+func ForecastRecord(f *work.RoomForecast) journal.Record {
+	return newRecord(forecastKey, &work.WorkRecord{Forecast: f})
+}
+
 // JobRecord returns the record of an accepted job.
 func JobRecord(j *work.Job) journal.Record {
 	return newRecord(jobPrefix+j.ID, &work.WorkRecord{Job: j})
--- a/internal/job/leader/loop.go
+++ b/internal/job/leader/loop.go
@@ -77,6 +77,9 @@
 	l.planner.Tick(now)
 	batch := l.planner.Flush()
 	batch.Records = append(records, batch.Records...)
+	if forecast := l.planner.Outlook(l.epoch, now); forecast != nil {
+		batch.Records = append(batch.Records, jobreducer.ForecastRecord(forecast))
+	}
 	return batch, proposals
 }
 
--- /dev/null
+++ b/internal/job/planner/outlook.go
@@ -0,0 +1,183 @@
+package planner
+
+import (
+	"math"
+	"time"
+
+	"knapweedspur/internal/job/jobmeasurer"
+	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/job/roomforecaster"
+	"knapweedspur/internal/wire/work"
+)
+
+// Entries refuse a job that would end too late to be useful. They know the load only
+// from the forecast that the leader writes to the log, so it is made here from the
+// jobs and VMs.
+
+const (
+	// outlookInterval is the least time between two forecasts.
+	outlookInterval = time.Second
+	// absentAfter is how long a silent VM counts as one that gets work again. Most
+	// silences are shorter, and a job that waits outlasts them.
+	absentAfter = 5 * time.Second
+	// fillerRateWindow is the time constant over which the processors that fillers
+	// get are averaged while some wait: the load of serving tasks swings within it.
+	fillerRateWindow = 5 * time.Second
+)
+
+// outlook is what the forecasts of a term remember.
+type outlook struct {
+	takenAt time.Time
+	// listsPools is set while the newest forecast lists pools without room.
+	listsPools bool
+	// largestVMs holds the largest VM ever seen in each pool.
+	largestVMs map[string]work.Size
+	// fillerMillicores holds the processors that the fillers of each pool get.
+	fillerMillicores map[string]float64
+}
+
+func newOutlook() outlook {
+	return outlook{largestVMs: map[string]work.Size{}, fillerMillicores: map[string]float64{}}
+}
+
+// poolOutlook collects the state of a pool.
+type poolOutlook struct {
+	roomforecaster.Pool
+	// leftMillicores are the processors that other tasks leave to fillers, and
+	// usedByFillers those that they use.
+	leftMillicores int
+	usedByFillers  float64
+	fillersWait    bool
+}
+
+// Outlook returns the forecast to write to the log, or nil if the one there still
+// holds: forecasts are at least outlookInterval apart, and one without a pool that
+// lacks room is not repeated.
+func (pl *Planner) Outlook(epoch int64, now time.Time) *work.RoomForecast {
+	if now.Sub(pl.outlook.takenAt) < outlookInterval {
+		return nil
+	}
+	elapsed := now.Sub(pl.outlook.takenAt)
+	pl.outlook.takenAt = now
+	pools := map[string]*poolOutlook{}
+	pl.collectRoom(pools, now)
+	pl.collectDemands(pools, now)
+	var all []roomforecaster.Pool
+	for _, v := range pl.sortedVMs {
+		p := pools[v.workerStatus.Pool]
+		if p == nil {
+			continue
+		}
+		delete(pools, p.Name)
+		p.FillerMillicores = pl.outlook.fillerRate(p, elapsed)
+		all = append(all, p.Pool)
+	}
+	forecast := roomforecaster.Summarize(epoch, all, now)
+	listsPools := len(forecast.Pools) > 0
+	if !listsPools && !pl.outlook.listsPools {
+		return nil
+	}
+	pl.outlook.listsPools = listsPools
+	return forecast
+}
+
+// fillerRate returns the processors that the fillers of a pool get. What they use
+// tells that only while some wait; it is assumed before that they get all that others
+// leave.
+func (o *outlook) fillerRate(p *poolOutlook, elapsed time.Duration) int {
+	rate, known := o.fillerMillicores[p.Name]
+	if known && p.fillersWait {
+		rate = p.usedByFillers + (rate-p.usedByFillers)*math.Exp(-elapsed.Seconds()/fillerRateWindow.Seconds())
+	} else {
+		rate = float64(p.leftMillicores)
+	}
+	o.fillerMillicores[p.Name] = rate
+	return int(max(rate, p.usedByFillers))
+}
+
+// collectRoom adds the VMs and the work that runs on them.
+func (pl *Planner) collectRoom(pools map[string]*poolOutlook, now time.Time) {
+	for _, v := range pl.sortedVMs {
+		name, capacity := v.workerStatus.Pool, v.workerStatus.Capacity
+		if name == "" || capacity.Millicores == 0 || !v.workerGoneAt.IsZero() || v.workerStatus.Draining || now.Sub(v.lastContact) > absentAfter {
+			continue
+		}
+		p := pools[name]
+		if p == nil {
+			p = &poolOutlook{Pool: roomforecaster.Pool{Name: name}}
+			pools[name] = p
+		}
+		pl.outlook.largestVMs[name] = larger(pl.outlook.largestVMs[name], capacity)
+		p.LargestVM = pl.outlook.largestVMs[name]
+		p.LargestGap = larger(p.LargestGap, work.Size{
+			Millicores: capacity.Millicores - v.reserved.Millicores, Memory: capacity.Memory - v.reserved.Memory, Accelerators: capacity.Accelerators - v.reserved.Accelerators,
+		})
+		p.Millicores += max(capacity.Millicores-v.longRunningMillicores, 0)
+		p.leftMillicores += max(capacity.Millicores-v.expectedUse(), 0)
+		for _, r := range v.runs {
+			p.addRun(r)
+		}
+	}
+}
+
+func larger(a, b work.Size) work.Size {
+	return work.Size{Millicores: max(a.Millicores, b.Millicores), Memory: max(a.Memory, b.Memory), Accelerators: max(a.Accelerators, b.Accelerators)}
+}
+
+// addRun adds the rest of a task that runs.
+func (p *poolOutlook) addRun(r *placement) {
+	spec := r.step.spec
+	if spec.LongRunning || r.step.job.outcome != nil {
+		return
+	}
+	if spec.Filler {
+		p.usedByFillers += r.measurement
+	}
+	rest := jobmeasurer.CoreTime(spec, 1) * time.Duration(fullProgress-min(r.progressPercent, fullProgress)) / fullProgress
+	p.Demands = append(p.Demands, roomforecaster.Demand{Priority: r.step.job.record.Queue.Priority, Filler: spec.Filler, Work: rest})
+}
+
+// collectDemands adds the work of the tasks that wait.
+func (pl *Planner) collectDemands(pools map[string]*poolOutlook, now time.Time) {
+	for _, j := range pl.jobs {
+		if j.outcome != nil || j.record == nil {
+			continue
+		}
+		if p := pools[j.record.Queue.Pool]; p != nil {
+			for occurrence := range j.startedOccurrences {
+				p.addOccurrence(j, occurrence, now)
+			}
+		}
+	}
+}
+
+// addOccurrence adds the waiting tasks of an occurrence of a job. A job with less than
+// half of its time left is not counted, since a newer one soon goes before it: first
+// when it becomes late, then when its result becomes useless.
+func (p *poolOutlook) addOccurrence(j *job, occurrence int, now time.Time) {
+	var waiting []*step
+	rest, due := time.Duration(0), time.Time{}
+	for i := range j.record.Steps {
+		s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: i}]
+		if s == nil || s.waiting == 0 || s.spec.LongRunning {
+			continue
+		}
+		waiting, due = append(waiting, s), s.dueAt()
+		rest = max(rest, jobmeasurer.ChainFrom(j.record.Steps, i))
+	}
+	if len(waiting) == 0 {
+		return
+	}
+	objective, spent := timeObjective(j.record), now.Sub(due)
+	if spent > (lateFactor*objective-rest)/2 {
+		return
+	}
+	jobWork := time.Duration(j.remainingWork(occurrence) * float64(time.Second))
+	for _, s := range waiting {
+		p.fillersWait = p.fillersWait || s.spec.Filler && s.dependenciesDone()
+		p.Demands = append(p.Demands, roomforecaster.Demand{
+			Priority: j.record.Queue.Priority, Filler: s.spec.Filler, Late: spent > (objective-rest)/2,
+			JobWork: jobWork, Work: jobmeasurer.CoreTime(s.spec, s.waiting),
+		})
+	}
+}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -81,6 +81,8 @@
 	// VM.
 	lastMoveCheck time.Time
 
+	outlook outlook
+
 	records []journal.Record
 	// dirtyTasks holds the tasks, by step and index, whose changes the next Flush
 	// writes.
@@ -161,7 +163,7 @@
 	pl := &Planner{
 		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, termStart: now, logDecision: log,
 		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
-		interference: estimator.NewInterference(), shortWork: map[string]*shortWork{},
+		interference: estimator.NewInterference(), shortWork: map[string]*shortWork{}, outlook: newOutlook(),
 	}
 	if state.Estimates != nil {
 		pl.interference.Restore(state.Estimates.Pairs)
--- a/internal/job/planner/rank.go
+++ b/internal/job/planner/rank.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"knapweedspur/internal/job/jobmeasurer"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/wire/work"
 )
@@ -23,7 +24,7 @@
 
 // lateFactor is how many times its objective a job may take and still be
 // useful.
-const lateFactor = 3
+const lateFactor = jobmeasurer.LateFactor
 
 func (c *candidate) before(o *candidate, policy Policy) bool {
 	if serves := c.step.spec.LatencyTarget > 0; serves || o.step.spec.LatencyTarget > 0 {
@@ -88,7 +89,7 @@
 	if s.spec.LongRunning {
 		return c
 	}
-	remaining := longestChain(j.record.Steps, s.key.Step)
+	remaining := jobmeasurer.ChainFrom(j.record.Steps, s.key.Step)
 	switch expectedEnd := now.Add(remaining); {
 	case !expectedEnd.After(c.deadline):
 		c.lateness = 0
@@ -185,31 +186,10 @@
 		if s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: i}]; s != nil {
 			tasks -= s.done
 		}
-		sum += float64(tasks) * spec.EstimatedDuration.Seconds() * float64(spec.Size.Millicores) / 1000
+		sum += jobmeasurer.CoreTime(spec, tasks).Seconds()
 	}
 	return sum
 }
 
 // timeObjective returns the time within which a job should complete.
-func timeObjective(j *work.Job) time.Duration {
-	longest := time.Duration(0)
-	for i := range j.Steps {
-		if len(j.Steps[i].DependsOn) == 0 {
-			longest = max(longest, longestChain(j.Steps, i))
-		}
-	}
-	return time.Duration(j.Queue.Stretch*float64(longest)) + j.Queue.Target
-}
-
-// longestChain returns the longest declared time from the start of a step to
-// the end of the job.
-func longestChain(steps []work.Step, from int) time.Duration {
-	longest := make([]time.Duration, len(steps))
-	for i := len(steps) - 1; i >= from; i-- {
-		longest[i] += steps[i].EstimatedDuration
-		for _, dependency := range steps[i].DependsOn {
-			longest[dependency] = max(longest[dependency], longest[i])
-		}
-	}
-	return longest[from]
-}
+func timeObjective(j *work.Job) time.Duration { return jobmeasurer.Objective(j) }
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -17,6 +17,24 @@
 	TicketLifetime time.Duration `json:"valid" cbor:"valid" yaml:"valid"`
 }
 
+// Work of the jobs of one priority that waits or runs.
+type Backlog struct {
+	// The work is that of fillers.
+	Filler bool `json:"fills" cbor:"fills" yaml:"fills"`
+
+	// The jobs are still useful, but miss their objective or soon will.
+	Late bool `json:"late" cbor:"late" yaml:"late"`
+
+	// Priority corresponds to the JSON schema field "priority".
+	Priority int `json:"priority" cbor:"priority" yaml:"priority"`
+
+	// Ascending limits of the remaining work of a job, in core-milliseconds.
+	JobWork []int64 `json:"upto" cbor:"upto" yaml:"upto"`
+
+	// For each limit, the work of all jobs up to it, in core-milliseconds.
+	Work []int64 `json:"work" cbor:"work" yaml:"work"`
+}
+
 // A request to cancel a job.
 type Cancel struct {
 	// When the cancellation was requested.
@@ -238,6 +256,30 @@
 	Report *Report `json:"report,omitempty,omitzero" cbor:"report,omitempty" yaml:"report,omitempty"`
 }
 
+// Room and backlog of a pool.
+type PoolForecast struct {
+	// Backlog corresponds to the JSON schema field "backlog".
+	Backlog []Backlog `json:"backlog" cbor:"backlog" yaml:"backlog"`
+
+	// All VMs of the pool are evacuated.
+	Closed bool `json:"closed" cbor:"closed" yaml:"closed"`
+
+	// LargestGap corresponds to the JSON schema field "gap".
+	LargestGap Size `json:"gap" cbor:"gap" yaml:"gap"`
+
+	// Processors for tasks that reserve them and end, in thousandths of a core.
+	Millicores int `json:"millis" cbor:"millis" yaml:"millis"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name" cbor:"name" yaml:"name"`
+
+	// Processors that fillers get, in thousandths of a core.
+	FillerMillicores int `json:"rate" cbor:"rate" yaml:"rate"`
+
+	// LargestVM corresponds to the JSON schema field "vm".
+	LargestVM Size `json:"vm" cbor:"vm" yaml:"vm"`
+}
+
 // Records that an entry asks the leader to append.
 type Proposal struct {
 	// Records corresponds to the JSON schema field "records".
@@ -309,6 +351,19 @@
 	SessionConfirmed bool `json:"vouched" cbor:"vouched" yaml:"vouched"`
 }
 
+// What a leader foresees about room for new jobs. Pools that are not listed have
+// room.
+type RoomForecast struct {
+	// Time of the forecast on the clock of the leader.
+	WrittenAt time.Time `json:"at" cbor:"at" yaml:"at"`
+
+	// Term of the leader.
+	Epoch int64 `json:"epoch" cbor:"epoch" yaml:"epoch"`
+
+	// Pools corresponds to the JSON schema field "pools".
+	Pools []PoolForecast `json:"pools" cbor:"pools" yaml:"pools"`
+}
+
 // One run of a task on a VM.
 type Run struct {
 	// Incarnation of the VM's worker: its start time in Unix milliseconds.
@@ -569,6 +624,9 @@
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *Outcome `json:"outcome,omitempty,omitzero" cbor:"outcome,omitempty" yaml:"outcome,omitempty"`
 
+	// Forecast corresponds to the JSON schema field "room".
+	Forecast *RoomForecast `json:"room,omitempty,omitzero" cbor:"room,omitempty" yaml:"room,omitempty"`
+
 	// Session corresponds to the JSON schema field "session".
 	Session *Session `json:"session,omitempty,omitzero" cbor:"session,omitempty" yaml:"session,omitempty"`
 
