Entries refuse jobs that surely end too late to be useful

Change: admissiondecider judges by the forecast in the view and its greatest possible age; a refusal is unrun, with a Retry-After in order of the first refusal. The entry refuses only after a read of the log that was sent after the request shows no record of the job, and never while an append of it is open.

--- a/internal/frontend/jobacceptor/jobacceptor.go
+++ b/internal/frontend/jobacceptor/jobacceptor.go
@@ -14,6 +14,7 @@
 
 	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/fault/verdict"
+	"knapweedspur/internal/frontend/admissiondecider"
 	"knapweedspur/internal/frontend/queuecataloger"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/job/leader"
@@ -82,11 +83,16 @@
 	// MaxRecordBytes bounds the record of a job.
 	MaxRecordBytes int
 
-	draining atomic.Bool
-	// mu guards unresolved, which maps the keys of records that may still get into
-	// the log to the time of the last unanswered append.
-	mu         sync.Mutex
+	draining       atomic.Bool
+	refusedForRoom atomic.Int64
+	// mu guards the fields below.
+	mu sync.Mutex
+	// unresolved maps the keys of records that may still get into the log to the
+	// time of the last unanswered append.
 	unresolved map[string]time.Time
+	// appending counts the appends in progress by key.
+	appending map[string]int
+	decider   admissiondecider.Decider
 }
 
 // StartDraining makes the entry not ready, so that the load balancer sends no new
@@ -131,8 +137,7 @@
 // Submit accepts a job. A job that is known already is accepted without a new
 // record.
 func (a *Acceptor) Submit(ctx context.Context, q *queuecataloger.Queue, version int64, job *work.Job, now time.Time) error {
-	if a.isKnown(job.ID) {
-		a.Logger.Info("accept", "job", job.ID, "queue", q.Name, "repeat", true)
+	if a.acceptRepeat(q, job.ID) {
 		return nil
 	}
 	for i := range job.Steps {
@@ -147,7 +152,18 @@
 	if len(record.Value)+len(record.Key) >= a.MaxRecordBytes {
 		return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Invalid, Reason: "the job is larger than a record of the log"}
 	}
+	if err := a.refuseForRoom(ctx, q, job, record.Key, now); err != nil {
+		return err
+	}
+	if a.acceptRepeat(q, job.ID) {
+		return nil
+	}
+	a.countAppend(record.Key, 1)
+	defer a.countAppend(record.Key, -1)
 	err := a.resolve(record.Key, a.appendRecord(ctx, record), now)
+	if err == nil {
+		a.acceptRefused(job.ID)
+	}
 	level := hclog.Info
 	if err != nil {
 		// At level Warn, refusals are not folded into counts under load.
@@ -157,6 +173,16 @@
 	return err
 }
 
+// acceptRepeat reports whether a job is in the log already, so that nothing is left to
+// do for it.
+func (a *Acceptor) acceptRepeat(q *queuecataloger.Queue, id string) bool {
+	if !a.isKnown(id) {
+		return false
+	}
+	a.Logger.Info("accept", "job", id, "queue", q.Name, "repeat", true)
+	return true
+}
+
 // resolve returns the error to answer with. It turns a refusal into Unknown while
 // an earlier append of the same key may still get into the log, since the client
 // must not be told that the job will never run.
@@ -233,6 +259,19 @@
 	}
 }
 
+// countAppend counts the appends in progress of a key.
+func (a *Acceptor) countAppend(key string, change int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.appending == nil {
+		a.appending = map[string]int{}
+	}
+	a.appending[key] += change
+	if a.appending[key] == 0 {
+		delete(a.appending, key)
+	}
+}
+
 // writeViaLeader writes a record through the leader. Whatever the outcome, the
 // record may be appended again, since a second one has the same key and value.
 func (a *Acceptor) writeViaLeader(ctx context.Context, record journal.Record) error {
--- a/internal/job/logfollower/logfollower.go
+++ b/internal/job/logfollower/logfollower.go
@@ -31,6 +31,8 @@
 	// minBackoff and maxBackoff limit the pause after a failed read.
 	minBackoff = 30 * time.Millisecond
 	maxBackoff = 300 * time.Millisecond
+	// unknownAge is returned where an age is not known: older than any limit.
+	unknownAge = 24 * time.Hour
 )
 
 // Observer is notified of changes to the view.
@@ -63,6 +65,9 @@
 	answeredAt time.Duration
 	// recoveredAt is when the view last became current after it was out of date.
 	recoveredAt time.Time
+	// forecastAfter is a time on the boot clock after which the forecast in the view
+	// was written, 0 if none is known.
+	forecastAfter time.Duration
 	// changed is closed and replaced after each read.
 	changed chan struct{}
 }
@@ -74,11 +79,11 @@
 	read(f.state, f.age())
 }
 
-// age returns the age of the view, 24 hours before the first read. The caller
+// age returns the age of the view, unknownAge before the first read. The caller
 // holds the lock.
 func (f *Follower) age() time.Duration {
 	if f.caughtUpAt == 0 {
-		return 24 * time.Hour
+		return unknownAge
 	}
 	return f.Clock() - f.caughtUpAt
 }
@@ -105,6 +110,24 @@
 	return f.recoveredAt
 }
 
+// forecastAge returns the greatest age that the forecast in the view can have. It rests
+// on no clock of another machine: a forecast is younger than the last read before it
+// that reached the end of the log. The caller holds the lock.
+func (f *Follower) forecastAge() time.Duration {
+	if f.forecastAfter == 0 {
+		return unknownAge
+	}
+	return f.Clock() - f.forecastAfter
+}
+
+// Forecast calls read with the state and the greatest age that its forecast of room can
+// have, under a read lock.
+func (f *Follower) Forecast(read func(state *jobreducer.State, age time.Duration)) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	read(f.state, f.forecastAge())
+}
+
 // CatchUp waits until the view includes everything that was in the log at the
 // time of the call. It returns an error if the context ends first.
 func (f *Follower) CatchUp(ctx context.Context) error {
@@ -194,7 +217,7 @@
 	}
 	state.Next = next
 	f.mu.Lock()
-	f.state, f.caughtUpAt = state, 0
+	f.state, f.caughtUpAt, f.forecastAfter = state, 0, 0
 	f.mu.Unlock()
 	f.Logger.Info("view built from the log", "jobs", len(state.Jobs), "sessions", len(state.Sessions), "offset", next)
 	if err := f.poll(ctx); err != nil {
@@ -222,10 +245,14 @@
 	}
 	f.mu.Lock()
 	f.answeredAt = sent
+	forecast := f.state.Forecast
 	for _, r := range page.Records {
 		f.apply(f.state, r)
 		f.state.Next = r.Offset + 1
 	}
+	if f.state.Forecast != forecast {
+		f.forecastAfter = f.caughtUpAt
+	}
 	if f.state.Next >= page.Head {
 		if f.age() > staleAge {
 			f.recoveredAt = time.Now()
--- a/internal/site/sitebuilder/entry.go
+++ b/internal/site/sitebuilder/entry.go
@@ -105,6 +105,8 @@
 	e.acceptor.AcceptLatency = exporter.NewHistogram("accept_us")
 	exporter.Publish("view_age_us", func() any { return e.follower.Age().Microseconds() })
 	exporter.Publish("leading_epoch", func() any { return e.leader.Leading() })
+	exporter.Publish("refused_for_room", func() any { return e.acceptor.RefusedForRoom() })
+	exporter.Publish("forecast_age_us", func() any { return e.forecastAge() })
 	exporter.Publish("work", func() any { return e.workCounts() })
 	e.follower.Init()
 	e.leader.Init(time.Now())
@@ -139,6 +141,16 @@
 	return nil
 }
 
+// forecastAge returns the age of the forecast of room in microseconds, nil if there is
+// none, for the metrics.
+func (e *entry) forecastAge() any {
+	age, known := e.acceptor.ForecastAge()
+	if !known {
+		return nil
+	}
+	return age.Microseconds()
+}
+
 // workCounts returns the numbers of sessions, entries and jobs by state in the
 // view, for the metrics.
 func (e *entry) workCounts() map[string]int {
