--- a/internal/job/jobreducer/jobreducer.go
+++ b/internal/job/jobreducer/jobreducer.go
@@ -28,6 +28,7 @@
 
 	estimatesKey = "w"
 	speedsKey    = "s"
+	forecastKey  = "f"
 )
 
 // The final states of a job.
@@ -91,6 +92,8 @@
 	Estimates *work.InterferenceEstimates
 	// Speeds are the VMs that the last leader gave little work, nil if it wrote none.
 	Speeds *work.Speeds
+	// Forecast is the newest forecast of room, nil if there is none.
+	Forecast *work.RoomForecast
 	// Next is the offset of the first record that is not yet applied.
 	Next int64
 }
@@ -112,6 +115,9 @@
 	if r.Key == speedsKey {
 		return applyValue(r, func(v *work.WorkRecord) { s.Speeds = v.Speeds })
 	}
+	if r.Key == forecastKey {
+		return applyValue(r, func(v *work.WorkRecord) { s.Forecast = v.Forecast })
+	}
 	if len(r.Key) < len(jobPrefix) {
 		return trace.BadParameter("record at offset %d has unknown key %q", r.Offset, r.Key)
 	}
@@ -268,6 +274,11 @@
 	return newRecord(speedsKey, &work.WorkRecord{Speeds: s})
 }
 
+// ForecastRecord returns the record of a leader's forecast of room.
+func ForecastRecord(f *work.RoomForecast) journal.Record {
+	return newRecord(forecastKey, &work.WorkRecord{Forecast: f})
+}
+
 // JobRecord returns the record of an accepted job.
 func JobRecord(j *work.Job) journal.Record {
 	return newRecord(jobPrefix+j.ID, &work.WorkRecord{Job: j})
--- a/internal/job/leader/loop.go
+++ b/internal/job/leader/loop.go
@@ -82,6 +82,9 @@
 		l.planner.Tick(now)
 		planned := l.planner.Flush()
 		planned.Records = append(records, planned.Records...)
+		if forecast := l.planner.Outlook(l.epoch, now); forecast != nil {
+			planned.Records = append(planned.Records, jobreducer.ForecastRecord(forecast))
+		}
 		batch = planned
 	})
 	return batch, proposals
--- a/internal/site/sitebuilder/entry.go
+++ b/internal/site/sitebuilder/entry.go
@@ -109,6 +109,8 @@
 	exporter.Publish("leading_epoch", func() any { return e.leader.Leading() })
 	exporter.Publish("evacuated", func() any { return e.watcher.Evacuation() })
 	exporter.Publish("unserved_requests", func() any { return e.watcher.Unserved() })
+	exporter.Publish("refused_for_room", func() any { return e.acceptor.RefusedForRoom() })
+	exporter.Publish("forecast_age_us", func() any { return e.forecastAge() })
 	exporter.Publish("work", func() any { return e.workCounts() })
 	exporter.Publish("uneven", func() any { return e.leader.Uneven() })
 	e.follower.Init()
@@ -144,6 +146,16 @@
 	return nil
 }
 
+// forecastAge returns the age of the forecast of room in microseconds, nil if there is
+// none, for the metrics.
+func (e *entry) forecastAge() any {
+	age, known := e.acceptor.ForecastAge()
+	if !known {
+		return nil
+	}
+	return age.Microseconds()
+}
+
 // workCounts returns the numbers of sessions, entries and jobs by state in the
 // view, for the metrics.
 func (e *entry) workCounts() map[string]int {
