Learn durations of tasks by queue, image and step

Change: internal/job/durationestimator weighs the declaration, the steps of the queue that ended and the tasks and progress of the step itself; the planner measures runs at full speed, offers expectedDuration, and writes record d for the next leader.

--- a/internal/job/jobreducer/jobreducer.go
+++ b/internal/job/jobreducer/jobreducer.go
@@ -27,6 +27,7 @@
 	termKey       = "t"
 
 	estimatesKey = "w"
+	durationsKey = "d"
 )
 
 // The final states of a job.
@@ -88,6 +89,9 @@
 	// Estimates are the interference estimates that leaders have stored, nil if
 	// there are none.
 	Estimates *work.InterferenceEstimates
+	// Durations are the learned durations that leaders have stored, nil if there are
+	// none.
+	Durations *work.LearnedDurations
 	// Next is the offset of the first record that is not yet applied.
 	Next int64
 }
@@ -106,6 +110,9 @@
 	if r.Key == estimatesKey {
 		return applyValue(r, func(v *work.WorkRecord) { s.Estimates = v.Estimates })
 	}
+	if r.Key == durationsKey {
+		return applyValue(r, func(v *work.WorkRecord) { s.Durations = v.Durations })
+	}
 	if len(r.Key) < len(jobPrefix) {
 		return trace.BadParameter("record at offset %d has unknown key %q", r.Offset, r.Key)
 	}
@@ -217,6 +224,11 @@
 	return newRecord(estimatesKey, &work.WorkRecord{Estimates: e})
 }
 
+// DurationsRecord returns the record of the durations that a leader has learned.
+func DurationsRecord(d *work.LearnedDurations) journal.Record {
+	return newRecord(durationsKey, &work.WorkRecord{Durations: d})
+}
+
 // JobRecord returns the record of an accepted job.
 func JobRecord(j *work.Job) journal.Record {
 	return newRecord(jobPrefix+j.ID, &work.WorkRecord{Job: j})
--- a/internal/job/planner/cost.go
+++ b/internal/job/planner/cost.go
@@ -63,7 +63,7 @@
 	share := float64(s.spec.Size.Millicores) / float64(max(v.workerStatus.Capacity.Millicores, 1))
 	placed := v.fullPaceFillerShares()
 	var paces [forecastSeconds]float64
-	seconds := max(1, min(int(math.Ceil(s.spec.EstimatedDuration.Seconds())), forecastSeconds))
+	seconds := max(1, min(int(math.Ceil(pl.expectedDuration(s).Seconds())), forecastSeconds))
 	for i := range seconds {
 		paces[i] = 1
 	}
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"knapweedspur/internal/job/durationestimator"
 	"knapweedspur/internal/job/estimator"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/wire/work"
@@ -46,6 +47,10 @@
 	// forecastLoads are the expected loads in the next seconds, nil while they
 	// are not known.
 	forecastLoads []float64
+	// observed is what tasks of the step showed about their duration; learned is set
+	// once the estimator has it.
+	observed durationestimator.Observation
+	learned  bool
 	// tickets are the answers of the policy service by VM.
 	tickets map[string]ticket
 }
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -18,6 +18,7 @@
 	pl.checkSessions(now)
 	pl.evacuateLeavingWorkers(now)
 	pl.learnInterference(now)
+	pl.saveDurations(now)
 	pl.sendWeights(now)
 	for _, j := range pl.jobs {
 		if j.record != nil && j.record.Occurrences > 0 {
@@ -199,6 +200,7 @@
 	var best *vm
 	var bestCost float64
 	bestLeavesGap := false
+	acceptsAnyCost := !s.spec.Filler || pl.waitedTooLong(s, now)
 	for _, v := range pl.sortedVMs {
 		if !pl.suitable(v, s, now) {
 			continue
@@ -208,7 +210,7 @@
 			continue
 		}
 		cost := pl.cost(v, s, t)
-		if s.spec.Filler && cost > maxFillerCost && !pl.waitedTooLong(s, now) {
+		if cost > maxFillerCost && !acceptsAnyCost {
 			continue
 		}
 		if best == nil || leavesGap && !bestLeavesGap || cost < bestCost {
@@ -240,7 +242,7 @@
 // waitedTooLong reports whether a step has waited so long that it accepts any
 // cost.
 func (pl *Planner) waitedTooLong(s *step, now time.Time) bool {
-	return now.Sub(s.dueAt()) > time.Duration(maxFillerWaitFactor*float64(timeObjective(s.job.record)))
+	return now.Sub(s.dueAt()) > time.Duration(maxFillerWaitFactor*float64(pl.timeObjective(s.job, s.key.Occurrence)))
 }
 
 // countRuns counts the runs of a step on the VM.
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"time"
 
+	"knapweedspur/internal/job/durationestimator"
 	"knapweedspur/internal/job/estimator"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/log/journal"
@@ -31,6 +32,9 @@
 	// FillVMs lets long-running tasks reserve whole VMs. It is a baseline for
 	// comparison; otherwise room is kept for short jobs.
 	FillVMs bool
+	// DeclaredDurations trusts the durations that clients declare. It is a baseline
+	// for comparison; otherwise durations are learned.
+	DeclaredDurations bool
 }
 
 // Policy is the order in which waiting jobs are placed.
@@ -68,6 +72,11 @@
 	crowdedPools map[string]bool
 
 	interference *estimator.Interference
+	// durations is what ended tasks showed; savedDurations is the number of its
+	// changes when it was last written to the log, at durationsSavedAt.
+	durations        *durationestimator.Estimator
+	savedDurations   int64
+	durationsSavedAt time.Time
 	// lastLearned is when interference was last learned from latencies.
 	lastLearned time.Time
 	// estimatesSavedAt is when the learned estimates were last written to the
@@ -148,6 +157,10 @@
 	// report of the run; both restart if the progress goes back.
 	firstSeen    time.Time
 	firstPercent int
+	// fullSpeedTime is how long the run would have taken so far at full speed,
+	// measured up to measuredAt; firstSpeedTime is that at firstSeen.
+	fullSpeedTime, firstSpeedTime time.Duration
+	measuredAt                    time.Time
 }
 
 // runKey identifies a run of a task.
@@ -161,11 +174,15 @@
 	pl := &Planner{
 		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, termStart: now, logDecision: log,
 		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
-		interference: estimator.NewInterference(), shortWork: map[string]*shortWork{},
+		interference: estimator.NewInterference(), durations: durationestimator.New(), shortWork: map[string]*shortWork{},
 	}
 	if state.Estimates != nil {
 		pl.interference.Restore(state.Estimates.Pairs)
 	}
+	if state.Durations != nil {
+		pl.durations.Restore(state.Durations)
+		pl.savedDurations = pl.durations.Changes()
+	}
 	for name, session := range state.Sessions {
 		v := pl.ensureVM(name)
 		v.session = *session
--- a/internal/job/planner/rank.go
+++ b/internal/job/planner/rank.go
@@ -1,11 +1,6 @@
 package planner
 
-import (
-	"time"
-
-	"knapweedspur/internal/job/jobreducer"
-	"knapweedspur/internal/wire/work"
-)
+import "time"
 
 // candidate is a step with waiting tasks that could be placed now.
 type candidate struct {
@@ -83,12 +78,12 @@
 func (pl *Planner) rank(s *step, now time.Time) candidate {
 	j := s.job
 	start := s.dueAt()
-	objective := timeObjective(j.record)
-	c := candidate{step: s, deadline: start.Add(objective), remainingWork: j.remainingWork(s.key.Occurrence)}
+	objective := pl.timeObjective(j, s.key.Occurrence)
+	c := candidate{step: s, deadline: start.Add(objective), remainingWork: pl.remainingWork(j, s.key.Occurrence)}
 	if s.spec.LongRunning {
 		return c
 	}
-	remaining := longestChain(j.record.Steps, s.key.Step)
+	remaining := pl.chains(j, s.key.Occurrence)[s.key.Step]
 	switch expectedEnd := now.Add(remaining); {
 	case !expectedEnd.After(c.deadline):
 		c.lateness = 0
@@ -175,41 +170,3 @@
 		candidates[i].shortOfTime = overloaded || candidates[i].step.spec.Filler
 	}
 }
-
-// remainingWork returns the remaining work of an occurrence, in core-seconds.
-func (j *job) remainingWork(occurrence int) float64 {
-	sum := 0.0
-	for i := range j.record.Steps {
-		spec := &j.record.Steps[i]
-		tasks := spec.Tasks
-		if s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: i}]; s != nil {
-			tasks -= s.done
-		}
-		sum += float64(tasks) * spec.EstimatedDuration.Seconds() * float64(spec.Size.Millicores) / 1000
-	}
-	return sum
-}
-
-// timeObjective returns the time within which a job should complete.
-func timeObjective(j *work.Job) time.Duration {
-	longest := time.Duration(0)
-	for i := range j.Steps {
-		if len(j.Steps[i].DependsOn) == 0 {
-			longest = max(longest, longestChain(j.Steps, i))
-		}
-	}
-	return time.Duration(j.Queue.Stretch*float64(longest)) + j.Queue.Target
-}
-
-// longestChain returns the longest declared time from the start of a step to
-// the end of the job.
-func longestChain(steps []work.Step, from int) time.Duration {
-	longest := make([]time.Duration, len(steps))
-	for i := len(steps) - 1; i >= from; i-- {
-		longest[i] += steps[i].EstimatedDuration
-		for _, dependency := range steps[i].DependsOn {
-			longest[dependency] = max(longest[dependency], longest[i])
-		}
-	}
-	return longest[from]
-}
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -72,10 +72,15 @@
 		pl.stopUnknownRun(v, a, now)
 		return
 	}
-	if !p.active || a.ProgressPercent < p.firstPercent {
-		p.firstSeen, p.firstPercent = now, a.ProgressPercent
-	}
+	first := !p.active
 	p.active, p.progressPercent, p.measurement = true, a.ProgressPercent, a.Measurement
+	p.measureTime(now)
+	if first || a.ProgressPercent < p.firstPercent {
+		p.firstSeen, p.firstPercent, p.firstSpeedTime = now, a.ProgressPercent, p.fullSpeedTime
+	}
+	if !p.step.spec.LongRunning {
+		p.observeProgress()
+	}
 	if v.probeWorks(p, now) {
 		v.health.recordSuccess()
 	}
@@ -174,6 +179,9 @@
 	switch {
 	case e.Outcome == endDone && !s.spec.LongRunning && !t.Done:
 		t.Done = true
+		if p != nil {
+			pl.learnDuration(p, now)
+		}
 		pl.stopTaskRuns(s, index, "done", now)
 		v.health.recordSuccess()
 		if s.spec.Gang {
@@ -188,6 +196,7 @@
 		v.health.recordFailure(e.Task, now)
 	}
 	pl.markDirty(s, index)
+	pl.learnStep(s)
 	pl.finishIfTaskDecides(s, t, now)
 }
 
--- a/internal/standin/clustersimulator/clustersimulator.go
+++ b/internal/standin/clustersimulator/clustersimulator.go
@@ -58,9 +58,9 @@
 	grants   map[string]*work.Grant
 }
 
-// Simulate runs a workload under a policy and returns the worth it earned. A seed
-// always draws the same jobs, so that policies can be compared.
-func Simulate(workload *Workload, policy planner.Policy, seed uint64) *Result {
+// Simulate runs a workload under a planner's settings and returns the worth it
+// earned. A seed always draws the same jobs, so that settings can be compared.
+func Simulate(workload *Workload, settings planner.Settings, seed uint64) *Result {
 	random := rand.New(rand.NewPCG(seed, 1))
 	s := &Simulation{workload: workload, startTime: time.Unix(1_000_000, 0), state: jobreducer.New(), jobsByID: map[string]*simulatedJob{}, interference: map[string]float64{}}
 	s.result = newResult(seed)
@@ -69,7 +69,8 @@
 	if workload.Known {
 		s.state.Estimates = s.trueEstimates()
 	}
-	s.planner = planner.New(planner.Settings{MaxLease: 6 * time.Second, FarFactor: 1.5, Policy: policy}, s.state, s.startTime, func(string, ...any) {})
+	settings.MaxLease, settings.FarFactor = 6*time.Second, 1.5
+	s.planner = planner.New(settings, s.state, s.startTime, func(string, ...any) {})
 	for i := range workload.VMs {
 		v := &vm{name: fmt.Sprintf("vm%04d", i), starts: map[string]work.Start{}, pacer: pacer.New(), nextReport: time.Duration(i%5) * timeStep}
 		v.pacer.MaxTargetMiss = maxTargetMiss
--- a/internal/standin/clustersimulator/clustersimulator_test.go
+++ b/internal/standin/clustersimulator/clustersimulator_test.go
@@ -56,7 +56,7 @@
 	feed, proof, over := 0.0, 0.0, time.Duration(0)
 	const runs = 4
 	for seed := range uint64(runs) {
-		result := Simulate(smallWorkload(), planner.ByWorth, seed)
+		result := Simulate(smallWorkload(), planner.Settings{}, seed)
 		feed += result.Worth["feed"] / runs
 		proof += result.Worth["proof"] / runs
 		over += result.Over / runs
@@ -72,7 +72,7 @@
 func TestNoObjectiveMissBlamedOnAbsentFillers(t *testing.T) {
 	workload := smallWorkload()
 	workload.Kinds = workload.Kinds[:1]
-	result := Simulate(workload, planner.ByWorth, 1)
+	result := Simulate(workload, planner.Settings{}, 1)
 	if diff := cmp.Diff(time.Duration(0), result.Over); diff != "" {
 		t.Errorf("time over the objective because of fillers (-want +got):\n%s", diff)
 	}
--- a/internal/standin/standinrunner/lab.go
+++ b/internal/standin/standinrunner/lab.go
@@ -25,6 +25,8 @@
 	First uint64 `default:"1" help:"Seed of the first day."`
 	Jobs  int    `default:"4" help:"Days that are played at once."`
 	JSON  bool   `help:"Print one JSON object a day."`
+	// Declared trusts declared durations; of two policies, only under the first.
+	Declared bool `help:"Trust declared durations (in a comparison: the base only)."`
 }
 
 type labRun struct {
@@ -38,8 +40,8 @@
 	With string `default:"worth" enum:"worth,deadline,arrival" help:"The policy in question."`
 }
 
-// simulate runs one simulation per seed under a policy, several in parallel.
-func (o *labOptions) simulate(policy string) ([]*clustersimulator.Result, error) {
+// simulate runs one simulation per seed under settings, several in parallel.
+func (o *labOptions) simulate(settings planner.Settings) ([]*clustersimulator.Result, error) {
 	workload, err := clustersimulator.ReadWorkload(o.Load)
 	if err != nil {
 		return nil, err
@@ -51,7 +53,7 @@
 		semaphore <- struct{}{}
 		group.Go(func() {
 			defer func() { <-semaphore }()
-			results[i] = clustersimulator.Simulate(workload, planner.Policy(policy), o.First+uint64(i))
+			results[i] = clustersimulator.Simulate(workload, settings, o.First+uint64(i))
 		})
 	}
 	group.Wait()
@@ -77,7 +79,7 @@
 
 // Run simulates the days under one policy and prints the mean worth.
 func (c *labRun) Run(env *environment) error {
-	results, err := c.simulate(c.Policy)
+	results, err := c.simulate(planner.Settings{Policy: planner.Policy(c.Policy), DeclaredDurations: c.Declared})
 	if err != nil {
 		return err
 	}
@@ -95,11 +97,11 @@
 
 // Run simulates the days under both policies and prints the paired difference.
 func (c *labCompare) Run(env *environment) error {
-	baseline, err := c.simulate(c.Base)
+	baseline, err := c.simulate(planner.Settings{Policy: planner.Policy(c.Base), DeclaredDurations: c.Declared})
 	if err != nil {
 		return err
 	}
-	candidate, err := c.simulate(c.With)
+	candidate, err := c.simulate(planner.Settings{Policy: planner.Policy(c.With)})
 	if err != nil {
 		return err
 	}
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -187,6 +187,40 @@
 	Value []byte `json:"value" cbor:"value" yaml:"value"`
 }
 
+// What ended steps of a queue showed about durations. Logarithms are in
+// hundredths.
+type LearnedDuration struct {
+	// Weight of the ended steps, in hundredths.
+	Count int `json:"count" cbor:"count" yaml:"count"`
+
+	// Variance of that logarithm.
+	RatioVariance int `json:"doubt" cbor:"doubt" yaml:"doubt"`
+
+	// Image of the tasks, empty for all.
+	Image string `json:"image" cbor:"image" yaml:"image"`
+
+	// Mean logarithm of the duration in seconds.
+	DurationMean int `json:"length" cbor:"length" yaml:"length"`
+
+	// Queue corresponds to the JSON schema field "queue".
+	Queue string `json:"queue" cbor:"queue" yaml:"queue"`
+
+	// Mean logarithm of real by declared duration.
+	RatioMean int `json:"ratio" cbor:"ratio" yaml:"ratio"`
+
+	// Variance of that logarithm.
+	DurationVariance int `json:"spread" cbor:"spread" yaml:"spread"`
+
+	// Position in the job, -1 for all.
+	Step int `json:"step" cbor:"step" yaml:"step"`
+}
+
+// What a leader has learned about durations of tasks.
+type LearnedDurations struct {
+	// Kinds corresponds to the JSON schema field "kinds".
+	Kinds []LearnedDuration `json:"kinds" cbor:"kinds" yaml:"kinds"`
+}
+
 // An entry that has announced itself.
 type Member struct {
 	// Address for agents and entries.
@@ -554,6 +588,9 @@
 	// Cancel corresponds to the JSON schema field "cancel".
 	Cancel *Cancel `json:"cancel,omitempty,omitzero" cbor:"cancel,omitempty" yaml:"cancel,omitempty"`
 
+	// Durations corresponds to the JSON schema field "durations".
+	Durations *LearnedDurations `json:"durations,omitempty,omitzero" cbor:"durations,omitempty" yaml:"durations,omitempty"`
+
 	// Estimates corresponds to the JSON schema field "estimates".
 	Estimates *InterferenceEstimates `json:"estimates,omitempty,omitzero" cbor:"estimates,omitempty" yaml:"estimates,omitempty"`
 
