Sequence of jobs by Moore-Hodgson when not all can be in time

Cause: with more work than capacity every job begins at once and most end late. Change: internal/job/sequencer takes jobs by deadline and leaves out those with the least worth for their work, which come behind; begun jobs keep their place, aged ones get a fifth. The planner asks it through order() (Policy sequence, the default; worth stays as the baseline). A late filler waits rather than slow others on its VM.

--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -8,6 +8,7 @@
 	"knapweedspur/internal/job/durationestimator"
 	"knapweedspur/internal/job/estimator"
 	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/job/sequencer"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -22,7 +23,9 @@
 	steps              map[jobreducer.StepKey]*step
 	startedOccurrences int
 	canceled           bool
-	outcome            *work.Outcome
+	// sequenced is the last decision about the order of the job.
+	sequenced map[classKey]sequencer.Result
+	outcome   *work.Outcome
 	// dropped is set once the description was removed from the log.
 	dropped bool
 }
@@ -51,6 +54,9 @@
 	// once the estimator has it.
 	observed durationestimator.Observation
 	learned  bool
+	// leastProgress is the least progress of its running tasks, in percent, as of the
+	// last decision about the order.
+	leastProgress int
 	// tickets are the answers of the policy service by VM.
 	tickets map[string]ticket
 }
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"knapweedspur/internal/wire/work"
@@ -48,9 +47,8 @@
 	if len(candidates) == 0 {
 		return
 	}
-	pl.markOverload(candidates, now)
 	pl.markCrowdedPools(candidates, now)
-	sort.Slice(candidates, func(i, j int) bool { return candidates[i].before(&candidates[j], pl.Settings.Policy) })
+	pl.order(candidates, now)
 	remaining := maxPlacements
 	for i := range candidates {
 		if remaining <= 0 {
@@ -200,7 +198,6 @@
 	var best *vm
 	var bestCost float64
 	bestLeavesGap := false
-	acceptsAnyCost := !s.spec.Filler || pl.waitedTooLong(s, now)
 	for _, v := range pl.sortedVMs {
 		if !pl.suitable(v, s, now) {
 			continue
@@ -210,7 +207,7 @@
 			continue
 		}
 		cost := pl.cost(v, s, t)
-		if cost > maxFillerCost && !acceptsAnyCost {
+		if s.spec.Filler && !pl.acceptsCost(s, v, cost, now) {
 			continue
 		}
 		if best == nil || leavesGap && !bestLeavesGap || cost < bestCost {
@@ -242,7 +239,7 @@
 // waitedTooLong reports whether a step has waited so long that it accepts any
 // cost.
 func (pl *Planner) waitedTooLong(s *step, now time.Time) bool {
-	return now.Sub(s.dueAt()) > time.Duration(maxFillerWaitFactor*float64(pl.timeObjective(s.job, s.key.Occurrence)))
+	return now.Sub(s.job.dueAt(s.key.Occurrence)) > time.Duration(maxFillerWaitFactor*float64(pl.timeObjective(s.job, s.key.Occurrence)))
 }
 
 // countRuns counts the runs of a step on the VM.
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -27,7 +27,7 @@
 	// FarFactor is the factor by which a task takes longer on a VM outside the
 	// rack that holds its data.
 	FarFactor float64
-	// Policy is the order in which jobs are placed; empty means ByWorth.
+	// Policy is the order in which jobs are placed; empty means BySequence.
 	Policy Policy
 	// FillVMs lets long-running tasks reserve whole VMs. It is a baseline for
 	// comparison; otherwise room is kept for short jobs.
@@ -44,8 +44,10 @@
 // the steps that do not serve, ByWorth and ByDeadline order by lateness, then by
 // the priority of the queue, then by deadline. For fillers, and while there is
 // too little time for all jobs, ByWorth puts the remaining work before the
-// deadline. ByDeadline and ByArrival are baselines for comparison.
+// deadline. BySequence is ByWorth while all jobs can be in time, and else the order
+// that the sequencer decides. The others are baselines for comparison.
 const (
+	BySequence Policy = "sequence"
 	ByWorth    Policy = "worth"
 	ByDeadline Policy = "deadline"
 	ByArrival  Policy = "arrival"
@@ -71,6 +73,11 @@
 	shortWork    map[string]*shortWork
 	crowdedPools map[string]bool
 
+	// sequences is the last decision about the order of jobs, by the capacity that
+	// they need; fillerShares is what fillers get of it, by pool.
+	sequences    map[sequenceKind]*sequence
+	fillerShares map[string]*fillerShare
+
 	interference *estimator.Interference
 	// durations is what ended tasks showed; savedDurations is the number of its
 	// changes when it was last written to the log, at durationsSavedAt.
@@ -174,7 +181,7 @@
 	pl := &Planner{
 		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, termStart: now, logDecision: log,
 		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
-		interference: estimator.NewInterference(), durations: durationestimator.New(), shortWork: map[string]*shortWork{},
+		interference: estimator.NewInterference(), durations: durationestimator.New(), shortWork: map[string]*shortWork{}, fillerShares: map[string]*fillerShare{},
 	}
 	if state.Estimates != nil {
 		pl.interference.Restore(state.Estimates.Pairs)
--- a/internal/job/planner/rank.go
+++ b/internal/job/planner/rank.go
@@ -1,6 +1,10 @@
 package planner
 
-import "time"
+import (
+	"time"
+
+	"knapweedspur/internal/job/sequencer"
+)
 
 // candidate is a step with waiting tasks that could be placed now.
 type candidate struct {
@@ -14,6 +18,11 @@
 	// shortOfTime is set if there is not enough time for all steps, so that
 	// those with the least remaining work go first.
 	shortOfTime bool
+	// sequenced is set if not all jobs that need the same capacity can be in time;
+	// class and position are then the decision about the job.
+	sequenced bool
+	class     sequencer.Class
+	position  int
 }
 
 // lateFactor is how many times its objective a job may take and still be
@@ -32,6 +41,12 @@
 		// steps.
 		return !fills
 	}
+	if a, b := c.step.job.record.Queue.Pool, o.step.job.record.Queue.Pool; a != b {
+		return a < b
+	}
+	if c.sequenced && o.sequenced && c.position != o.position {
+		return c.position < o.position
+	}
 	if policy == ByArrival {
 		return c.step.job.number < o.step.job.number
 	}
@@ -77,7 +92,7 @@
 // rank returns a step as a candidate with its urgency.
 func (pl *Planner) rank(s *step, now time.Time) candidate {
 	j := s.job
-	start := s.dueAt()
+	start := j.dueAt(s.key.Occurrence)
 	objective := pl.timeObjective(j, s.key.Occurrence)
 	c := candidate{step: s, deadline: start.Add(objective), remainingWork: pl.remainingWork(j, s.key.Occurrence)}
 	if s.spec.LongRunning {
@@ -95,14 +110,13 @@
 	return c
 }
 
-// dueAt returns when the occurrence of the step was due. Unlike startedAt, it is
+// dueAt returns when an occurrence was due. Unlike the startedAt of its steps, it is
 // known to every leader.
-func (s *step) dueAt() time.Time {
-	record := s.job.record
-	if record.Occurrences > 0 {
-		return record.DueAt.Add(time.Duration(s.key.Occurrence) * record.Interval)
+func (j *job) dueAt(occurrence int) time.Time {
+	if j.record.Occurrences > 0 {
+		return j.record.DueAt.Add(time.Duration(occurrence) * j.record.Interval)
 	}
-	return record.AcceptedAt
+	return j.record.AcceptedAt
 }
 
 const (
--- /dev/null
+++ b/internal/job/sequencer/sequencer_test.go
@@ -0,0 +1,150 @@
+package sequencer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var start = time.Unix(1000, 0)
+
+// newJob returns a job that arrived at start with an objective of 10 s and one second
+// of shortest time.
+func newJob(number int, work float64) Job {
+	return Job{
+		Number: number, ArrivedAt: start, Deadline: start.Add(10 * time.Second), LateDeadline: start.Add(30 * time.Second),
+		Work: work, TotalWork: work, Shortest: time.Second,
+	}
+}
+
+// order returns the numbers of the jobs in the order decided.
+func order(jobs []Job, results []Result) []int {
+	numbers := make([]int, len(jobs))
+	for i, r := range results {
+		numbers[r.Position] = jobs[i].Number
+	}
+	return numbers
+}
+
+func classes(results []Result) []Class {
+	list := make([]Class, len(results))
+	for i, r := range results {
+		list[i] = r.Class
+	}
+	return list
+}
+
+func wantEqual(t *testing.T, what string, want, got any) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
+
+// Three jobs of 40 core-seconds have 9 s on 10 cores, less one second for the last
+// tasks: two fit, the third is late but useful.
+func TestAsManyAsFitAreInTime(t *testing.T) {
+	jobs := []Job{newJob(1, 40), newJob(2, 40), newJob(3, 40)}
+	results, allInTime := Decide(jobs, 10, start)
+	wantEqual(t, "all in time", false, allInTime)
+	wantEqual(t, "classes", []Class{InTime, InTime, Late}, classes(results))
+	wantEqual(t, "order", []int{1, 2, 3}, order(jobs, results))
+
+	results, allInTime = Decide(jobs[:2], 10, start)
+	wantEqual(t, "all of two in time", true, allInTime)
+	wantEqual(t, "classes of two", []Class{InTime, InTime}, classes(results))
+}
+
+// A begun job has the most worth for the work that is left.
+func TestBegunBeforeNewOfItsKind(t *testing.T) {
+	jobs := []Job{newJob(1, 50), newJob(2, 50), newJob(3, 50)}
+	jobs[2].Begun, jobs[2].Work = true, 30
+	results, _ := Decide(jobs, 10, start)
+	wantEqual(t, "order", []int{3, 1, 2}, order(jobs, results))
+	wantEqual(t, "class of the begun job", InTime, results[2].Class)
+}
+
+func TestJobThatCannotBeInTimeGoesBehind(t *testing.T) {
+	jobs := []Job{newJob(1, 10), newJob(2, 10), newJob(3, 80), newJob(4, 10)}
+	jobs[0].Shortest = 12 * time.Second
+	jobs[1].Shortest = 40 * time.Second
+	results, _ := Decide(jobs, 10, start)
+	wantEqual(t, "classes", []Class{Late, Rest, InTime, InTime}, classes(results)[:4])
+	wantEqual(t, "order", []int{3, 4, 1, 2}, order(jobs, results))
+}
+
+func TestUrgentPriorityIsNotDroppedForOther(t *testing.T) {
+	jobs := []Job{newJob(1, 60), newJob(2, 10), newJob(3, 60)}
+	jobs[1].Priority = 2
+	jobs[2].Priority = 2
+	results, _ := Decide(jobs, 10, start)
+	wantEqual(t, "classes", []Class{InTime, InTime, Late}, classes(results))
+}
+
+// Estimates of work vary from pass to pass; a job that was chosen must stay so unless
+// another is clearly worth more for its work.
+func TestChosenJobsDoNotFlap(t *testing.T) {
+	jobs := []Job{newJob(1, 60), newJob(2, 60)}
+	for i := range jobs {
+		jobs[i].Begun = true
+	}
+	results, _ := Decide(jobs, 10, start)
+	changes := 0
+	for pass := range 40 {
+		previous := classes(results)
+		for i := range jobs {
+			jobs[i].Previous = previous[i]
+			jobs[i].Work = 60 + 5*float64((pass+i)%2)
+		}
+		results, _ = Decide(jobs, 10, start)
+		if !cmp.Equal(previous, classes(results)) {
+			changes++
+		}
+	}
+	wantEqual(t, "changes of the classes", 0, changes)
+}
+
+// Jobs that fit keep arriving. A large one that never fits in time must still begin
+// after a bounded wait, and only one such job may go first at a time.
+func TestNoJobStarves(t *testing.T) {
+	jobs := []Job{newJob(1, 500), newJob(2, 500)}
+	firstAt := time.Duration(0)
+	for elapsed := time.Duration(0); elapsed < 200*time.Second && firstAt == 0; elapsed += time.Second {
+		now := start.Add(elapsed)
+		young := newJob(3, 85)
+		young.ArrivedAt, young.Deadline, young.LateDeadline = now, now.Add(10*time.Second), now.Add(30*time.Second)
+		results, _ := Decide(append(jobs, young), 10, now)
+		if results[0].Position == 0 {
+			firstAt = elapsed
+			young.Work = 60
+			jobs = append(jobs, young)
+			results, _ = Decide(jobs, 10, now)
+			wantEqual(t, "order with two aged jobs", []int{1, 3, 2}, order(jobs, results))
+			jobs[0].Running = 2
+			results, _ = Decide(jobs, 10, now)
+			wantEqual(t, "order while the aged job has its share", []int{3, 2, 1}, order(jobs, results))
+		}
+	}
+	if limit := 101 * time.Second; firstAt == 0 || firstAt > limit {
+		t.Errorf("the large job went first after %s, want at most %s", firstAt, limit)
+	}
+}
+
+// A pass has a few milliseconds; 500 jobs at once are the largest bursts played.
+func TestDecisionOf500JobsIsCheap(t *testing.T) {
+	jobs := make([]Job, 500)
+	for i := range jobs {
+		jobs[i] = newJob(i, 5+float64(i*37%90))
+		jobs[i].Deadline = jobs[i].Deadline.Add(time.Duration(i*61%400) * 100 * time.Millisecond)
+	}
+	result := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			Decide(jobs, 100, start)
+		}
+	})
+	if limit := 5 * time.Millisecond; time.Duration(result.NsPerOp()) > limit {
+		t.Errorf("a decision takes %s, want at most %s", time.Duration(result.NsPerOp()), limit)
+	}
+	t.Logf("%s for a decision", time.Duration(result.NsPerOp()))
+}
--- a/internal/standin/clustersimulator/load.go
+++ b/internal/standin/clustersimulator/load.go
@@ -124,8 +124,10 @@
 	// stepSeconds are the true durations of the tasks of each step.
 	stepSeconds []float64
 	coreSeconds float64
-	completedAt time.Duration
-	canceled    bool
+	// usedCoreSeconds is what the tasks used so far.
+	usedCoreSeconds float64
+	completedAt     time.Duration
+	canceled        bool
 }
 
 // drawJobs draws the jobs of a simulation, kind by kind, each in order of arrival.
--- a/internal/standin/clustersimulator/result.go
+++ b/internal/standin/clustersimulator/result.go
@@ -27,8 +27,10 @@
 }
 
 // JobLatency is when a job arrived and how long it took, 0 if it did not complete.
+// Work is its work in core-seconds, Used what its tasks used.
 type JobLatency struct {
 	At, Took, Objective time.Duration
+	Work, Used          float64
 }
 
 func newResult(seed uint64) *Result {
@@ -94,7 +96,7 @@
 		}
 		k := j.kind
 		scale := min(4, 0.3+0.7*j.coreSeconds/(totalWork[k.Name]/jobCount[k.Name]))
-		latency := JobLatency{At: j.arrival, Objective: j.objective()}
+		latency := JobLatency{At: j.arrival, Objective: j.objective(), Work: j.coreSeconds, Used: j.usedCoreSeconds}
 		if j.completedAt > 0 {
 			latency.Took = j.completedAt - j.arrival
 		}
--- a/internal/standin/clustersimulator/vm.go
+++ b/internal/standin/clustersimulator/vm.go
@@ -94,6 +94,7 @@
 			t.usedMillicores = size
 			freeMillicores -= size
 			t.doneSeconds += timeStep.Seconds()
+			t.job.usedCoreSeconds += timeStep.Seconds() * size / 1000
 		}
 	}
 	share := min(1, max(0, freeMillicores)/max(fillerMillicores, 1))
@@ -103,6 +104,7 @@
 			rate := t.pace * share
 			t.usedMillicores = rate * float64(t.start.Millicores)
 			t.doneSeconds += timeStep.Seconds() * rate
+			t.job.usedCoreSeconds += timeStep.Seconds() * t.usedMillicores / 1000
 			pressure[t.start.Image] += t.usedMillicores / float64(v.workerStatus.Capacity.Millicores)
 		}
 	}
--- a/internal/standin/standinrunner/lab.go
+++ b/internal/standin/standinrunner/lab.go
@@ -31,13 +31,13 @@
 
 type labRun struct {
 	labOptions
-	Policy string `default:"worth" enum:"worth,deadline,arrival" help:"Order of jobs: worth, deadline or arrival."`
+	Policy string `default:"sequence" enum:"sequence,worth,deadline,arrival" help:"Order of jobs: sequence, worth, deadline or arrival."`
 }
 
 type labCompare struct {
 	labOptions
-	Base string `default:"arrival" enum:"worth,deadline,arrival" help:"The policy to compare with."`
-	With string `default:"worth" enum:"worth,deadline,arrival" help:"The policy in question."`
+	Base string `default:"worth" enum:"sequence,worth,deadline,arrival" help:"The policy to compare with."`
+	With string `default:"sequence" enum:"sequence,worth,deadline,arrival" help:"The policy in question."`
 }
 
 // simulate runs one simulation per seed under settings, several in parallel.
