Sequence: the most worth for the work left goes first in a class

Cause: the nearest deadline first lets a burst make all of a class a little late. Change: within a class jobs go by worth for the remaining work, which puts begun ones first.

--- a/internal/job/sequencer/sequencer.go
+++ b/internal/job/sequencer/sequencer.go
@@ -195,25 +195,17 @@
 	return worst
 }
 
-// arrange orders the jobs of a class.
+// arrange orders the jobs of a class: those that can end in time, or be of use, by
+// their worth for the work that is left, so that begun ones end before new ones begin.
 func arrange(list []*item, class Class) {
 	slices.SortFunc(list, func(a, b *item) int {
 		if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 			return c
 		}
-		if a.Begun != b.Begun {
-			if a.Begun {
-				return -1
-			}
-			return 1
+		if class == Rest {
+			return cmp.Compare(a.Number, b.Number)
 		}
-		switch class {
-		case InTime:
-			return cmp.Or(a.Deadline.Compare(b.Deadline), cmp.Compare(a.Number, b.Number))
-		case Late:
-			return cmp.Or(cmp.Compare(a.Work, b.Work), cmp.Compare(a.Number, b.Number))
-		}
-		return cmp.Compare(a.Number, b.Number)
+		return cmp.Or(cmp.Compare(b.density, a.density), cmp.Compare(a.Number, b.Number))
 	})
 }
 
