--- a/internal/job/jobreducer/jobreducer.go
+++ b/internal/job/jobreducer/jobreducer.go
@@ -29,6 +29,7 @@
 	estimatesKey = "w"
 	speedsKey    = "s"
 	forecastKey  = "f"
+	durationsKey = "d"
 )
 
 // The final states of a job.
@@ -94,6 +95,9 @@
 	Speeds *work.Speeds
 	// Forecast is the newest forecast of room, nil if there is none.
 	Forecast *work.RoomForecast
+	// Durations are the learned durations that leaders have stored, nil if there are
+	// none.
+	Durations *work.LearnedDurations
 	// Next is the offset of the first record that is not yet applied.
 	Next int64
 }
@@ -118,6 +122,9 @@
 	if r.Key == forecastKey {
 		return applyValue(r, func(v *work.WorkRecord) { s.Forecast = v.Forecast })
 	}
+	if r.Key == durationsKey {
+		return applyValue(r, func(v *work.WorkRecord) { s.Durations = v.Durations })
+	}
 	if len(r.Key) < len(jobPrefix) {
 		return trace.BadParameter("record at offset %d has unknown key %q", r.Offset, r.Key)
 	}
@@ -279,6 +286,11 @@
 	return newRecord(forecastKey, &work.WorkRecord{Forecast: f})
 }
 
+// DurationsRecord returns the record of the durations that a leader has learned.
+func DurationsRecord(d *work.LearnedDurations) journal.Record {
+	return newRecord(durationsKey, &work.WorkRecord{Durations: d})
+}
+
 // JobRecord returns the record of an accepted job.
 func JobRecord(j *work.Job) journal.Record {
 	return newRecord(jobPrefix+j.ID, &work.WorkRecord{Job: j})
--- a/internal/job/planner/outlook.go
+++ b/internal/job/planner/outlook.go
@@ -145,7 +145,7 @@
 		}
 		if p := pools[j.record.Queue.Pool]; p != nil {
 			for occurrence := range j.startedOccurrences {
-				p.addOccurrence(j, occurrence, now)
+				pl.addOccurrence(p, j, occurrence, now)
 			}
 		}
 	}
@@ -154,25 +154,25 @@
 // addOccurrence adds the waiting tasks of an occurrence of a job. A job with less than
 // half of its time left is not counted, since a newer one soon goes before it: first
 // when it becomes late, then when its result becomes useless.
-func (p *poolOutlook) addOccurrence(j *job, occurrence int, now time.Time) {
+func (pl *Planner) addOccurrence(p *poolOutlook, j *job, occurrence int, now time.Time) {
 	var waiting []*step
-	rest, due := time.Duration(0), time.Time{}
+	rest, due, chains := time.Duration(0), time.Time{}, pl.chains(j, occurrence)
 	for i := range j.record.Steps {
 		s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: i}]
 		if s == nil || s.waiting == 0 || s.spec.LongRunning {
 			continue
 		}
-		waiting, due = append(waiting, s), s.dueAt()
-		rest = max(rest, jobmeasurer.ChainFrom(j.record.Steps, i))
+		waiting, due = append(waiting, s), j.dueAt(occurrence)
+		rest = max(rest, chains[i])
 	}
 	if len(waiting) == 0 {
 		return
 	}
-	objective, spent := timeObjective(j.record), now.Sub(due)
+	objective, spent := pl.timeObjective(j, occurrence), now.Sub(due)
 	if spent > (lateFactor*objective-rest)/2 {
 		return
 	}
-	jobWork := time.Duration(j.remainingWork(occurrence) * float64(time.Second))
+	jobWork := time.Duration(pl.remainingWork(j, occurrence) * float64(time.Second))
 	for _, s := range waiting {
 		p.fillersWait = p.fillersWait || s.spec.Filler && s.dependenciesDone()
 		p.Demands = append(p.Demands, roomforecaster.Demand{
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"knapweedspur/internal/job/copier"
+	"knapweedspur/internal/job/durationestimator"
 	"knapweedspur/internal/job/estimator"
 	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/job/jobreducer"
@@ -31,7 +32,7 @@
 	// MaxRequestAge is how long after the operators' requests were last known to be
 	// complete tasks may still be placed, 0 for no limit.
 	MaxRequestAge time.Duration
-	// Policy is the order in which jobs are placed; empty means ByWorth.
+	// Policy is the order in which jobs are placed; empty means BySequence.
 	Policy Policy
 	// FillVMs lets long-running tasks reserve whole VMs. It is a baseline for
 	// comparison; otherwise room is kept for short jobs.
@@ -39,6 +40,9 @@
 	// MaxWaste is the share of the work that copies of tasks may cause to be thrown
 	// away, 0 for the usual one.
 	MaxWaste float64
+	// DeclaredDurations trusts the durations that clients declare. It is a baseline
+	// for comparison; otherwise durations are learned.
+	DeclaredDurations bool
 }
 
 // Policy is the order in which waiting jobs are placed.
@@ -48,8 +52,10 @@
 // the steps that do not serve, ByWorth and ByDeadline order by lateness, then by
 // the priority of the queue, then by deadline. For fillers, and while there is
 // too little time for all jobs, ByWorth puts the remaining work before the
-// deadline. ByDeadline and ByArrival are baselines for comparison.
+// deadline. BySequence is ByWorth while all jobs can be in time, and else the order
+// that the sequencer decides. The others are baselines for comparison.
 const (
+	BySequence Policy = "sequence"
 	ByWorth    Policy = "worth"
 	ByDeadline Policy = "deadline"
 	ByArrival  Policy = "arrival"
@@ -88,8 +94,17 @@
 	copyBudget    copier.Budget
 	lastCopyCheck time.Time
 	counters      Counters
+	// sequences is the last decision about the order of jobs, by the capacity that
+	// they need; fillerShares is what fillers get of it, by pool.
+	sequences    map[sequenceKind]*sequence
+	fillerShares map[string]*fillerShare
 
 	interference *estimator.Interference
+	// durations is what ended tasks showed; savedDurations is the number of its
+	// changes when it was last written to the log, at durationsSavedAt.
+	durations        *durationestimator.Estimator
+	savedDurations   int64
+	durationsSavedAt time.Time
 	// lastLearned is when interference was last learned from latencies.
 	lastLearned time.Time
 	// estimatesSavedAt is when the learned estimates were last written to the
@@ -187,6 +202,10 @@
 	windowStart   time.Time
 	windowPercent int
 	rate          float64
+	// fullSpeedTime is how long the run would have taken so far at full speed,
+	// measured up to measuredAt; firstSpeedTime is that at firstSeen.
+	fullSpeedTime, firstSpeedTime time.Duration
+	measuredAt                    time.Time
 }
 
 // runKey identifies a run of a task.
@@ -200,12 +219,16 @@
 	pl := &Planner{
 		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, termStart: now, logDecision: log,
 		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
-		copyBudget:   copier.Budget{MaxWaste: settings.MaxWaste},
-		interference: estimator.NewInterference(), shortWork: map[string]*shortWork{}, outlook: newOutlook(),
+		copyBudget: copier.Budget{MaxWaste: settings.MaxWaste}, interference: estimator.NewInterference(), durations: durationestimator.New(),
+		shortWork: map[string]*shortWork{}, fillerShares: map[string]*fillerShare{}, outlook: newOutlook(),
 	}
 	if state.Estimates != nil {
 		pl.interference.Restore(state.Estimates.Pairs)
 	}
+	if state.Durations != nil {
+		pl.durations.Restore(state.Durations)
+		pl.savedDurations = pl.durations.Changes()
+	}
 	for name, session := range state.Sessions {
 		v := pl.ensureVM(name)
 		v.session = *session
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -74,10 +74,15 @@
 		pl.stopUnknownRun(v, a, now)
 		return
 	}
-	if !p.active || a.ProgressPercent < p.firstPercent {
-		p.firstSeen, p.firstPercent = now, a.ProgressPercent
-	}
+	first := !p.active
 	p.active, p.progressPercent, p.measurement = true, a.ProgressPercent, a.Measurement
+	p.measureTime(now)
+	if first || a.ProgressPercent < p.firstPercent {
+		p.firstSeen, p.firstPercent, p.firstSpeedTime = now, a.ProgressPercent, p.fullSpeedTime
+	}
+	if !p.step.spec.LongRunning {
+		p.observeProgress()
+	}
 	if v.probeWorks(p, now) {
 		p.probeCounted = true
 		v.health.RecordSuccess(p.step.job.id, now)
@@ -180,6 +185,9 @@
 	switch {
 	case e.Outcome == endDone && !s.spec.LongRunning && !t.Done:
 		t.Done = true
+		if p != nil {
+			pl.learnDuration(p, now)
+		}
 		pl.stopTaskRuns(s, index, "done", now)
 		v.health.RecordSuccess(s.job.id, now)
 		if s.spec.Gang {
@@ -195,6 +203,7 @@
 		v.health.RecordFailure(s.job.id, now)
 	}
 	pl.markDirty(s, index)
+	pl.learnStep(s)
 	pl.finishIfTaskDecides(s, index, now)
 }
 
