admissiondecider: jobs that come back get the share that aged jobs have

Cause: traced with both plays of TestRefusalsInBurst side by side: one client of 8 tasks that arrived while refused jobs came back was left out by the sequence (16.2 s instead of 1.9 s); they were told times at which they ask for a quarter of the processors, and the sequence gives jobs that have waited only a fifth. Change: a fifth for both.

--- a/internal/frontend/admissiondecider/admissiondecider.go
+++ b/internal/frontend/admissiondecider/admissiondecider.go
@@ -25,8 +25,9 @@
 	// back. Clients retry four times, so that they outlast minutes of overload.
 	minRetryAfter, maxRetryAfter = time.Second, 2 * time.Minute
 	// returnShare is the share of the processors that the jobs which come back ask for
-	// together, so that they leave room to new ones.
-	returnShare = 0.25
+	// together, so that they leave room to new ones: as much as the leader's sequence
+	// gives to jobs that have waited for long.
+	returnShare = 0.2
 	// returnGrace is how long after the time told to it a client is expected.
 	returnGrace = 2 * time.Second
 	// maxAwaited bounds the refused jobs that are remembered.
