--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -218,14 +218,11 @@
 	pl.dropEndedJob(j)
 }
 
-// Reasons for a run that did not start which say nothing of its VM's health: the worker
-// did not accept its ticket, the VM's failure domain is evacuated or may be as far as its
-// agent knows, and the leader stopped the run.
+// Reasons for a run that did not start after which its VM still gets work at once: the
+// worker did not accept its ticket, and the leader stopped the run.
 const (
-	voidReasonTicket    = "ticket"
-	voidReasonEvacuated = "evacuated"
-	voidReasonUnknown   = "requests unknown"
-	voidReasonStopped   = "stopped"
+	voidReasonTicket  = "ticket"
+	voidReasonStopped = "stopped"
 )
 
 // handleVoid processes a run that never started.
@@ -235,7 +232,7 @@
 		switch x.Reason {
 		case voidReasonTicket:
 			p.step.dropTicket(v.name)
-		case voidReasonEvacuated, voidReasonUnknown, voidReasonStopped:
+		case voidReasonStopped:
 		default:
 			v.health.recordRefusal(now)
 		}
