Entries keep the VM of an agent that reconnects, or connects as a term begins

Cause: the loss of a connection was reported by a goroutine that may run after the hello of the next one, and a new term asked for the connected agents before it took the lock, so that the hello of an agent in between went nowhere. The leader then ignores all reports of that VM, since an agent says hello once for each connection. Announce read the hello of a connection without the lock. Change: the planner is told of a loss, or of a hello, only if no newer connection has replaced it by then, and a term asks for the agents under its lock.

--- a/internal/frontend/agentbroker/agentbroker.go
+++ b/internal/frontend/agentbroker/agentbroker.go
@@ -4,6 +4,7 @@
 package agentbroker
 
 import (
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -37,12 +38,14 @@
 	Evacuation func() *work.Evacuation
 	Logger     hclog.Logger
 
+	// mu may be locked while the leader holds its lock, not the other way round.
 	mu    sync.Mutex
 	conns map[string]*agentConn
 }
 
 // agentConn is the connection to the agent of one VM. Its hello is nil until the
-// agent has sent one.
+// agent has sent one. Only the goroutine that receives writes it, under the broker's
+// lock.
 type agentConn struct {
 	conn     *framer.Conn
 	hello    *work.Hello
@@ -122,18 +125,35 @@
 		old.conn.Close()
 	}
 	b.Logger.Info("agent connected", "vm", h.WorkerStatus.VM, "born", h.WorkerStatus.Incarnation, "agent", h.AgentIncarnation)
-	b.Leader.WithPlanner(func(pl *planner.Planner, now time.Time) { pl.RegisterAgent(h, now) })
+	b.Leader.WithPlanner(func(pl *planner.Planner, now time.Time) {
+		if b.connTo(h.WorkerStatus.VM) == c {
+			pl.RegisterAgent(h, now)
+		}
+	})
 }
 
+// remove forgets a connection that has ended, unless a newer one has replaced it. The
+// planner is told of the loss only if there is none by then: the agent introduces
+// itself once for each connection.
 func (b *Broker) remove(c *agentConn) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if c.hello == nil || b.conns[c.hello.WorkerStatus.VM] != c {
+	if c.hello == nil {
 		return
 	}
-	delete(b.conns, c.hello.WorkerStatus.VM)
 	vm := c.hello.WorkerStatus.VM
-	go b.Leader.WithPlanner(func(pl *planner.Planner, _ time.Time) { pl.DisconnectAgent(vm) })
+	b.mu.Lock()
+	current := b.conns[vm] == c
+	if current {
+		delete(b.conns, vm)
+	}
+	b.mu.Unlock()
+	if !current {
+		return
+	}
+	b.Leader.WithPlanner(func(pl *planner.Planner, _ time.Time) {
+		if b.connTo(vm) == nil {
+			pl.DisconnectAgent(vm)
+		}
+	})
 }
 
 // handleHeartbeat answers a heartbeat.
@@ -215,12 +235,9 @@
 // Announce tells all connected agents whether this entry leads.
 func (b *Broker) Announce() {
 	b.mu.Lock()
-	conns := make([]*agentConn, 0, len(b.conns))
-	for _, c := range b.conns {
-		conns = append(conns, c)
-	}
+	conns := maps.Clone(b.conns)
 	b.mu.Unlock()
-	for _, c := range conns {
-		b.enqueue(c, &work.Packet{HeartbeatReply: b.heartbeatReply(&work.Heartbeat{VM: c.hello.WorkerStatus.VM})})
+	for vm, c := range conns {
+		b.enqueue(c, &work.Packet{HeartbeatReply: b.heartbeatReply(&work.Heartbeat{VM: vm})})
 	}
 }
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -338,7 +338,6 @@
 // startTerm starts to lead if the claim of this entry is the newest in the view.
 func (l *Leader) startTerm() bool {
 	now := time.Now()
-	hellos := l.Agents.Hellos()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.Follower.View(func(state *jobreducer.State, _ time.Duration) {
@@ -354,7 +353,8 @@
 		return false
 	}
 	l.Logger.Info("lead begins", "epoch", l.epoch, "book", l.planner.Summary())
-	for _, h := range hellos {
+	// An agent that connects after this call waits for the lock to be registered.
+	for _, h := range l.Agents.Hellos() {
 		l.planner.RegisterAgent(h, now)
 	}
 	return true
--- a/internal/job/leader/leader_test.go
+++ b/internal/job/leader/leader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -27,6 +28,8 @@
 	grants   map[string]*work.Grant
 	commands map[string][]*work.Commands
 	hello    *work.Hello
+	// onHellos is called when the leader asks for the connected agents.
+	onHellos func()
 }
 
 func (a *fakeAgents) SendCommands(vm string, commands *work.Commands) {
@@ -42,6 +45,9 @@
 }
 
 func (a *fakeAgents) Hellos() []*work.Hello {
+	if a.onHellos != nil {
+		a.onHellos()
+	}
 	if a.hello == nil {
 		return nil
 	}
@@ -127,6 +133,26 @@
 	return found
 }
 
+// An agent introduces itself once for each connection.
+func TestAgentThatConnectsWhileATermBeginsIsRegistered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := start(t, keyedlogemulator.New(), "a")
+		e.agents.onHellos = func() {
+			go e.leader.WithPlanner(func(pl *planner.Planner, now time.Time) {
+				pl.RegisterAgent(&work.Hello{WorkerStatus: work.WorkerStatus{VM: "vm", Incarnation: 1}, AgentIncarnation: "agent"}, now)
+			})
+			for range 1000 {
+				runtime.Gosched()
+			}
+		}
+		waitForLeader(t, e)
+		if e.agents.grantFor("vm") == nil {
+			t.Error("the agent got no session")
+		}
+		e.shutdown()
+	})
+}
+
 func TestOneEntryLeadsAndAnotherTakesOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := keyedlogemulator.New()
