--- a/internal/sidecar/supervisor/order.go
+++ b/internal/sidecar/supervisor/order.go
@@ -156,8 +156,7 @@
 	if s.isKnown(run) {
 		return
 	}
-	if refusal := s.startRefusal(); refusal != "" {
-		s.logRefusal(run, refusal)
+	if refusal := s.checkStart(run); refusal != "" {
 		s.voids[run] = refusal
 		return
 	}
@@ -172,6 +171,16 @@
 	s.group.Go(func() { s.executeStart(ctx, call, run) })
 }
 
+// checkStart returns why a run must not start, or "" if it may. It logs a refusal.
+func (s *Supervisor) checkStart(run work.RunRef) string {
+	refusal := s.startRefusal()
+	if refusal == "" {
+		return ""
+	}
+	s.logRefusal(run, refusal)
+	return refusal
+}
+
 // startRefusal returns why the worker must get no starts, or "" if it may.
 func (s *Supervisor) startRefusal() string {
 	switch {
@@ -189,10 +198,7 @@
 	s.startSlots <- struct{}{}
 	defer func() { <-s.startSlots }()
 	s.mu.Lock()
-	refusal := s.startRefusal()
-	if refusal != "" {
-		s.logRefusal(run, refusal)
-	}
+	refusal := s.checkStart(run)
 	s.mu.Unlock()
 	if refusal != "" {
 		s.voidRun(call.Call, run, refusal)
