--- a/internal/diagnostic/explainer/wait.go
+++ b/internal/diagnostic/explainer/wait.go
@@ -68,7 +68,11 @@
 		n, _ := load.Fields[key].(float64)
 		return n
 	}
+	evacuated := ""
+	if n := number("evacuated"); n > 0 {
+		evacuated = fmt.Sprintf(" %.0f of %.0f VMs were in evacuated failure domains.", n, number("vms"))
+	}
 	return fmt.Sprintf("Waited %s until %s was placed. Meanwhile %.0f fillers and %.0f other tasks waited; of %.0f cores %.0f were reserved, %.0f in use by others than fillers and %.0f by fillers; %.0f of %.0f fillers were slowed for serving tasks.",
 		w.to.Sub(w.from).Round(time.Millisecond), w.task, number("waiting_fillers"), number("waiting"),
-		number("millis")/1000, number("reserved")/1000, number("busy")/1000, number("filled")/1000, number("slowed"), number("fillers"))
+		number("millis")/1000, number("reserved")/1000, number("busy")/1000, number("filled")/1000, number("slowed"), number("fillers")) + evacuated
 }
