--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -25,6 +25,7 @@
 	}
 	firstReport := !v.synced
 	v.noteSilence(r, now)
+	v.unacceptedSessions = 0
 	v.lastContact, v.synced, v.workerStatus, v.workerSilence, v.sessionConfirmed = now, v.synced || !r.MoreEnds, r.WorkerStatus, r.WorkerSilence, r.SessionConfirmed
 	v.mayLeaveAt, v.hasUnknownRuns = time.Time{}, false
 	if r.WorkerStatus.Draining {
@@ -235,14 +236,11 @@
 	pl.dropEndedJob(j)
 }
 
-// Reasons for a run that did not start which say nothing of its VM's health: the worker
-// did not accept its ticket, the VM's failure domain is evacuated or may be as far as its
-// agent knows, and the leader stopped the run.
+// Reasons for a run that did not start after which its VM still gets work at once: the
+// worker did not accept its ticket, and the leader stopped the run.
 const (
-	voidReasonTicket    = "ticket"
-	voidReasonEvacuated = "evacuated"
-	voidReasonUnknown   = "requests unknown"
-	voidReasonStopped   = "stopped"
+	voidReasonTicket  = "ticket"
+	voidReasonStopped = "stopped"
 )
 
 // handleVoid processes a run that never started.
@@ -252,7 +250,7 @@
 		switch x.Reason {
 		case voidReasonTicket:
 			p.step.dropTicket(v.name)
-		case voidReasonEvacuated, voidReasonUnknown, voidReasonStopped:
+		case voidReasonStopped:
 		default:
 			v.health.RecordRefusal(now)
 		}
