--- a/internal/diagnostic/explainer/causes.go
+++ b/internal/diagnostic/explainer/causes.go
@@ -10,7 +10,7 @@
 // the order in which their causes are listed.
 func causes(t *Timeline) []string {
 	var found []string
-	for _, rule := range []func(*Timeline) string{refusedSubmission, unansweredSubmission, attemptsExhausted, failedRuns, unknownRuns, lostRuns, movedRuns, longPlacementWait, loadDuringWait, leaderChange, logUnavailable, foldedLines} {
+	for _, rule := range []func(*Timeline) string{refusedSubmission, unansweredSubmission, attemptsExhausted, hopeless, failedRuns, slowVMs, copies, unknownRuns, lostRuns, movedRuns, longPlacementWait, loadDuringWait, leaderChange, logUnavailable, foldedLines} {
 		if cause := rule(t); cause != "" {
 			found = append(found, cause)
 		}
@@ -65,6 +65,42 @@
 	return cause
 }
 
+// hopeless names the task for which a job failed.
+func hopeless(t *Timeline) string {
+	cause := ""
+	t.forEach("can't be done", func(e *Event) {
+		cause = fmt.Sprintf("Can't be done: %s failed %v times, on %v; %v of these failures are put down to a VM. %v of %v tasks of its step had begun.",
+			stringField(e, "task"), e.Fields["failures"], e.Fields["vms"], e.Fields["blamed"], e.Fields["started"], e.Fields["tasks"])
+	})
+	return cause
+}
+
+// slowVMMessage is the message about a VM that gets little work from then on.
+const slowVMMessage = "slow VM"
+
+// slowVMs names the VMs of the job's runs that were found slow or failing.
+func slowVMs(t *Timeline) string {
+	found := map[string]string{}
+	for i := range t.Events {
+		if e := &t.Events[i]; e.Message == slowVMMessage {
+			found[stringField(e, "vm")] = stringField(e, "cause")
+		}
+	}
+	if len(found) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("Slow VM avoided: %v. Runs there took longer or failed; new ones go elsewhere while there is room.", found)
+}
+
+func copies(t *Timeline) string {
+	causes := map[string]int{}
+	t.forEach("copy", func(e *Event) { causes[stringField(e, "cause")]++ })
+	if len(causes) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("Copy started, by cause: %v. Of the two runs the first to complete counts, the other is stopped.", causes)
+}
+
 func failedRuns(t *Timeline) string {
 	byVM := map[string]int{}
 	total := 0
--- a/internal/diagnostic/explainer/explainer_test.go
+++ b/internal/diagnostic/explainer/explainer_test.go
@@ -22,6 +22,9 @@
 			logLine("05.0", "e", "load", `"millis":400000,"reserved":332450,"busy":186045,"filled":170644,"fillers":68,"slowed":22,"waiting":1,"waiting_fillers":60`) + logLine("07.8", "e", "place", `"task":"`+id+`.0.1.5","vm":"v1"`),
 			"Waited 5.8s until " + id + ".0.1.5 was placed. Meanwhile 60 fillers and 1 other tasks waited; of 400 cores 332 were reserved, 186 in use by others than fillers and 171 by fillers; 22 of 68 fillers were slowed"},
 		{"attempts exhausted", logLine("01.0", "e", "end", `"task":"`+id+`.0.0.1","vm":"v1","how":"failed"`) + logLine("02.0", "e", "finish", `"job":"`+id+`","state":"failed"`), "Given up"},
+		{"can't be done", logLine("02.0", "e", "can't be done", `"job":"`+id+`","task":"`+id+`.0.0.1","failures":3,"blamed":1,"vms":["v1","v2"],"started":9,"tasks":12`), id + ".0.0.1 failed 3 times, on [v1 v2]; 1 of these"},
+		{"slow VM", logLine("01.0", "e", "place", `"task":"`+id+`.0.0.1","vm":"v1"`) + logLine("01.2", "e", "slow VM", `"vm":"v1","cause":"slow"`) + logLine("01.2", "e", "slow VM", `"vm":"v8","cause":"slow"`), "Slow VM avoided: map[v1:slow]"},
+		{"copy", logLine("01.0", "e", "copy", `"task":"`+id+`.0.0.1","vm":"v1","cause":"slow VM"`), "Copy started, by cause: map[slow VM:1]"},
 		{"moved", logLine("01.0", "e", "halt", `"task":"`+id+`.0.0.1","vm":"v1","reason":"move"`), "Moved 1 times"},
 		{"no leader", logLine("01.0", "e", "accept", `"job":"`+id+`","outcome":"done"`) + logLine("01.5", "e", "lead ends", `"reason":"fenced"`), "The lead changed"},
 	}
--- a/internal/job/healthtracker/healthtracker.go
+++ b/internal/job/healthtracker/healthtracker.go
@@ -26,7 +26,7 @@
 	// flakyFailures is the least number of jobs, weighed by age, with a failure on a
 	// VM that fails a share of what it starts, and flakyShare the least share. Runs
 	// fail by the fault of their job too, but rarely a third of them.
-	flakyFailures, flakyShare = 2.2, 0.3
+	flakyFailures, flakyShare = 2.5, 0.35
 	// firstPause and maxPause bound how long a slow VM gets no work. The pause
 	// doubles while the runs that are tried there are slow.
 	firstPause, maxPause = time.Second, 4 * time.Second
--- a/internal/job/planner/copy_test.go
+++ b/internal/job/planner/copy_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"knapweedspur/internal/wire/work"
 )
 
@@ -64,3 +66,61 @@
 		t.Errorf("%.4f of the work is thrown away, want at most 0.02", share)
 	}
 }
+
+// Nothing gets a copy that may not, however late it is.
+func TestCopiesAreBounded(t *testing.T) {
+	cases := []struct {
+		name    string
+		prepare func(f *fleet, spec *work.Step)
+		late    func(f *fleet)
+		want    int
+	}{
+		{name: "allowed", want: 1},
+		{name: "not declared", prepare: func(_ *fleet, spec *work.Step) { spec.Speculative = false }},
+		{name: "writes checkpoints", prepare: func(_ *fleet, spec *work.Step) { spec.Checkpoints = true }},
+		{name: "gang", prepare: func(_ *fleet, spec *work.Step) { spec.Gang = true }},
+		{name: "no try left", late: func(f *fleet) {
+			s, _ := f.planner.findTask(jobID(1) + ".0.0.0")
+			s.tasks[0].Failures = 1
+		}},
+		{name: "other work waits", late: func(f *fleet) { f.submitJob(jobID(2), stepSpec(1, 5000)) }},
+		{name: "VM is silent", late: func(f *fleet) {
+			for task, name := range f.placements(jobID(1)) {
+				if task == jobID(1)+".0.0.0" {
+					f.vms[name].silent = true
+				}
+			}
+			f.now = f.now.Add(800 * time.Millisecond)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 4)
+			spec := stepSpec(1, 1000)
+			spec.Speculative = true
+			if c.prepare != nil {
+				c.prepare(f, &spec)
+			}
+			f.seconds = func(string) float64 { return 30 }
+			f.submitJob(jobID(1), spec)
+			f.play(300*time.Millisecond, 0, work.Step{})
+			for _, v := range f.planner.sortedVMs {
+				for _, p := range v.runs {
+					p.rate = 1
+					for _, run := range []string{"a", "b"} {
+						v.health.ObserveRun(run, 0.1, 0.5, f.now)
+					}
+				}
+			}
+			f.planner.copyBudget.Serve(100_000, f.now)
+			if c.late != nil {
+				c.late(f)
+			}
+			f.now = f.now.Add(copyInterval)
+			f.runPass()
+			if diff := cmp.Diff(c.want, f.planner.counters.Copies); diff != "" {
+				t.Errorf("copies (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/planner/hopeless_test.go
+++ b/internal/job/planner/hopeless_test.go
@@ -62,3 +62,34 @@
 		t.Error("the job is not doubtful after two failures of its own")
 	}
 }
+
+// A task that has failed is placed before those that never ran.
+func TestFailedTaskComesFirst(t *testing.T) {
+	f := newFleet(t, 1)
+	f.submitJob(jobID(1), stepSpec(6, 4000))
+	f.play(100*time.Millisecond, 0, work.Step{})
+	s, _ := f.planner.findTask(jobID(1) + ".0.0.0")
+	s.tasks[5].Failures = 1
+	f.planner.markDirty(s, 5)
+	f.play(700*time.Millisecond, 0, work.Step{})
+	if last := f.starts[len(f.starts)-1].Task; last != jobID(1)+".0.0.5" {
+		t.Errorf("%s was started after the first task, want the one that has failed", last)
+	}
+}
+
+// A job does not wait for a doubtful task on a VM that is not heard: it may be idle.
+func TestSilentVMHoldsNoJobBack(t *testing.T) {
+	f := newFleet(t, 2)
+	f.submitJob(jobID(1), stepSpec(1, 500))
+	s, _ := f.planner.findTask(jobID(1) + ".0.0.0")
+	s.tasks[0].Failures = doubtfulFailures
+	f.planner.markDirty(s, 0)
+	if !f.planner.hasDoubtfulRun(s, f.now) {
+		t.Fatal("the job is not doubtful")
+	}
+	f.vms[f.placements(jobID(1))[jobID(1)+".0.0.0"]].silent = true
+	f.now = f.now.Add(900 * time.Millisecond)
+	if f.planner.hasDoubtfulRun(s, f.now) {
+		t.Error("the job waits for a task on a VM that is not heard")
+	}
+}
