Speeds: long-running tasks wait once for a sound VM, and nothing is judged anew without news

Cause: each placement of a step made its next task wait up to 2 s for a sound VM again, so the last of a long-running step might be away too long; and every pass counted the results of every VM. Change: the wait of a long-running step ends only when none of its tasks waits; a VM is judged when something was learned.

--- a/internal/job/healthtracker/healthtracker.go
+++ b/internal/job/healthtracker/healthtracker.go
@@ -58,6 +58,8 @@
 	results       []result
 	samples       []sample
 	trial         *trial
+	// changed is set if anything was learned since the last judgement.
+	changed bool
 }
 
 // result is the end of a run.
@@ -104,6 +106,7 @@
 }
 
 func (h *Health) addResult(r result) {
+	h.changed = true
 	h.results = append(h.results, r)
 	h.results = h.results[max(len(h.results)-maxSamples, 0):]
 }
@@ -180,6 +183,11 @@
 	if h.trial != nil {
 		return h.updateTrial(now)
 	}
+	if !h.changed {
+		// Evidence only fades.
+		return false
+	}
+	h.changed = false
 	if h.evidence(now) >= slowEvidence {
 		h.trial = &trial{cause: Slow, began: now, pause: firstPause, resumes: now.Add(firstPause), allowance: 1, judged: map[string]bool{}}
 		return true
--- a/internal/job/healthtracker/speed.go
+++ b/internal/job/healthtracker/speed.go
@@ -59,6 +59,7 @@
 		}
 		h.samples = slices.Delete(h.samples, i, i+1)
 	}
+	h.changed = true
 	h.samples = append(h.samples, s)
 	h.samples = h.samples[max(len(h.samples)-maxSamples, 0):]
 }
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -97,6 +97,9 @@
 			s.waiting++
 		}
 	}
+	if s.waiting == 0 {
+		s.avoidsSince = time.Time{}
+	}
 }
 
 func (s *step) taskName(index int) string {
--- a/internal/job/planner/uneven_test.go
+++ b/internal/job/planner/uneven_test.go
@@ -21,6 +21,8 @@
 	// fails, nil for sound VMs.
 	speed func(vm string, elapsed time.Duration) float64
 	fails func(vm, task string, elapsed time.Duration) bool
+	// frozen is a VM whose list of runs does not change, although it works on.
+	frozen string
 	// seconds is how long a task takes on a sound VM.
 	seconds func(task string) float64
 	worked  map[string]float64
@@ -69,6 +71,9 @@
 		key := fmt.Sprintf("%s %d", a.Task, a.Run)
 		f.occupied[key] += tick
 		f.worked[key] += tick.Seconds() * speed
+		if name == f.frozen {
+			continue
+		}
 		if percent := int(100 * f.worked[key] / f.seconds(a.Task)); percent < 100 {
 			i := slices.IndexFunc(v.active, func(o work.RunStatus) bool { return o.Task == a.Task })
 			v.active[i].ProgressPercent = percent
@@ -128,6 +133,11 @@
 				return vm == "vm00" && between(elapsed, 5, 11) && f.random.IntN(2) == 0
 			}
 		}},
+		{name: "flaps", most: 10, fails: func(*fleet) func(string, string, time.Duration) bool {
+			return func(vm, _ string, elapsed time.Duration) bool {
+				return vm == "vm00" && between(elapsed, 5, 11) && elapsed%(2*time.Second) < time.Second
+			}
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -226,6 +236,19 @@
 	}
 }
 
+// A VM whose agent reports an old list of runs for a while is not slow.
+func TestOldListIsNoSlowVM(t *testing.T) {
+	f := newFleet(t, 8)
+	f.play(4*time.Second, 800*time.Millisecond, stepSpec(16, 500))
+	f.frozen = "vm04"
+	f.play(550*time.Millisecond, 800*time.Millisecond, stepSpec(16, 500))
+	f.frozen = ""
+	f.play(time.Second, 800*time.Millisecond, stepSpec(16, 500))
+	if f.planner.counters.SlowVMs > 0 {
+		t.Error("the VM counts as slow")
+	}
+}
+
 // Where only a slow VM has room, tasks wait for less than the three seconds that they
 // may wait beside room.
 func TestSlowVMIsTheLastResort(t *testing.T) {
@@ -266,3 +289,19 @@
 		t.Errorf("under a new leader slow: %t, with another worker: %t; want true, false", slow("vm00"), slow("vm01"))
 	}
 }
+
+// All tasks of a long-running step start in time where only a slow VM has room: none
+// of them may be away for long, whether others run or not.
+func TestLongRunningTasksDoNotWaitForSoundVM(t *testing.T) {
+	f := newFleet(t, 1)
+	for _, run := range []string{"a", "b", "c"} {
+		f.planner.vms["vm00"].health.ObserveRun(run, 0.1, healthtracker.PeerSpread, f.now)
+	}
+	f.runPass()
+	f.seconds = func(string) float64 { return 1000 }
+	f.submitJob(jobID(1), longRunningSpec(4))
+	f.play(maxSlowWait+servingBatchMaxWait+200*time.Millisecond, 0, work.Step{})
+	if n := f.startsOn("vm00"); n != 4 {
+		t.Errorf("%d tasks were started, want 4", n)
+	}
+}
--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -125,7 +125,11 @@
 func (pl *Planner) addPlacement(s *step, index int, r work.Run, now time.Time) {
 	v := pl.ensureVM(r.VM)
 	p := &placement{step: s, index: index, run: r.Run, vm: v, fence: r.Fence, placedAt: now, checkpointWrittenAt: now, pace: fullPace}
-	s.avoidsSince = time.Time{}
+	if !s.spec.LongRunning {
+		// The next task waits anew for a sound VM. The tasks of a long-running step
+		// may not: none of them may be away for long.
+		s.avoidsSince = time.Time{}
+	}
 	v.runs[runKey{s.taskName(index), r.Run}] = p
 	v.adjustReserved(s.spec, 1)
 }
