--- a/internal/job/planner/uneven_test.go
+++ b/internal/job/planner/uneven_test.go
@@ -284,6 +284,8 @@
 		t.Fatal("the VMs do not count as slow")
 	}
 	f.vms["vm01"].workerStatus.Incarnation++
+	f.sendHello("vm01")
+	f.runPass()
 	f.restart()
 	if !slow("vm00") || slow("vm01") {
 		t.Errorf("under a new leader slow: %t, with another worker: %t; want true, false", slow("vm00"), slow("vm01"))
