--- a/internal/job/planner/copy_test.go
+++ b/internal/job/planner/copy_test.go
@@ -90,7 +90,7 @@
 					f.vms[name].silent = true
 				}
 			}
-			f.now = f.now.Add(800 * time.Millisecond)
+			f.play(800*time.Millisecond, 0, work.Step{})
 		}},
 	}
 	for _, c := range cases {
@@ -104,6 +104,9 @@
 			f.seconds = func(string) float64 { return 30 }
 			f.submitJob(jobID(1), spec)
 			f.play(300*time.Millisecond, 0, work.Step{})
+			if c.late != nil {
+				c.late(f)
+			}
 			for _, v := range f.planner.sortedVMs {
 				for _, p := range v.runs {
 					p.rate = 1
@@ -113,9 +116,6 @@
 				}
 			}
 			f.planner.copyBudget.Serve(100_000, f.now)
-			if c.late != nil {
-				c.late(f)
-			}
 			f.now = f.now.Add(copyInterval)
 			f.runPass()
 			if diff := cmp.Diff(c.want, f.planner.counters.Copies); diff != "" {
