--- a/internal/job/leader/loop.go
+++ b/internal/job/leader/loop.go
@@ -73,10 +73,20 @@
 		l.proposals = nil
 		return nil, proposals
 	}
-	records, proposals := l.takeProposals(now)
-	l.planner.Tick(now)
-	batch := l.planner.Flush()
-	batch.Records = append(records, batch.Records...)
+	proposals := l.proposals
+	l.proposals = nil
+	var batch *planner.Batch
+	l.guard(func() {
+		records := l.planProposals(proposals, now)
+		l.planner.SetEvacuation(l.Evacuation(), now)
+		l.planner.Tick(now)
+		planned := l.planner.Flush()
+		planned.Records = append(records, planned.Records...)
+		if forecast := l.planner.Outlook(l.epoch, now); forecast != nil {
+			planned.Records = append(planned.Records, jobreducer.ForecastRecord(forecast))
+		}
+		batch = planned
+	})
 	return batch, proposals
 }
 
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"knapweedspur/internal/wire/work"
@@ -19,6 +18,7 @@
 	pl.evacuateLeavingWorkers(now)
 	pl.learnInterference(now)
 	pl.judgeVMs(now)
+	pl.saveDurations(now)
 	pl.sendWeights(now)
 	for _, j := range pl.jobs {
 		if j.record != nil && j.record.Occurrences > 0 {
@@ -49,9 +49,8 @@
 	if len(candidates) == 0 {
 		return
 	}
-	pl.markOverload(candidates, now)
 	pl.markCrowdedPools(candidates, now)
-	sort.Slice(candidates, func(i, j int) bool { return candidates[i].before(&candidates[j], pl.Settings.Policy) })
+	pl.order(candidates, now)
 	remaining := maxPlacements
 	for i := range candidates {
 		if remaining <= 0 {
@@ -210,7 +209,7 @@
 			continue
 		}
 		cost := pl.cost(v, s, t, now)
-		if s.spec.Filler && cost > maxFillerCost && !pl.waitedTooLong(s, now) {
+		if s.spec.Filler && !pl.acceptsCost(s, v, cost, now) {
 			continue
 		}
 		if best == nil || leavesGap && !bestLeavesGap || cost < bestCost {
@@ -222,7 +221,7 @@
 
 // suitable reports whether a task of a step may run on the VM and fits there.
 func (pl *Planner) suitable(v *vm, s *step, now time.Time) bool {
-	if v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) {
+	if v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) || !pl.mayStart(v, s, now) {
 		return false
 	}
 	if s.spec.Label != "" && !slices.Contains(v.workerStatus.Labels, s.spec.Label) {
@@ -231,6 +230,11 @@
 	return (s.spec.MaxPerVM == 0 || v.countRuns(s) < s.spec.MaxPerVM) && s.mayRunOn(v, now) && pl.mayStart(v, s, now)
 }
 
+// mayStart reports whether a task of a step may start on a VM that has room for it.
+func (pl *Planner) mayStart(v *vm, s *step, now time.Time) bool {
+	return pl.domainOpen(v, now) && pl.worthTrying(v, s, now)
+}
+
 // maxFillerCost is the cost above which a filler waits instead of taking memory
 // on a VM where it would make little progress.
 const maxFillerCost = 2.0
@@ -242,7 +246,7 @@
 // waitedTooLong reports whether a step has waited so long that it accepts any
 // cost.
 func (pl *Planner) waitedTooLong(s *step, now time.Time) bool {
-	return now.Sub(s.dueAt()) > time.Duration(maxFillerWaitFactor*float64(timeObjective(s.job.record)))
+	return now.Sub(s.job.dueAt(s.key.Occurrence)) > time.Duration(maxFillerWaitFactor*float64(pl.timeObjective(s.job, s.key.Occurrence)))
 }
 
 // countRuns counts the runs of a step on the VM.
--- a/internal/job/planner/speed.go
+++ b/internal/job/planner/speed.go
@@ -194,9 +194,9 @@
 	return pl.trials(now), pl.counters
 }
 
-// mayStart reports whether a VM on trial may get a task of a step. It may as the last
-// resort: no task must wait for long while there is room for it.
-func (pl *Planner) mayStart(v *vm, s *step, now time.Time) bool {
+// worthTrying reports whether a VM on trial may get a task of a step. It may as the
+// last resort: no task must wait for long while there is room for it.
+func (pl *Planner) worthTrying(v *vm, s *step, now time.Time) bool {
 	if v.mayTry(s, now) {
 		return true
 	}
@@ -206,7 +206,7 @@
 	wait := maxSlowWait
 	if v.health.OnTrial() == healthtracker.Slow {
 		// Waiting costs less than the time that the task would lose there.
-		lost := time.Duration(float64(s.spec.EstimatedDuration) * (1/v.health.Speed(now) - 1))
+		lost := time.Duration(float64(pl.expectedDuration(s)) * (1/v.health.Speed(now) - 1))
 		wait = min(max(lost, minSlowWait), maxSlowWait)
 	}
 	return now.Sub(s.avoidsSince) >= wait
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -17,6 +17,24 @@
 	TicketLifetime time.Duration `json:"valid" cbor:"valid" yaml:"valid"`
 }
 
+// Work of the jobs of one priority that waits or runs.
+type Backlog struct {
+	// The work is that of fillers.
+	Filler bool `json:"fills" cbor:"fills" yaml:"fills"`
+
+	// The jobs are still useful, but miss their objective or soon will.
+	Late bool `json:"late" cbor:"late" yaml:"late"`
+
+	// Priority corresponds to the JSON schema field "priority".
+	Priority int `json:"priority" cbor:"priority" yaml:"priority"`
+
+	// Ascending limits of the remaining work of a job, in core-milliseconds.
+	JobWork []int64 `json:"upto" cbor:"upto" yaml:"upto"`
+
+	// For each limit, the work of all jobs up to it, in core-milliseconds.
+	Work []int64 `json:"work" cbor:"work" yaml:"work"`
+}
+
 // A request to cancel a job.
 type Cancel struct {
 	// When the cancellation was requested.
@@ -57,6 +75,19 @@
 	VM string `json:"vm" cbor:"vm" yaml:"vm"`
 }
 
+// The failure domains that the operators want to get no new work, as one process
+// knows them.
+type Evacuation struct {
+	// Time since these were all records of the stream.
+	Age time.Duration `json:"age" cbor:"age" yaml:"age"`
+
+	// Names of the failure domains, in order.
+	Domains []string `json:"domains" cbor:"domains" yaml:"domains"`
+
+	// Offset of the operators' stream up to which its records are reflected.
+	Offset int64 `json:"offset" cbor:"offset" yaml:"offset"`
+}
+
 // Tells an agent that its session is recorded in the log.
 type Grant struct {
 	// Incarnation of the VM's worker: its start time in Unix milliseconds.
@@ -95,6 +126,10 @@
 	// Newest term that the entry knows.
 	Epoch int64 `json:"epoch" cbor:"epoch" yaml:"epoch"`
 
+	// Requests of the operators in this view, absent while the entry does not know
+	// them.
+	Evacuation *Evacuation `json:"evacuation,omitempty,omitzero" cbor:"evacuation,omitempty" yaml:"evacuation,omitempty"`
+
 	// Address of the leader.
 	Leader netip.AddrPort `json:"leader" cbor:"leader" yaml:"leader"`
 
@@ -187,6 +222,40 @@
 	Value []byte `json:"value" cbor:"value" yaml:"value"`
 }
 
+// What ended steps of a queue showed about durations. Logarithms are in
+// hundredths.
+type LearnedDuration struct {
+	// Weight of the ended steps, in hundredths.
+	Count int `json:"count" cbor:"count" yaml:"count"`
+
+	// Variance of that logarithm.
+	RatioVariance int `json:"doubt" cbor:"doubt" yaml:"doubt"`
+
+	// Image of the tasks, empty for all.
+	Image string `json:"image" cbor:"image" yaml:"image"`
+
+	// Mean logarithm of the duration in seconds.
+	DurationMean int `json:"length" cbor:"length" yaml:"length"`
+
+	// Queue corresponds to the JSON schema field "queue".
+	Queue string `json:"queue" cbor:"queue" yaml:"queue"`
+
+	// Mean logarithm of real by declared duration.
+	RatioMean int `json:"ratio" cbor:"ratio" yaml:"ratio"`
+
+	// Variance of that logarithm.
+	DurationVariance int `json:"spread" cbor:"spread" yaml:"spread"`
+
+	// Position in the job, -1 for all.
+	Step int `json:"step" cbor:"step" yaml:"step"`
+}
+
+// What a leader has learned about durations of tasks.
+type LearnedDurations struct {
+	// Kinds corresponds to the JSON schema field "kinds".
+	Kinds []LearnedDuration `json:"kinds" cbor:"kinds" yaml:"kinds"`
+}
+
 // An entry that has announced itself.
 type Member struct {
 	// Address for agents and entries.
@@ -238,6 +307,30 @@
 	Report *Report `json:"report,omitempty,omitzero" cbor:"report,omitempty" yaml:"report,omitempty"`
 }
 
+// Room and backlog of a pool.
+type PoolForecast struct {
+	// Backlog corresponds to the JSON schema field "backlog".
+	Backlog []Backlog `json:"backlog" cbor:"backlog" yaml:"backlog"`
+
+	// All VMs of the pool are evacuated.
+	Closed bool `json:"closed" cbor:"closed" yaml:"closed"`
+
+	// LargestGap corresponds to the JSON schema field "gap".
+	LargestGap Size `json:"gap" cbor:"gap" yaml:"gap"`
+
+	// Processors for tasks that reserve them and end, in thousandths of a core.
+	Millicores int `json:"millis" cbor:"millis" yaml:"millis"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name" cbor:"name" yaml:"name"`
+
+	// Processors that fillers get, in thousandths of a core.
+	FillerMillicores int `json:"rate" cbor:"rate" yaml:"rate"`
+
+	// LargestVM corresponds to the JSON schema field "vm".
+	LargestVM Size `json:"vm" cbor:"vm" yaml:"vm"`
+}
+
 // Records that an entry asks the leader to append.
 type Proposal struct {
 	// Records corresponds to the JSON schema field "records".
@@ -309,6 +402,19 @@
 	SessionConfirmed bool `json:"vouched" cbor:"vouched" yaml:"vouched"`
 }
 
+// What a leader foresees about room for new jobs. Pools that are not listed have
+// room.
+type RoomForecast struct {
+	// Time of the forecast on the clock of the leader.
+	WrittenAt time.Time `json:"at" cbor:"at" yaml:"at"`
+
+	// Term of the leader.
+	Epoch int64 `json:"epoch" cbor:"epoch" yaml:"epoch"`
+
+	// Pools corresponds to the JSON schema field "pools".
+	Pools []PoolForecast `json:"pools" cbor:"pools" yaml:"pools"`
+}
+
 // One run of a task on a VM.
 type Run struct {
 	// Incarnation of the VM's worker: its start time in Unix milliseconds.
@@ -578,6 +684,9 @@
 	// Cancel corresponds to the JSON schema field "cancel".
 	Cancel *Cancel `json:"cancel,omitempty,omitzero" cbor:"cancel,omitempty" yaml:"cancel,omitempty"`
 
+	// Durations corresponds to the JSON schema field "durations".
+	Durations *LearnedDurations `json:"durations,omitempty,omitzero" cbor:"durations,omitempty" yaml:"durations,omitempty"`
+
 	// Estimates corresponds to the JSON schema field "estimates".
 	Estimates *InterferenceEstimates `json:"estimates,omitempty,omitzero" cbor:"estimates,omitempty" yaml:"estimates,omitempty"`
 
@@ -593,6 +702,9 @@
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *Outcome `json:"outcome,omitempty,omitzero" cbor:"outcome,omitempty" yaml:"outcome,omitempty"`
 
+	// Forecast corresponds to the JSON schema field "room".
+	Forecast *RoomForecast `json:"room,omitempty,omitzero" cbor:"room,omitempty" yaml:"room,omitempty"`
+
 	// Session corresponds to the JSON schema field "session".
 	Session *Session `json:"session,omitempty,omitzero" cbor:"session,omitempty" yaml:"session,omitempty"`
 
