--- a/internal/job/healthtracker/healthtracker.go
+++ b/internal/job/healthtracker/healthtracker.go
@@ -26,7 +26,7 @@
 	// flakyFailures is the least number of jobs, weighed by age, with a failure on a
 	// VM that fails a share of what it starts, and flakyShare the least share. Runs
 	// fail by the fault of their job too, but rarely a third of them.
-	flakyFailures, flakyShare = 2.2, 0.3
+	flakyFailures, flakyShare = 2.5, 0.35
 	// firstPause and maxPause bound how long a slow VM gets no work. The pause
 	// doubles while the runs that are tried there are slow.
 	firstPause, maxPause = time.Second, 4 * time.Second
@@ -58,6 +58,8 @@
 	results       []result
 	samples       []sample
 	trial         *trial
+	// changed is set if anything was learned since the last judgement.
+	changed bool
 }
 
 // result is the end of a run.
@@ -104,6 +106,7 @@
 }
 
 func (h *Health) addResult(r result) {
+	h.changed = true
 	h.results = append(h.results, r)
 	h.results = h.results[max(len(h.results)-maxSamples, 0):]
 }
@@ -180,6 +183,11 @@
 	if h.trial != nil {
 		return h.updateTrial(now)
 	}
+	if !h.changed {
+		// Evidence only fades.
+		return false
+	}
+	h.changed = false
 	if h.evidence(now) >= slowEvidence {
 		h.trial = &trial{cause: Slow, began: now, pause: firstPause, resumes: now.Add(firstPause), allowance: 1, judged: map[string]bool{}}
 		return true
