--- a/internal/diagnostic/explainer/causes.go
+++ b/internal/diagnostic/explainer/causes.go
@@ -10,7 +10,7 @@
 // the order in which their causes are listed.
 func causes(t *Timeline) []string {
 	var found []string
-	for _, rule := range []func(*Timeline) string{refusedSubmission, unansweredSubmission, attemptsExhausted, failedRuns, unknownRuns, lostRuns, movedRuns, longPlacementWait, loadDuringWait, leaderChange, logUnavailable, foldedLines} {
+	for _, rule := range []func(*Timeline) string{refusedForRoom, refusedSubmission, unansweredSubmission, attemptsExhausted, failedRuns, unknownRuns, lostRuns, movedRuns, longPlacementWait, loadDuringWait, leaderChange, logUnavailable, foldedLines} {
 		if cause := rule(t); cause != "" {
 			found = append(found, cause)
 		}
@@ -35,10 +35,27 @@
 	}
 }
 
+// roomPrefix begins the outcome of a job that an entry refused for want of room.
+const roomPrefix = "refused for room"
+
+func refusedForRoom(t *Timeline) string {
+	count, last := 0, ""
+	t.forEach("accept", func(e *Event) {
+		if outcome := stringField(e, "outcome"); strings.HasPrefix(outcome, roomPrefix) {
+			count++
+			last = fmt.Sprintf("last by %s, by a forecast %s old, to come back after %s: %s", e.Process, stringField(e, "forecast"), stringField(e, "return"), outcome)
+		}
+	})
+	if count == 0 {
+		return ""
+	}
+	return fmt.Sprintf("Refused for room %d times, %s. It did not run on these attempts.", count, last)
+}
+
 func refusedSubmission(t *Timeline) string {
 	cause := ""
 	t.forEach("accept", func(e *Event) {
-		if outcome := stringField(e, "outcome"); strings.Contains(outcome, "(unrun)") {
+		if outcome := stringField(e, "outcome"); strings.Contains(outcome, "(unrun)") && !strings.HasPrefix(outcome, roomPrefix) {
 			cause = fmt.Sprintf("Refused by %s: %s. It did not run.", e.Process, outcome)
 		}
 	})
--- a/internal/diagnostic/explainer/explainer_test.go
+++ b/internal/diagnostic/explainer/explainer_test.go
@@ -14,6 +14,9 @@
 func TestTimelineNamesCauses(t *testing.T) {
 	cases := []struct{ name, logs, want string }{
 		{"refused", logLine("01.0", "entry-1", "accept", `"job":"`+id+`","outcome":"the log is out of reach from here (unrun)"`), "Refused by entry-1"},
+		{"refused for room", logLine("01.0", "entry-1", "accept", `"job":"`+id+`","return":"31s","forecast":"700ms","outcome":"refused for room: would start in 40s (unrun)"`) +
+			logLine("32.0", "entry-2", "accept", `"job":"`+id+`","return":"9s","forecast":"400ms","outcome":"refused for room: would start in 30s (unrun)"`),
+			"Refused for room 2 times, last by entry-2, by a forecast 400ms old, to come back after 9s: refused for room: would start in 30s"},
 		{"unknown outcome", logLine("01.0", "entry-1", "accept", `"job":"`+id+`","outcome":"the log gave no answer (unknown)"`), "could not tell"},
 		{"late", logLine("01.0", "entry-1", "accept", `"job":"`+id+`","outcome":"done"`) + logLine("04.5", "entry-2", "place", `"task":"`+id+`.0.0.1","vm":"v1"`), "Waited 3.5s"},
 		{"lost VM", logLine("01.0", "e", "place", `"task":"`+id+`.0.0.1","vm":"v1"`) + logLine("02.0", "e", "revoke", `"vm":"v1"`) + logLine("09.0", "e", "void", `"task":"`+id+`.0.0.1","vm":"v1","reason":"lapsed"`), "lapsed:1"},
--- a/internal/frontend/admissiondecider/admissiondecider_test.go
+++ b/internal/frontend/admissiondecider/admissiondecider_test.go
@@ -38,7 +38,7 @@
 		{"far too late", func(*work.Job, *Situation) {}, true},
 		{"late with all durations halved", func(_ *work.Job, s *Situation) { *s = situation(33) }, false},
 		{"no forecast", func(_ *work.Job, s *Situation) { s.Forecast = nil }, false},
-		{"old forecast", func(_ *work.Job, s *Situation) { s.Age = 2600 * time.Millisecond }, false},
+		{"old forecast", func(j *work.Job, s *Situation) { s.Age, j.Queue.Target = 2600*time.Millisecond, time.Minute }, false},
 		{"forecast too old for the job", func(j *work.Job, s *Situation) { s.Age, j.Queue.Target = time.Second, time.Second }, false},
 		{"earlier term", func(_ *work.Job, s *Situation) { s.Epoch++ }, false},
 		{"another pool", func(j *work.Job, _ *Situation) { j.Queue.Pool = "q" }, false},
--- a/internal/job/leader/loop.go
+++ b/internal/job/leader/loop.go
@@ -41,6 +41,7 @@
 			batch.Records = []journal.Record{jobreducer.TermRecord(&work.Term{Leader: l.Name, Incarnation: l.Incarnation, Epoch: l.epoch, Address: l.Address})}
 		}
 		if len(batch.Records) > 0 {
+			l.addForecast(batch, now)
 			if !l.write(ctx, batch.Records) {
 				completeProposals(proposals, ErrLeadershipLost)
 				return
@@ -52,6 +53,18 @@
 	}
 }
 
+// addForecast adds the forecast of room to records that are written anyway.
+func (l *Leader) addForecast(batch *planner.Batch, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.planner == nil {
+		return
+	}
+	if forecast := l.planner.Outlook(l.epoch, now); forecast != nil {
+		batch.Records = append(batch.Records, jobreducer.ForecastRecord(forecast))
+	}
+}
+
 // isolationLimit is how long most agents may be silent before the leader
 // considers itself isolated and steps down. It is shorter than the silence
 // after which the leader would revoke their sessions.
@@ -77,9 +90,6 @@
 	l.planner.Tick(now)
 	batch := l.planner.Flush()
 	batch.Records = append(records, batch.Records...)
-	if forecast := l.planner.Outlook(l.epoch, now); forecast != nil {
-		batch.Records = append(batch.Records, jobreducer.ForecastRecord(forecast))
-	}
 	return batch, proposals
 }
 
