--- a/internal/frontend/jobacceptor/room_test.go
+++ b/internal/frontend/jobacceptor/room_test.go
@@ -75,7 +75,7 @@
 		a, stop := startAcceptor(t, log)
 		writeForecast(t, log)
 		time.Sleep(300 * time.Millisecond)
-		if _, err := log.Append(t.Context(), []journal.Record{jobreducer.JobRecord(&work.Job{ID: jobID})}, nil); err != nil {
+		if _, err := log.Append(t.Context(), []journal.Record{jobreducer.JobRecord(&work.Job{ID: jobID, Steps: []work.Step{{Tasks: 1}}})}, nil); err != nil {
 			t.Fatal(err)
 		}
 		if a.isKnown(jobID) {
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
@@ -57,6 +59,10 @@
 	// isolatedPause is how long an entry that stepped down because it was
 	// isolated from most agents does not claim again.
 	isolatedPause = 4 * time.Second
+	// failedPause is how long an entry whose planner failed does not claim again, so
+	// that another one leads first: the failure may depend on what only this entry
+	// was told.
+	failedPause = 4 * time.Second
 	// epochRandomBits is the number of low bits of an epoch that are random, so
 	// that two claims made at the same time almost always differ.
 	epochRandomBits = 12
@@ -87,6 +93,9 @@
 	// CPUShare is the entry's share of the processors, in cores. Entries with a
 	// larger share claim earlier.
 	CPUShare float64
+	// Evacuation returns the evacuated failure domains, nil while they are not known.
+	// If it is nil, they are never known.
+	Evacuation func() *work.Evacuation
 	// PolicyService decides which VMs may run a step, nil if there is none.
 	PolicyService PolicyService
 	// Client sends requests to other entries.
@@ -125,6 +134,9 @@
 	if l.RandomBelow == nil {
 		l.RandomBelow = rand.Int64N
 	}
+	if l.Evacuation == nil {
+		l.Evacuation = func() *work.Evacuation { return nil }
+	}
 	l.wakeup = make(chan struct{}, 1)
 	l.lastLeaderRecord = now
 	l.Done = make(chan struct{})
@@ -168,12 +180,14 @@
 		if j == nil {
 			return
 		}
-		if j.Description != nil && j.Outcome == nil {
-			l.planner.AddJob(j.Description, now)
-		}
-		if j.Cancel != nil {
-			l.planner.CancelJob(id, now)
-		}
+		l.guard(func() {
+			if j.Description != nil && j.Outcome == nil {
+				l.planner.AddJob(j.Description, now)
+			}
+			if j.Cancel != nil {
+				l.planner.CancelJob(id, now)
+			}
+		})
 	})
 	l.wake()
 }
@@ -204,10 +218,42 @@
 	if l.planner == nil {
 		return
 	}
-	f(l.planner, time.Now())
+	now := time.Now()
+	l.guard(func() { f(l.planner, now) })
 	l.wake()
 }
 
+// guard calls f, which uses the planner, and ends the leadership if f panics. The
+// next leader rebuilds the planner from the log; no command of the broken one was
+// sent before its records. The caller holds the lock.
+func (l *Leader) guard(f func()) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			l.Logger.Error("the planner failed", "epoch", l.epoch, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+			l.stepDown("the planner failed", failedPause)
+		}
+	}()
+	f()
+}
+
+// Uneven is what this entry, if it leads, knows about uneven VMs and tasks.
+type Uneven struct {
+	VMs      []work.VMTrial
+	Counters planner.Counters
+}
+
+// Uneven returns the VMs that get little work and the decisions of this term, both
+// empty if this entry does not lead.
+func (l *Leader) Uneven() Uneven {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.planner == nil {
+		return Uneven{}
+	}
+	vms, counters := l.planner.Uneven(time.Now())
+	return Uneven{vms, counters}
+}
+
 // Resign hands the leadership to another entry. This entry never claims it again.
 func (l *Leader) Resign() {
 	l.mu.Lock()
@@ -340,8 +386,11 @@
 			return
 		}
 		l.epoch = l.claimedEpoch
-		l.planner = planner.New(l.Settings, state, now, l.logDecision)
-		l.planner.Resume(state, now)
+		l.guard(func() {
+			l.planner = planner.New(l.Settings, state, now, l.logDecision)
+			l.planner.SetEvacuation(l.Evacuation(), now)
+			l.planner.Resume(state, now)
+		})
 	})
 	if l.planner == nil {
 		return false
--- a/internal/job/leader/loop.go
+++ b/internal/job/leader/loop.go
@@ -60,9 +60,11 @@
 	if l.planner == nil {
 		return
 	}
-	if forecast := l.planner.Outlook(l.epoch, now); forecast != nil {
-		batch.Records = append(batch.Records, jobreducer.ForecastRecord(forecast))
-	}
+	l.guard(func() {
+		if forecast := l.planner.Outlook(l.epoch, now); forecast != nil {
+			batch.Records = append(batch.Records, jobreducer.ForecastRecord(forecast))
+		}
+	})
 }
 
 // isolationLimit is how long most agents may be silent before the leader
@@ -86,10 +88,17 @@
 		l.proposals = nil
 		return nil, proposals
 	}
-	records, proposals := l.takeProposals(now)
-	l.planner.Tick(now)
-	batch := l.planner.Flush()
-	batch.Records = append(records, batch.Records...)
+	proposals := l.proposals
+	l.proposals = nil
+	var batch *planner.Batch
+	l.guard(func() {
+		records := l.planProposals(proposals, now)
+		l.planner.SetEvacuation(l.Evacuation(), now)
+		l.planner.Tick(now)
+		planned := l.planner.Flush()
+		planned.Records = append(records, planned.Records...)
+		batch = planned
+	})
 	return batch, proposals
 }
 
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"knapweedspur/internal/job/estimator"
+	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/wire/work"
 )
@@ -36,6 +37,11 @@
 	// Tasks by state: waiting ones have no run, running ones have at least one,
 	// done ones completed successfully.
 	waiting, running, done int
+	// retried counts the tasks that are not done and have failed.
+	retried int
+	// blamedFailures counts, by task, the failures that were the fault of a VM. A new
+	// leader does not know them.
+	blamedFailures map[int]int
 	// startedAt is when the occurrence started, zero for a step that was
 	// restored from the log.
 	startedAt time.Time
@@ -46,6 +52,12 @@
 	// forecastLoads are the expected loads in the next seconds, nil while they
 	// are not known.
 	forecastLoads []float64
+	rates         healthtracker.Rates
+	// endedTimes are the times of the latest runs that completed.
+	endedTimes []time.Duration
+	// avoidsSince is since when tasks wait although a VM that is on trial has room,
+	// zero if none does.
+	avoidsSince time.Time
 	// tickets are the answers of the policy service by VM.
 	tickets map[string]ticket
 }
@@ -71,8 +83,11 @@
 
 // recount updates the numbers of tasks by state.
 func (s *step) recount() {
-	s.waiting, s.running, s.done = 0, 0, 0
+	s.waiting, s.running, s.done, s.retried = 0, 0, 0, 0
 	for i := range s.tasks {
+		if t := &s.tasks[i]; !t.Done && t.Failures > 0 {
+			s.retried++
+		}
 		switch t := &s.tasks[i]; {
 		case t.Done:
 			s.done++
--- a/internal/job/planner/outlook.go
+++ b/internal/job/planner/outlook.go
@@ -104,9 +104,13 @@
 		}
 		p := pools[name]
 		if p == nil {
-			p = &poolOutlook{Pool: roomforecaster.Pool{Name: name}}
+			p = &poolOutlook{Pool: roomforecaster.Pool{Name: name, Closed: true}}
 			pools[name] = p
 		}
+		if pl.evacuated(v) {
+			continue
+		}
+		p.Closed = false
 		pl.outlook.largestVMs[name] = larger(pl.outlook.largestVMs[name], capacity)
 		p.LargestVM = pl.outlook.largestVMs[name]
 		p.LargestGap = larger(p.LargestGap, work.Size{
@@ -145,7 +149,7 @@
 		}
 		if p := pools[j.record.Queue.Pool]; p != nil {
 			for occurrence := range j.startedOccurrences {
-				p.addOccurrence(j, occurrence, now)
+				pl.addOccurrence(p, j, occurrence, now)
 			}
 		}
 	}
@@ -154,12 +158,12 @@
 // addOccurrence adds the waiting tasks of an occurrence of a job. A job with less than
 // half of its time left is not counted, since a newer one soon goes before it: first
 // when it becomes late, then when its result becomes useless.
-func (p *poolOutlook) addOccurrence(j *job, occurrence int, now time.Time) {
+func (pl *Planner) addOccurrence(p *poolOutlook, j *job, occurrence int, now time.Time) {
 	var waiting []*step
 	rest, due := time.Duration(0), time.Time{}
 	for i := range j.record.Steps {
 		s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: i}]
-		if s == nil || s.waiting == 0 || s.spec.LongRunning {
+		if s == nil || s.waiting == 0 || s.spec.LongRunning || pl.heldBack(s, &work.Task{}, now) {
 			continue
 		}
 		waiting, due = append(waiting, s), s.dueAt()
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -13,7 +13,9 @@
 	"fmt"
 	"time"
 
+	"knapweedspur/internal/job/copier"
 	"knapweedspur/internal/job/estimator"
+	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/wire/work"
@@ -26,11 +28,17 @@
 	// FarFactor is the factor by which a task takes longer on a VM outside the
 	// rack that holds its data.
 	FarFactor float64
+	// MaxRequestAge is how long after the operators' requests were last known to be
+	// complete tasks may still be placed, 0 for no limit.
+	MaxRequestAge time.Duration
 	// Policy is the order in which jobs are placed; empty means ByWorth.
 	Policy Policy
 	// FillVMs lets long-running tasks reserve whole VMs. It is a baseline for
 	// comparison; otherwise room is kept for short jobs.
 	FillVMs bool
+	// MaxWaste is the share of the work that copies of tasks may cause to be thrown
+	// away, 0 for the usual one.
+	MaxWaste float64
 }
 
 // Policy is the order in which waiting jobs are placed.
@@ -55,7 +63,8 @@
 	vms  map[string]*vm
 	// sortedVMs holds the VMs ordered by name, so that the same events always
 	// lead to the same decisions.
-	sortedVMs []*vm
+	sortedVMs  []*vm
+	evacuation evacuation
 	// termStart is when this leader's term began.
 	termStart time.Time
 	// lastJobNumber is the number of the job added last. Jobs are numbered in
@@ -67,6 +76,19 @@
 	shortWork    map[string]*shortWork
 	crowdedPools map[string]bool
 
+	// declaredRates are the rates of runs relative to the declared durations.
+	declaredRates healthtracker.Rates
+	// trialsSavedAt is when the VMs on trial were last written to the log, savedTrials
+	// what was written.
+	trialsSavedAt time.Time
+	savedTrials   []work.VMTrial
+
+	// copyBudget bounds the copies, lastCopyCheck is when runs were last considered
+	// for one.
+	copyBudget    copier.Budget
+	lastCopyCheck time.Time
+	counters      Counters
+
 	interference *estimator.Interference
 	// lastLearned is when interference was last learned from latencies.
 	lastLearned time.Time
@@ -150,6 +172,21 @@
 	// report of the run; both restart if the progress goes back.
 	firstSeen    time.Time
 	firstPercent int
+	// copies is the run that this one is a copy of, 0 if it is none. copyWaste is the
+	// work that is thrown away at most, in core-seconds.
+	copies    int
+	copyCause copier.Cause
+	copyWaste float64
+	// probeCounted is set once the run has shown that its VM works.
+	probeCounted bool
+	// sentAt is when the start was sent after it was in the log, zero for a run of
+	// an earlier leader.
+	sentAt time.Time
+	// The rate of the run is measured since windowStart, where its progress was
+	// windowPercent. rate is the last one, in percent per second, 0 if unknown.
+	windowStart   time.Time
+	windowPercent int
+	rate          float64
 }
 
 // runKey identifies a run of a task.
@@ -163,6 +200,7 @@
 	pl := &Planner{
 		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, termStart: now, logDecision: log,
 		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
+		copyBudget:   copier.Budget{MaxWaste: settings.MaxWaste},
 		interference: estimator.NewInterference(), shortWork: map[string]*shortWork{}, outlook: newOutlook(),
 	}
 	if state.Estimates != nil {
@@ -176,6 +214,7 @@
 			v.revokedAt = now
 		}
 	}
+	pl.restoreTrials(state.Speeds, now)
 	for id, stored := range state.Jobs {
 		pl.restoreJob(id, stored, now)
 	}
--- a/internal/job/planner/relocate.go
+++ b/internal/job/planner/relocate.go
@@ -113,10 +113,10 @@
 	t := &s.tasks[p.index]
 	bestCost := math.Inf(1)
 	for _, v := range pl.sortedVMs {
-		if v == p.vm || v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) {
+		if v == p.vm || v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) || !pl.domainOpen(v, now) || v.health.OnTrial() != "" {
 			continue
 		}
-		bestCost = min(bestCost, pl.cost(v, s, t))
+		bestCost = min(bestCost, pl.cost(v, s, t, now))
 	}
 	currentCost := float64(fullPace) / float64(max(p.pace, 5))
 	if bestCost*minMoveSpeedup > currentCost && p.pace > stopPace {
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -75,6 +75,19 @@
 	VM string `json:"vm" cbor:"vm" yaml:"vm"`
 }
 
+// The failure domains that the operators want to get no new work, as one process
+// knows them.
+type Evacuation struct {
+	// Time since these were all records of the stream.
+	Age time.Duration `json:"age" cbor:"age" yaml:"age"`
+
+	// Names of the failure domains, in order.
+	Domains []string `json:"domains" cbor:"domains" yaml:"domains"`
+
+	// Offset of the operators' stream up to which its records are reflected.
+	Offset int64 `json:"offset" cbor:"offset" yaml:"offset"`
+}
+
 // Tells an agent that its session is recorded in the log.
 type Grant struct {
 	// Incarnation of the VM's worker: its start time in Unix milliseconds.
@@ -113,6 +126,10 @@
 	// Newest term that the entry knows.
 	Epoch int64 `json:"epoch" cbor:"epoch" yaml:"epoch"`
 
+	// Requests of the operators in this view, absent while the entry does not know
+	// them.
+	Evacuation *Evacuation `json:"evacuation,omitempty,omitzero" cbor:"evacuation,omitempty" yaml:"evacuation,omitempty"`
+
 	// Address of the leader.
 	Leader netip.AddrPort `json:"leader" cbor:"leader" yaml:"leader"`
 
@@ -472,6 +489,15 @@
 	Millicores int `json:"millis" cbor:"millis" yaml:"millis"`
 }
 
+// What a leader has learned about the speeds of VMs.
+type Speeds struct {
+	// When the leader wrote this.
+	WrittenAt time.Time `json:"at" cbor:"at" yaml:"at"`
+
+	// VMs that get little work.
+	VMs []VMTrial `json:"vms" cbor:"vms" yaml:"vms"`
+}
+
 // Command to start a run.
 type Start struct {
 	// Filler task: it runs on processor capacity that other tasks leave unused.
@@ -592,6 +618,21 @@
 	Incarnation string `json:"life" cbor:"life" yaml:"life"`
 }
 
+// A VM that gets little work because it was slow or failed often.
+type VMTrial struct {
+	// Incarnation of the VM's worker: its start time in Unix milliseconds.
+	WorkerIncarnation int64 `json:"born" cbor:"born" yaml:"born"`
+
+	// Why the VM gets little work.
+	Cause string `json:"cause" cbor:"cause" yaml:"cause"`
+
+	// Speed relative to other VMs, 1 if it is as fast.
+	Speed float64 `json:"speed" cbor:"speed" yaml:"speed"`
+
+	// VM corresponds to the JSON schema field "vm".
+	VM string `json:"vm" cbor:"vm" yaml:"vm"`
+}
+
 // A run that was not started and never will be.
 type VoidRun struct {
 	// Why the run was not started.
@@ -630,6 +671,9 @@
 	// Session corresponds to the JSON schema field "session".
 	Session *Session `json:"session,omitempty,omitzero" cbor:"session,omitempty" yaml:"session,omitempty"`
 
+	// Speeds corresponds to the JSON schema field "speeds".
+	Speeds *Speeds `json:"speeds,omitempty,omitzero" cbor:"speeds,omitempty" yaml:"speeds,omitempty"`
+
 	// Task corresponds to the JSON schema field "task".
 	Task *Task `json:"task,omitempty,omitzero" cbor:"task,omitempty" yaml:"task,omitempty"`
 
