where: where a job would go now and why, without sending it

Cause: whoever prepares a job cannot tell whether it would be refused, where it would start or what keeps it from a VM. Change: the planner's choice of a VM says why it leaves each VM out, and ExplainJob places a job as a pass would and takes it off again; any entry answers at /internal/where, asks the leader, and says so when there is none; the command prints it as text or JSON.

--- a/internal/cli/commandrunner/commandrunner.go
+++ b/internal/cli/commandrunner/commandrunner.go
@@ -33,6 +33,7 @@
 	Submit  submitCommand  `cmd:"" help:"Submit a run of a job."`
 	Status  statusCommand  `cmd:"" help:"Show members, runs and refusals."`
 	Why     whyCommand     `cmd:"" help:"Explain why a run, a VM or a declaration is as it is."`
+	Where   whereCommand   `cmd:"" help:"Say where a job would go now and why, without sending it."`
 	Drain   drainCommand   `cmd:"" help:"Take work off a VM and give it no more."`
 	Cancel  cancelCommand  `cmd:"" help:"Cancel a run."`
 	Audit   auditCommand   `cmd:"" help:"Show the audit trail of changes."`
--- a/internal/frontend/admissiondecider/admissiondecider.go
+++ b/internal/frontend/admissiondecider/admissiondecider.go
@@ -80,7 +80,7 @@
 // Judge returns a refusal, without a time to come back, if the job cannot be useful even
 // if the forecast is off by sureMargin, or nil if it is to be accepted.
 func Judge(job *work.Job, s Situation) *Refusal {
-	pool := findPool(job, s)
+	pool := Pool(job, s)
 	if pool == nil {
 		return nil
 	}
@@ -108,9 +108,9 @@
 	return start.Seconds()*left <= sureMargin*slack.Seconds()
 }
 
-// findPool returns the forecast of the pool that would run a job, or nil if there is
-// none to refuse it by.
-func findPool(job *work.Job, s Situation) *work.PoolForecast {
+// Pool returns the forecast of the pool that would run a job, or nil if there is none to
+// refuse it by.
+func Pool(job *work.Job, s Situation) *work.PoolForecast {
 	if s.Forecast == nil || s.Age > maxForecastAge || s.Forecast.Epoch != s.Epoch || hasSchedule(job) {
 		return nil
 	}
--- a/internal/frontend/jobacceptor/room.go
+++ b/internal/frontend/jobacceptor/room.go
@@ -20,7 +20,7 @@
 // was never recorded. A job that may be in the log, or on its way there, is accepted:
 // it may run, so its client must not be told that it does not.
 func (a *Acceptor) refuseForRoom(ctx context.Context, q *queuecataloger.Queue, job *work.Job, key string, now time.Time) error {
-	if admissiondecider.Judge(job, a.situation(now)) == nil || a.mayBeRecorded(key) {
+	if admissiondecider.Judge(job, a.Situation(now)) == nil || a.mayBeRecorded(key) {
 		return nil
 	}
 	// The request may repeat one whose answer was lost at another entry.
@@ -29,7 +29,7 @@
 	if a.Follower.CatchUp(ctx) != nil || a.isKnown(job.ID) {
 		return nil
 	}
-	situation := a.situation(now)
+	situation := a.Situation(now)
 	refusal := admissiondecider.Judge(job, situation)
 	if refusal == nil || a.mayBeRecorded(key) {
 		return nil
@@ -44,8 +44,8 @@
 	return err
 }
 
-// situation returns what the view says about room.
-func (a *Acceptor) situation(now time.Time) admissiondecider.Situation {
+// Situation returns what the view says about room.
+func (a *Acceptor) Situation(now time.Time) admissiondecider.Situation {
 	var s admissiondecider.Situation
 	a.Follower.Forecast(func(state *jobreducer.State, age time.Duration) {
 		s.Forecast, s.Age = state.Forecast, age
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -223,6 +223,18 @@
 	l.wake()
 }
 
+// Inspect calls f with the planner if this entry leads, and reports whether it does.
+// Unlike WithPlanner it is for questions: no pass follows.
+func (l *Leader) Inspect(f func(p *planner.Planner, now time.Time)) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.planner == nil {
+		return false
+	}
+	l.guard(func() { f(l.planner, time.Now()) })
+	return l.planner != nil
+}
+
 // guard calls f, which uses the planner, and ends the leadership if f panics. The
 // next leader rebuilds the planner from the log; no command of the broken one was
 // sent before its records. The caller holds the lock.
--- /dev/null
+++ b/internal/job/planner/explain.go
@@ -0,0 +1,110 @@
+package planner
+
+import (
+	"time"
+
+	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/wire/work"
+)
+
+// JobExplanation says where the tasks of a job would start now, and why not.
+type JobExplanation struct {
+	ID string `json:"id"`
+	// Waits is set for a job that the planner has, and not for one that was only
+	// described to it.
+	Waits bool              `json:"waits"`
+	Steps []StepExplanation `json:"steps"`
+}
+
+// StepExplanation is the part of an explanation about one step.
+type StepExplanation struct {
+	Occurrence int `json:"occurrence"`
+	Step       int `json:"step"`
+	// Waiting, Running and Done count its tasks by state.
+	Waiting int `json:"waiting"`
+	Running int `json:"running"`
+	Done    int `json:"done"`
+	// After lists the steps that it waits for.
+	After []int `json:"after,omitempty"`
+	// Starts counts the tasks that would start now, by VM.
+	Starts map[string]int `json:"starts,omitempty"`
+	// Against counts the VMs that the first task that finds no place cannot use, by
+	// reason; if all find one, the VMs that the first cannot use.
+	Against map[Reason]int `json:"against,omitempty"`
+}
+
+// ExplainJob explains a job that waits, or a new one. It places the tasks that wait as
+// a pass would, without those of other jobs that may go first, and takes them off again:
+// the planner stays as it is.
+func (pl *Planner) ExplainJob(record *work.Job, now time.Time) JobExplanation {
+	j := pl.jobs[record.ID]
+	e := JobExplanation{ID: record.ID, Waits: j != nil}
+	if j == nil {
+		j = &job{id: record.ID, record: record, steps: map[jobreducer.StepKey]*step{}, startedOccurrences: 1}
+		for i := range record.Steps {
+			j.ensureStep(jobreducer.StepKey{Step: i})
+		}
+	}
+	if j.record == nil || j.outcome != nil {
+		return e
+	}
+	var placed []*placement
+	for occurrence := range j.startedOccurrences {
+		for i := range j.record.Steps {
+			s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: i}]
+			if s == nil {
+				continue
+			}
+			explanation, placements := pl.explainStep(s, now)
+			e.Steps, placed = append(e.Steps, explanation), append(placed, placements...)
+		}
+	}
+	for _, p := range placed {
+		pl.takeOff(p)
+	}
+	return e
+}
+
+// explainStep explains a step, and returns the placements of its tasks that would start.
+func (pl *Planner) explainStep(s *step, now time.Time) (StepExplanation, []*placement) {
+	e := StepExplanation{Occurrence: s.key.Occurrence, Step: s.key.Step, Waiting: s.waiting, Running: s.running, Done: s.done}
+	if !s.dependenciesDone() {
+		e.After = s.spec.DependsOn
+		return e, nil
+	}
+	avoidsSince := s.avoidsSince
+	defer func() { s.avoidsSince = avoidsSince }()
+	var placed []*placement
+	e.Starts = map[string]int{}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.Done || len(t.Runs) > 0 || len(placed) >= maxPlacements {
+			continue
+		}
+		against := map[Reason]int{}
+		v := pl.examineVMs(s, t, now, func(r Reason) { against[r]++ })
+		if v == nil || e.Against == nil {
+			e.Against = against
+		}
+		if v == nil {
+			break
+		}
+		key := runKey{s.taskName(i), t.LastRun + 1}
+		pl.addPlacement(s, i, work.Run{Run: key.run, VM: v.name}, now)
+		placed = append(placed, v.runs[key])
+		e.Starts[v.name]++
+	}
+	if s.spec.Gang && len(placed) < len(s.tasks) {
+		for _, p := range placed {
+			pl.takeOff(p)
+		}
+		e.Starts, placed = nil, nil
+	}
+	return e, placed
+}
+
+// takeOff undoes addPlacement.
+func (pl *Planner) takeOff(p *placement) {
+	delete(p.vm.runs, runKey{p.step.taskName(p.index), p.run})
+	p.vm.adjustReserved(p.step.spec, -1)
+}
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -135,15 +134,7 @@
 }
 
 // fits reports whether the VM has room for a task.
-func (v *vm) fits(spec *work.Step) bool {
-	if v.reserved.Memory+spec.Size.Memory > v.workerStatus.Capacity.Memory || v.reserved.Accelerators+spec.Size.Accelerators > v.workerStatus.Capacity.Accelerators {
-		return false
-	}
-	if spec.Filler {
-		return float64(v.expectedUse()+v.fillerUse()+spec.Size.Millicores) <= maxOvercommit*float64(v.workerStatus.Capacity.Millicores)
-	}
-	return v.reserved.Millicores+spec.Size.Millicores <= v.workerStatus.Capacity.Millicores
-}
+func (v *vm) fits(spec *work.Step) bool { return v.whyTooSmall(spec) == "" }
 
 // assumedServingLoad is the share of its reservation that a serving task is
 // assumed to use until its load is known.
@@ -187,30 +178,38 @@
 }
 
 // usable reports whether the VM may get work at all.
-func (v *vm) usable(now time.Time) bool {
-	return v.connected && v.synced && v.sessionConfirmed && !v.session.Revoked && v.workerGoneAt.IsZero() && !v.workerStatus.Draining && !v.hasUnknownRuns && v.workerSilence < maxWorkerSilence &&
-		now.Sub(v.lastContact) < agentTimeout/2 && !v.suspect(now)
-}
+func (v *vm) usable(now time.Time) bool { return v.whyUnusable(now) == "" }
 
 // chooseVM returns the VM with the lowest cost for a task, or nil if none is
 // suitable. In a crowded pool, long-running tasks take the last room of a VM only
 // if there is no other, and enough is left to short jobs.
 func (pl *Planner) chooseVM(s *step, t *work.Task, now time.Time) *vm {
+	return pl.examineVMs(s, t, now, func(Reason) {})
+}
+
+// examineVMs is chooseVM, and passes to against why each VM that is left out is.
+func (pl *Planner) examineVMs(s *step, t *work.Task, now time.Time, against func(Reason)) *vm {
 	spreadsGaps := reservesForLong(s.spec) && pl.crowdedPools[s.job.record.Queue.Pool]
 	crowded := spreadsGaps && mayWait(s, t) && !pl.leavesRoom(s.job.record.Queue.Pool, s.spec.Size.Millicores, now)
 	var best *vm
 	var bestCost float64
 	bestLeavesGap := false
 	for _, v := range pl.sortedVMs {
-		if !pl.suitable(v, s, now) {
+		if reason := pl.whyUnsuitable(v, s, now); reason != "" {
+			against(reason)
 			continue
 		}
 		leavesGap := spreadsGaps && v.fitsTwice(s.spec)
-		if crowded && !leavesGap || bestLeavesGap && !leavesGap {
+		if crowded && !leavesGap {
+			against(KeptForShortJobs)
+			continue
+		}
+		if bestLeavesGap && !leavesGap {
 			continue
 		}
 		cost := pl.cost(v, s, t, now)
 		if s.spec.Filler && cost > maxFillerCost && !pl.waitedTooLong(s, now) {
+			against(TooSlowForFillers)
 			continue
 		}
 		if best == nil || leavesGap && !bestLeavesGap || cost < bestCost {
@@ -222,13 +221,7 @@
 
 // suitable reports whether a task of a step may run on the VM and fits there.
 func (pl *Planner) suitable(v *vm, s *step, now time.Time) bool {
-	if v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) || !pl.mayStart(v, s, now) {
-		return false
-	}
-	if s.spec.Label != "" && !slices.Contains(v.workerStatus.Labels, s.spec.Label) {
-		return false
-	}
-	return (s.spec.MaxPerVM == 0 || v.countRuns(s) < s.spec.MaxPerVM) && s.mayRunOn(v, now) && pl.mayStart(v, s, now)
+	return pl.whyUnsuitable(v, s, now) == ""
 }
 
 // mayStart reports whether a task of a step may start on a VM that has room for it.
--- a/internal/site/sitebuilder/entry.go
+++ b/internal/site/sitebuilder/entry.go
@@ -16,6 +16,7 @@
 	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/frontend/agentbroker"
 	"knapweedspur/internal/frontend/jobacceptor"
+	"knapweedspur/internal/frontend/placementexplainer"
 	"knapweedspur/internal/frontend/queuecataloger"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/job/leader"
@@ -123,6 +124,10 @@
 	peers := mux.NewRouter()
 	peers.Handle(framer.AgentPath, e.broker)
 	peers.HandleFunc(leader.ProposalPath, e.leader.ServeProposal).Methods(http.MethodPost)
+	peers.Handle(placementexplainer.Path, &placementexplainer.Explainer{
+		Name: e.settings.VMName, Follower: e.follower, Planners: e.leader, FindQueue: e.acceptor.FindQueue, Decode: platform.DecodeJob,
+		Situation: e.acceptor.Situation, Client: e.leader.Client, Logger: e.logger,
+	}).Methods(http.MethodPost)
 	peers.HandleFunc(leader.IncarnationPath, e.leader.ServeIncarnation).Methods(http.MethodGet)
 	handlers := []struct {
 		address netip.AddrPort
