--- a/internal/frontend/admissiondecider/admissiondecider_test.go
+++ b/internal/frontend/admissiondecider/admissiondecider_test.go
@@ -37,6 +37,8 @@
 	}{
 		{"far too late", func(*work.Job, *Situation) {}, true},
 		{"late with all durations halved", func(_ *work.Job, s *Situation) { *s = situation(33) }, false},
+		{"late enough", func(_ *work.Job, s *Situation) { *s = situation(45) }, true},
+		{"late enough by a forecast that has faded", func(_ *work.Job, s *Situation) { *s, s.Age = situation(45), 2*time.Second }, false},
 		{"no forecast", func(_ *work.Job, s *Situation) { s.Forecast = nil }, false},
 		{"old forecast", func(j *work.Job, s *Situation) { s.Age, j.Queue.Target = 2600*time.Millisecond, time.Minute }, false},
 		{"forecast too old for the job", func(j *work.Job, s *Situation) { s.Age, j.Queue.Target = time.Second, time.Second }, false},
