--- a/internal/job/planner/hopeless.go
+++ b/internal/job/planner/hopeless.go
@@ -100,5 +100,5 @@
 		}
 	}
 	pl.logDecision("can't be done", "job", s.job.id, "task", s.taskName(index), "failures", t.Failures, "blamed", s.blamedFailures[index], "vms", t.ExcludedVMs,
-		"started", started, "tasks", len(s.tasks), "after", now.Sub(s.dueAt()))
+		"started", started, "tasks", len(s.tasks), "after", now.Sub(s.job.dueAt(s.key.Occurrence)))
 }
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -5,9 +5,11 @@
 	"strings"
 	"time"
 
+	"knapweedspur/internal/job/durationestimator"
 	"knapweedspur/internal/job/estimator"
 	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/job/sequencer"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -22,7 +24,9 @@
 	steps              map[jobreducer.StepKey]*step
 	startedOccurrences int
 	canceled           bool
-	outcome            *work.Outcome
+	// sequenced is the last decision about the order of the job.
+	sequenced map[classKey]sequencer.Result
+	outcome   *work.Outcome
 	// dropped is set once the description was removed from the log.
 	dropped bool
 }
@@ -58,6 +62,13 @@
 	// avoidsSince is since when tasks wait although a VM that is on trial has room,
 	// zero if none does.
 	avoidsSince time.Time
+	// observed is what tasks of the step showed about their duration; learned is set
+	// once the estimator has it.
+	observed durationestimator.Observation
+	learned  bool
+	// leastProgress is the least progress of its running tasks, in percent, as of the
+	// last decision about the order.
+	leastProgress int
 	// tickets are the answers of the policy service by VM.
 	tickets map[string]ticket
 }
--- a/internal/job/planner/outlook.go
+++ b/internal/job/planner/outlook.go
@@ -160,23 +160,23 @@
 // when it becomes late, then when its result becomes useless.
 func (pl *Planner) addOccurrence(p *poolOutlook, j *job, occurrence int, now time.Time) {
 	var waiting []*step
-	rest, due := time.Duration(0), time.Time{}
+	rest, due, chains := time.Duration(0), time.Time{}, pl.chains(j, occurrence)
 	for i := range j.record.Steps {
 		s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: i}]
 		if s == nil || s.waiting == 0 || s.spec.LongRunning || pl.heldBack(s, &work.Task{}, now) {
 			continue
 		}
-		waiting, due = append(waiting, s), s.dueAt()
-		rest = max(rest, jobmeasurer.ChainFrom(j.record.Steps, i))
+		waiting, due = append(waiting, s), j.dueAt(occurrence)
+		rest = max(rest, chains[i])
 	}
 	if len(waiting) == 0 {
 		return
 	}
-	objective, spent := timeObjective(j.record), now.Sub(due)
+	objective, spent := pl.timeObjective(j, occurrence), now.Sub(due)
 	if spent > (lateFactor*objective-rest)/2 {
 		return
 	}
-	jobWork := time.Duration(j.remainingWork(occurrence) * float64(time.Second))
+	jobWork := time.Duration(pl.remainingWork(j, occurrence) * float64(time.Second))
 	for _, s := range waiting {
 		p.fillersWait = p.fillersWait || s.spec.Filler && s.dependenciesDone()
 		p.Demands = append(p.Demands, roomforecaster.Demand{
--- a/internal/job/planner/rank.go
+++ b/internal/job/planner/rank.go
@@ -4,8 +4,7 @@
 	"time"
 
 	"knapweedspur/internal/job/jobmeasurer"
-	"knapweedspur/internal/job/jobreducer"
-	"knapweedspur/internal/wire/work"
+	"knapweedspur/internal/job/sequencer"
 )
 
 // candidate is a step with waiting tasks that could be placed now.
@@ -20,6 +19,11 @@
 	// shortOfTime is set if there is not enough time for all steps, so that
 	// those with the least remaining work go first.
 	shortOfTime bool
+	// sequenced is set if not all jobs that need the same capacity can be in time;
+	// class and position are then the decision about the job.
+	sequenced bool
+	class     sequencer.Class
+	position  int
 }
 
 // lateFactor is how many times its objective a job may take and still be
@@ -38,6 +42,12 @@
 		// steps.
 		return !fills
 	}
+	if a, b := c.step.job.record.Queue.Pool, o.step.job.record.Queue.Pool; a != b {
+		return a < b
+	}
+	if c.sequenced && o.sequenced && c.position != o.position {
+		return c.position < o.position
+	}
 	if policy == ByArrival {
 		return c.step.job.number < o.step.job.number
 	}
@@ -83,13 +93,13 @@
 // rank returns a step as a candidate with its urgency.
 func (pl *Planner) rank(s *step, now time.Time) candidate {
 	j := s.job
-	start := s.dueAt()
-	objective := timeObjective(j.record)
-	c := candidate{step: s, deadline: start.Add(objective), remainingWork: j.remainingWork(s.key.Occurrence)}
+	start := j.dueAt(s.key.Occurrence)
+	objective := pl.timeObjective(j, s.key.Occurrence)
+	c := candidate{step: s, deadline: start.Add(objective), remainingWork: pl.remainingWork(j, s.key.Occurrence)}
 	if s.spec.LongRunning {
 		return c
 	}
-	remaining := jobmeasurer.ChainFrom(j.record.Steps, s.key.Step)
+	remaining := pl.chains(j, s.key.Occurrence)[s.key.Step]
 	switch expectedEnd := now.Add(remaining); {
 	case !expectedEnd.After(c.deadline):
 		c.lateness = 0
@@ -101,14 +111,13 @@
 	return c
 }
 
-// dueAt returns when the occurrence of the step was due. Unlike startedAt, it is
+// dueAt returns when an occurrence was due. Unlike the startedAt of its steps, it is
 // known to every leader.
-func (s *step) dueAt() time.Time {
-	record := s.job.record
-	if record.Occurrences > 0 {
-		return record.DueAt.Add(time.Duration(s.key.Occurrence) * record.Interval)
+func (j *job) dueAt(occurrence int) time.Time {
+	if j.record.Occurrences > 0 {
+		return j.record.DueAt.Add(time.Duration(occurrence) * j.record.Interval)
 	}
-	return record.AcceptedAt
+	return j.record.AcceptedAt
 }
 
 const (
@@ -176,20 +185,3 @@
 		candidates[i].shortOfTime = overloaded || candidates[i].step.spec.Filler
 	}
 }
-
-// remainingWork returns the remaining work of an occurrence, in core-seconds.
-func (j *job) remainingWork(occurrence int) float64 {
-	sum := 0.0
-	for i := range j.record.Steps {
-		spec := &j.record.Steps[i]
-		tasks := spec.Tasks
-		if s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: i}]; s != nil {
-			tasks -= s.done
-		}
-		sum += jobmeasurer.CoreTime(spec, tasks).Seconds()
-	}
-	return sum
-}
-
-// timeObjective returns the time within which a job should complete.
-func timeObjective(j *work.Job) time.Duration { return jobmeasurer.Objective(j) }
--- a/internal/job/planner/speed.go
+++ b/internal/job/planner/speed.go
@@ -206,7 +206,7 @@
 	wait := maxSlowWait
 	if v.health.OnTrial() == healthtracker.Slow {
 		// Waiting costs less than the time that the task would lose there.
-		lost := time.Duration(float64(s.spec.EstimatedDuration) * (1/v.health.Speed(now) - 1))
+		lost := time.Duration(float64(pl.expectedDuration(s)) * (1/v.health.Speed(now) - 1))
 		wait = min(max(lost, minSlowWait), maxSlowWait)
 	}
 	return now.Sub(s.avoidsSince) >= wait
