--- a/internal/job/planner/outlook.go
+++ b/internal/job/planner/outlook.go
@@ -104,9 +104,13 @@
 		}
 		p := pools[name]
 		if p == nil {
-			p = &poolOutlook{Pool: roomforecaster.Pool{Name: name}}
+			p = &poolOutlook{Pool: roomforecaster.Pool{Name: name, Closed: true}}
 			pools[name] = p
 		}
+		if pl.evacuated(v) {
+			continue
+		}
+		p.Closed = false
 		pl.outlook.largestVMs[name] = larger(pl.outlook.largestVMs[name], capacity)
 		p.LargestVM = pl.outlook.largestVMs[name]
 		p.LargestGap = larger(p.LargestGap, work.Size{
@@ -159,7 +163,7 @@
 	rest, due, chains := time.Duration(0), time.Time{}, pl.chains(j, occurrence)
 	for i := range j.record.Steps {
 		s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: i}]
-		if s == nil || s.waiting == 0 || s.spec.LongRunning {
+		if s == nil || s.waiting == 0 || s.spec.LongRunning || pl.heldBack(s, &work.Task{}, now) {
 			continue
 		}
 		waiting, due = append(waiting, s), j.dueAt(occurrence)
--- a/internal/job/planner/outlook_test.go
+++ b/internal/job/planner/outlook_test.go
@@ -95,3 +95,30 @@
 		t.Errorf("rate %d after the last has found room", got)
 	}
 }
+
+// Evacuated VMs give no room to new jobs; a pool without others is closed.
+func TestForecastWithoutEvacuatedVMs(t *testing.T) {
+	s := newSimulation(t)
+	for _, name := range []string{"a", "b"} {
+		s.addVMIn("zone-"+name, name, 8000, 1000)
+	}
+	spec := stepSpec(100, 1000)
+	spec.EstimatedDuration = 20 * time.Second
+	s.submitJob(jobID(1), spec)
+	forecast := func(domains ...string) work.PoolForecast {
+		t.Helper()
+		s.evacuate(domains...)
+		s.advance(time.Second)
+		f := s.planner.Outlook(1, s.now)
+		if f == nil || len(f.Pools) != 1 {
+			t.Fatalf("forecast %+v", f)
+		}
+		return f.Pools[0]
+	}
+	if p := forecast("zone-a"); p.Closed || p.Millicores != 8000 {
+		t.Errorf("with one domain evacuated: closed %v, %d millicores", p.Closed, p.Millicores)
+	}
+	if p := forecast("zone-a", "zone-b"); !p.Closed || p.Millicores != 0 {
+		t.Errorf("with both: closed %v, %d millicores", p.Closed, p.Millicores)
+	}
+}
--- a/internal/job/roomforecaster/roomforecaster.go
+++ b/internal/job/roomforecaster/roomforecaster.go
@@ -66,7 +66,7 @@
 func Summarize(epoch int64, pools []Pool, now time.Time) *work.RoomForecast {
 	var short []work.PoolForecast
 	for i := range pools {
-		if p := summarizePool(&pools[i]); p.Closed || p.longestWait() >= shortWait {
+		if p := summarizePool(&pools[i]); p.longestWait() >= shortWait {
 			short = append(short, p.PoolForecast)
 		}
 	}
