--- a/internal/diagnostic/explainer/causes.go
+++ b/internal/diagnostic/explainer/causes.go
@@ -10,7 +10,7 @@
 // the order in which their causes are listed.
 func causes(t *Timeline) []string {
 	var found []string
-	for _, rule := range []func(*Timeline) string{refusedSubmission, unansweredSubmission, attemptsExhausted, failedRuns, unknownRuns, lostRuns, movedRuns, longPlacementWait, loadDuringWait, leaderChange, logUnavailable, foldedLines} {
+	for _, rule := range []func(*Timeline) string{refusedSubmission, unansweredSubmission, attemptsExhausted, failedRuns, unknownRuns, lostRuns, movedRuns, longPlacementWait, putBehind, loadDuringWait, leaderChange, logUnavailable, foldedLines} {
 		if cause := rule(t); cause != "" {
 			found = append(found, cause)
 		}
@@ -117,6 +117,18 @@
 	return fmt.Sprintf("Moved %d times, since it pressed on serving tasks of its VM.", count)
 }
 
+// putBehind tells that a job was left out of those that can be in time.
+func putBehind(t *Timeline) string {
+	cause := ""
+	t.forEach("sequence", func(e *Event) {
+		if class := stringField(e, "class"); class != "in time" && cause == "" {
+			cause = fmt.Sprintf("Put behind: cannot be in time (%s). It needed %v core-seconds and at least %v, with %v left to its objective; %v jobs shared %v cores.",
+				class, e.Fields["work"], e.Fields["shortest"], e.Fields["left"], e.Fields["of"], e.Fields["cores"])
+		}
+	})
+	return cause
+}
+
 // longWait is the wait for a first placement above which it is reported.
 const longWait = 500 * time.Millisecond
 
--- a/internal/diagnostic/explainer/explainer_test.go
+++ b/internal/diagnostic/explainer/explainer_test.go
@@ -21,6 +21,7 @@
 		{"no room", logLine("01.0", "e", "accept", `"job":"`+id+`","outcome":"done"`) + logLine("01.1", "e", "place", `"task":"`+id+`.0.0.1","vm":"v1"`) + logLine("02.0", "e", "end", `"task":"`+id+`.0.0.1","vm":"v1","how":"done"`) +
 			logLine("05.0", "e", "load", `"millis":400000,"reserved":332450,"busy":186045,"filled":170644,"fillers":68,"slowed":22,"waiting":1,"waiting_fillers":60`) + logLine("07.8", "e", "place", `"task":"`+id+`.0.1.5","vm":"v1"`),
 			"Waited 5.8s until " + id + ".0.1.5 was placed. Meanwhile 60 fillers and 1 other tasks waited; of 400 cores 332 were reserved, 186 in use by others than fillers and 171 by fillers; 22 of 68 fillers were slowed"},
+		{"put behind", logLine("01.0", "e", "sequence", `"job":"`+id+`","class":"late","work":120,"shortest":"4s","left":"3s","of":31,"cores":200`), "Put behind: cannot be in time (late). It needed 120 core-seconds and at least 4s, with 3s left to its objective; 31 jobs shared 200 cores."},
 		{"attempts exhausted", logLine("01.0", "e", "end", `"task":"`+id+`.0.0.1","vm":"v1","how":"failed"`) + logLine("02.0", "e", "finish", `"job":"`+id+`","state":"failed"`), "Given up"},
 		{"moved", logLine("01.0", "e", "halt", `"task":"`+id+`.0.0.1","vm":"v1","reason":"move"`), "Moved 1 times"},
 		{"no leader", logLine("01.0", "e", "accept", `"job":"`+id+`","outcome":"done"`) + logLine("01.5", "e", "lead ends", `"reason":"fenced"`), "The lead changed"},
--- a/internal/job/planner/order.go
+++ b/internal/job/planner/order.go
@@ -282,3 +282,16 @@
 		return cost <= maxFillerCost || pl.waitedTooLong(s, now)
 	}
 }
+
+// countClasses counts the jobs by the class of the last decision, where not all could be
+// in time.
+func (pl *Planner) countClasses() (counts [sequencer.Rest + 1]int) {
+	for _, q := range pl.sequences {
+		for i := range q.results {
+			if q.overloaded {
+				counts[q.results[i].Class]++
+			}
+		}
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/job/planner/order_test.go
@@ -0,0 +1,108 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedspur/internal/job/sequencer"
+)
+
+// classes returns the class of each unfinished job that reserves processors.
+func (s *simulation) classes() map[string]sequencer.Class {
+	classes := map[string]sequencer.Class{}
+	for id, j := range s.planner.jobs {
+		if j.outcome == nil {
+			classes[id] = j.sequenced[classKey{}].Class
+		}
+	}
+	return classes
+}
+
+// submitTooMuch submits six jobs of a second on all processors of a VM, with an
+// objective of three seconds, and lets the first tasks end.
+func submitTooMuch(t *testing.T) *simulation {
+	s := newSimulation(t)
+	v := s.addVM("a", 8000, 10_000)
+	for n := range 6 {
+		s.submitJob(jobID(n+1), stepSpec(8, 1000))
+	}
+	s.advance(500 * time.Millisecond)
+	for range 3 {
+		s.endRun(v, v.active[0].Task, endDone)
+	}
+	s.advance(200 * time.Millisecond)
+	return s
+}
+
+func TestNewLeaderDecidesAlike(t *testing.T) {
+	s := submitTooMuch(t)
+	before := s.classes()
+	counts := map[sequencer.Class]int{}
+	for _, class := range before {
+		counts[class]++
+	}
+	if counts[sequencer.InTime] == 0 || counts[sequencer.Late] == 0 {
+		t.Fatalf("jobs by class %v, want some in time and some late", counts)
+	}
+	s.restart()
+	s.sendReport("a")
+	if diff := cmp.Diff(before, s.classes()); diff != "" {
+		t.Errorf("classes under a new leader (-before +after):\n%s", diff)
+	}
+}
+
+// A job whose tasks have run must get the next free processors before jobs of its
+// kind that have not begun.
+func TestBegunJobIsContinuedFirst(t *testing.T) {
+	s := newSimulation(t)
+	v := s.addVM("a", 8000, 10_000)
+	for n := range 4 {
+		s.submitJob(jobID(n+1), stepSpec(12, 1000))
+	}
+	s.advance(900 * time.Millisecond)
+	first := v.active[0].Task[:len(jobID(1))]
+	for len(v.active) > 4 {
+		s.endRun(v, v.active[0].Task, endDone)
+	}
+	s.advance(200 * time.Millisecond)
+	if got := len(s.placements(first)); got != len(v.active) {
+		t.Errorf("%d of %d runs belong to the begun job: %v", got, len(v.active), v.active)
+	}
+}
+
+// Tasks that take three times their declared duration change what the planner expects
+// of later jobs, also under a new leader, but not if it trusts declarations.
+func TestLearnedDurationsReachNextLeader(t *testing.T) {
+	s := newSimulation(t)
+	v := s.addVM("a", 8000, 10_000)
+	for n := range 24 {
+		s.submitJob(jobID(n+1), stepSpec(2, 1000))
+		s.advance(3 * time.Second)
+		for len(v.active) > 0 {
+			s.endRun(v, v.active[0].Task, endDone)
+		}
+		s.sendReport("a")
+	}
+	s.advance(saveInterval + time.Second)
+	written := s.writtenBytes
+	s.advance(10 * time.Second)
+	if s.writtenBytes != written {
+		t.Errorf("%d bytes were written while nothing changed", s.writtenBytes-written)
+	}
+	for _, leader := range []string{"the leader", "a new leader"} {
+		s.submitJob(jobID(100), stepSpec(1, 1000))
+		j := s.planner.jobs[jobID(100)]
+		for _, step := range j.steps {
+			if got := s.planner.expectedDuration(step); got < 2600*time.Millisecond || got > 3300*time.Millisecond {
+				t.Errorf("%s expects %s, want about 3s", leader, got)
+			}
+			s.planner.Settings.DeclaredDurations = true
+			if diff := cmp.Diff(time.Second, s.planner.expectedDuration(step)); diff != "" {
+				t.Errorf("trusted declaration (-want +got):\n%s", diff)
+			}
+		}
+		s.restart()
+	}
+}
--- a/internal/job/planner/summary.go
+++ b/internal/job/planner/summary.go
@@ -1,6 +1,10 @@
 package planner
 
-import "time"
+import (
+	"time"
+
+	"knapweedspur/internal/job/sequencer"
+)
 
 // loadLogInterval is the interval at which the load of the VMs is logged.
 const loadLogInterval = time.Second
@@ -46,7 +50,8 @@
 			waiting += s.waiting
 		}
 	}
+	classes := pl.countClasses()
 	pl.logDecision("load", "vms", usable, "without_serving", withoutServing, "millis", millicores, "reserved", reserved, "busy", busy,
 		"memory", memory, "held", reservedMemory, "fillers", fillers, "slowed", slowed, "filled", int(fillerUse),
-		"waiting", waiting, "waiting_fillers", waitingFillers)
+		"waiting", waiting, "waiting_fillers", waitingFillers, "in_time", classes[sequencer.InTime], "late", classes[sequencer.Late], "rest", classes[sequencer.Rest])
 }
