Promise room to large tasks that wait, and let small ones run before

Cause: small tasks keep the gaps of every VM full, so large ones wait for as long as the small ones last; placement looked neither at what waits nor at what ends soon.

Change: reserver gives large waiting tasks a VM and a start within 4 s, for at most 6 s and on at most a quarter of a pool; others start there only if they end before or leave the room (mayStart). A step is held back for at most 1 s.

--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -45,6 +45,7 @@
 	}
 	pl.logLoad(candidates, now)
 	if len(candidates) == 0 {
+		pl.afterPlacing(nil, now)
 		return
 	}
 	pl.markOverload(candidates, now)
@@ -57,6 +58,12 @@
 		}
 		remaining -= pl.placeStep(candidates[i].step, remaining, now)
 	}
+	pl.afterPlacing(candidates, now)
+}
+
+// afterPlacing looks after the tasks that a pass has left waiting.
+func (pl *Planner) afterPlacing(candidates []candidate, now time.Time) {
+	pl.renewPromises(candidates, now)
 }
 
 // placeStep places waiting tasks of a step, at most limit unless the step is a
@@ -127,6 +134,7 @@
 	t.Runs = append(t.Runs, r)
 	pl.addPlacement(s, index, r, now)
 	pl.markDirty(s, index)
+	pl.notePromiseKept(s, v, now)
 	pl.logDecision("place", "task", s.taskName(index), "run", run, "vm", v.name, "fence", r.Fence, "heard", now.Sub(v.lastContact),
 		"used", v.reserved.Millicores, "filled", v.fillerMillicores, "memory", v.reserved.Memory, "serving", v.servingRuns, "size", v.workerStatus.Capacity.Millicores)
 	pl.sendStart(v.runs[runKey{s.taskName(index), run}])
@@ -137,6 +145,11 @@
 	if v.reserved.Memory+spec.Size.Memory > v.workerStatus.Capacity.Memory || v.reserved.Accelerators+spec.Size.Accelerators > v.workerStatus.Capacity.Accelerators {
 		return false
 	}
+	return v.fitsProcessors(spec)
+}
+
+// fitsProcessors reports whether the VM has the processors for a task.
+func (v *vm) fitsProcessors(spec *work.Step) bool {
 	if spec.Filler {
 		return float64(v.expectedUse()+v.fillerUse()+spec.Size.Millicores) <= maxOvercommit*float64(v.workerStatus.Capacity.Millicores)
 	}
@@ -226,7 +239,8 @@
 	if s.spec.Label != "" && !slices.Contains(v.workerStatus.Labels, s.spec.Label) {
 		return false
 	}
-	return (s.spec.MaxPerVM == 0 || v.countRuns(s) < s.spec.MaxPerVM) && s.mayRunOn(v, now)
+	return (s.spec.MaxPerVM == 0 || v.countRuns(s) < s.spec.MaxPerVM) && s.mayRunOn(v, now) &&
+		pl.mayStart(v, s, now)
 }
 
 // maxFillerCost is the cost above which a filler waits instead of taking memory
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -15,6 +15,7 @@
 
 	"knapweedspur/internal/job/estimator"
 	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/job/reserver"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/wire/work"
 )
@@ -31,6 +32,9 @@
 	// FillVMs lets long-running tasks reserve whole VMs. It is a baseline for
 	// comparison; otherwise room is kept for short jobs.
 	FillVMs bool
+	// Promises says which tasks that wait for room are promised some; empty means
+	// reserver.All, and reserver.None is the baseline.
+	Promises reserver.Policy
 }
 
 // Policy is the order in which waiting jobs are placed.
@@ -66,6 +70,7 @@
 	// which long-running tasks ask for the room that is kept for short jobs.
 	shortWork    map[string]*shortWork
 	crowdedPools map[string]bool
+	promises     promises
 
 	interference *estimator.Interference
 	// lastLearned is when interference was last learned from latencies.
@@ -162,6 +167,7 @@
 		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, termStart: now, logDecision: log,
 		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
 		interference: estimator.NewInterference(), shortWork: map[string]*shortWork{},
+		promises: promises{byPool: map[string]*reserver.Reserver{}, heldBack: map[*step]heldBack{}},
 	}
 	if state.Estimates != nil {
 		pl.interference.Restore(state.Estimates.Pairs)
--- a/internal/job/planner/summary.go
+++ b/internal/job/planner/summary.go
@@ -48,5 +48,6 @@
 	}
 	pl.logDecision("load", "vms", usable, "without_serving", withoutServing, "millis", millicores, "reserved", reserved, "busy", busy,
 		"memory", memory, "held", reservedMemory, "fillers", fillers, "slowed", slowed, "filled", int(fillerUse),
-		"waiting", waiting, "waiting_fillers", waitingFillers)
+		"waiting", waiting, "waiting_fillers", waitingFillers, "promised", pl.promises.count.given, "promises_kept", pl.promises.count.kept, "held_back", pl.promises.count.heldBack)
+	pl.promises.count = promiseCount{}
 }
--- a/internal/standin/clustersimulator/clustersimulator.go
+++ b/internal/standin/clustersimulator/clustersimulator.go
@@ -69,7 +69,7 @@
 	if workload.Known {
 		s.state.Estimates = s.trueEstimates()
 	}
-	s.planner = planner.New(planner.Settings{MaxLease: 6 * time.Second, FarFactor: 1.5, Policy: policy}, s.state, s.startTime, func(string, ...any) {})
+	s.planner = planner.New(planner.Settings{MaxLease: 6 * time.Second, FarFactor: 1.5, Policy: policy, Promises: workload.Promises}, s.state, s.startTime, func(string, ...any) {})
 	for i := range workload.VMs {
 		v := &vm{name: fmt.Sprintf("vm%04d", i), starts: map[string]work.Start{}, pacer: pacer.New(), nextReport: time.Duration(i%5) * timeStep}
 		v.pacer.MaxTargetMiss = maxTargetMiss
--- a/internal/standin/standinrunner/lab.go
+++ b/internal/standin/standinrunner/lab.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"knapweedspur/internal/job/planner"
+	"knapweedspur/internal/job/reserver"
 	"knapweedspur/internal/standin/clustersimulator"
 )
 
@@ -25,6 +26,8 @@
 	First uint64 `default:"1" help:"Seed of the first day."`
 	Jobs  int    `default:"4" help:"Days that are played at once."`
 	JSON  bool   `help:"Print one JSON object a day."`
+
+	Promises string `default:"all" enum:"none,first,all" help:"Waiting tasks to which room is promised: none, first or all."`
 }
 
 type labRun struct {
@@ -44,6 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
+	workload.Promises = reserver.Policy(o.Promises)
 	results := make([]*clustersimulator.Result, o.Seeds)
 	semaphore := make(chan struct{}, max(o.Jobs, 1))
 	var group sync.WaitGroup
