Runs of less urgent queues give way to tasks that fit nowhere

Cause: an urgent task waited for as long as the fillers of a less urgent queue held all memory; nothing looked at declared priorities once a run had started.

Change: yielder chooses runs on one VM, least work lost first; the planner stops them and promises the room to the task. At most two stops of a task, counted in its record (field yields), none of long-running tasks or gangs. Log line gave way; count in load.

--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -46,6 +46,8 @@
 	// forecastLoads are the expected loads in the next seconds, nil while they
 	// are not known.
 	forecastLoads []float64
+	// noRoomSince is since when the tasks of the step fit on no VM, zero if they do.
+	noRoomSince time.Time
 	// tickets are the answers of the policy service by VM.
 	tickets map[string]ticket
 }
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -64,6 +64,9 @@
 // afterPlacing looks after the tasks that a pass has left waiting.
 func (pl *Planner) afterPlacing(candidates []candidate, now time.Time) {
 	pl.renewPromises(candidates, now)
+	if !pl.Settings.NoYields {
+		pl.yield(candidates, now)
+	}
 }
 
 // placeStep places waiting tasks of a step, at most limit unless the step is a
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -35,6 +35,8 @@
 	// Promises says which tasks that wait for room are promised some; empty means
 	// reserver.All, and reserver.None is the baseline.
 	Promises reserver.Policy
+	// NoYields lets no run give way to a more urgent task. It is a baseline.
+	NoYields bool
 }
 
 // Policy is the order in which waiting jobs are placed.
@@ -85,6 +87,10 @@
 	// lastMoveCheck is when fillers were last considered for a move to another
 	// VM.
 	lastMoveCheck time.Time
+	// lastYield is when runs were last chosen to give way; yields counts them since the
+	// last line about the load.
+	lastYield time.Time
+	yields    int
 
 	records []journal.Record
 	// dirtyTasks holds the tasks, by step and index, whose changes the next Flush
--- a/internal/job/planner/promise.go
+++ b/internal/job/planner/promise.go
@@ -156,13 +156,11 @@
 		}
 	}
 	for pool := range demands {
-		if pl.promises.byPool[pool] == nil {
-			pl.promises.byPool[pool] = reserver.New(pl.Settings.Promises)
-		}
+		pl.reserverOf(pool)
 	}
 	for pool, r := range pl.promises.byPool {
 		vms, mean := pl.reservableVMs(pool, now)
-		large := slices.DeleteFunc(demands[pool], func(d reserver.Demand) bool { return !isLarge(&d, mean) })
+		large := slices.DeleteFunc(demands[pool], func(d reserver.Demand) bool { return !isLarge(&d, mean) && !r.Holds(d.ID) })
 		if len(large) == 0 {
 			delete(pl.promises.byPool, pool)
 			continue
--- a/internal/job/planner/promise_test.go
+++ b/internal/job/planner/promise_test.go
@@ -170,6 +170,7 @@
 			small, large := map[reserver.Policy]played{}, map[reserver.Policy]played{}
 			for _, policy := range []reserver.Policy{reserver.None, reserver.First, reserver.All} {
 				p := newPlay(t, policy, 8, 16_000, 64_000, c.load...)
+				p.planner.Settings.NoYields = true
 				p.run(length)
 				small[policy], large[policy] = p.result(0), p.result(1)
 				t.Logf("%s: small in time %.2f, longest wait %s; large longest wait %s", policy, small[policy].share(), small[policy].longestWait, large[policy].longestWait)
--- a/internal/job/planner/summary.go
+++ b/internal/job/planner/summary.go
@@ -48,6 +48,7 @@
 	}
 	pl.logDecision("load", "vms", usable, "without_serving", withoutServing, "millis", millicores, "reserved", reserved, "busy", busy,
 		"memory", memory, "held", reservedMemory, "fillers", fillers, "slowed", slowed, "filled", int(fillerUse),
-		"waiting", waiting, "waiting_fillers", waitingFillers, "promised", pl.promises.count.given, "promises_kept", pl.promises.count.kept, "held_back", pl.promises.count.heldBack)
-	pl.promises.count = promiseCount{}
+		"waiting", waiting, "waiting_fillers", waitingFillers, "promised", pl.promises.count.given, "promises_kept", pl.promises.count.kept, "held_back", pl.promises.count.heldBack,
+		"gave_way", pl.yields)
+	pl.promises.count, pl.yields = promiseCount{}, 0
 }
--- a/internal/job/reserver/reserver.go
+++ b/internal/job/reserver/reserver.go
@@ -136,6 +136,29 @@
 // Len returns the number of VMs with a promise.
 func (r *Reserver) Len() int { return len(r.promises) }
 
+// Holds reports whether a demand has a promise.
+func (r *Reserver) Holds(demand string) bool { return len(r.held(demand)) > 0 }
+
+// Due returns how many tasks of a demand are promised a start by a time.
+func (r *Reserver) Due(demand string, by time.Time) int {
+	tasks := 0
+	for _, p := range r.promises {
+		if p.Demand == demand && !p.Start.After(by) {
+			tasks += p.Tasks
+		}
+	}
+	return tasks
+}
+
+// Keep promises room that is made for a task of a demand, beyond the limit and the rest
+// of a VM. It replaces the promise of the demand that starts last, if it starts later.
+func (r *Reserver) Keep(vm, demand string, rank Rank, size work.Size, start, now time.Time) {
+	if held := r.held(demand); len(held) > 0 && held[len(held)-1].Start.After(start) {
+		delete(r.promises, held[len(held)-1].VM)
+	}
+	r.promises[vm] = &Promise{Demand: demand, Rank: rank, VM: vm, Tasks: 1, Size: size, GivenAt: now, FirstStart: start, Start: start}
+}
+
 // Started notes that a task started on a VM, and returns the promise there if it was
 // given to the demand of that task.
 func (r *Reserver) Started(vm, demand string, size work.Size, duration time.Duration, now time.Time) *Promise {
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -520,6 +520,9 @@
 
 	// VMs on which a run of the task failed.
 	ExcludedVMs []string `json:"shunned" cbor:"shunned" yaml:"shunned"`
+
+	// Number of runs that were stopped for more urgent tasks.
+	Yields int `json:"yields" cbor:"yields" yaml:"yields"`
 }
 
 // Term of a leader.
