Moves of slowed fillers get rarer with each run; explain names promises and yields

Logs did not say why a task waited for promised room or was stopped for another.

Change: a filler stays for 1, 2, 4 and then 8 s before its next move, by the number of its run. explain reads promise, promise kept, kept for and gave way.

--- a/internal/diagnostic/explainer/causes.go
+++ b/internal/diagnostic/explainer/causes.go
@@ -10,7 +10,7 @@
 // the order in which their causes are listed.
 func causes(t *Timeline) []string {
 	var found []string
-	for _, rule := range []func(*Timeline) string{refusedSubmission, unansweredSubmission, attemptsExhausted, failedRuns, unknownRuns, lostRuns, movedRuns, longPlacementWait, loadDuringWait, leaderChange, logUnavailable, foldedLines} {
+	for _, rule := range []func(*Timeline) string{refusedSubmission, unansweredSubmission, attemptsExhausted, failedRuns, unknownRuns, lostRuns, movedRuns, yieldedRuns, promisedWait, longPlacementWait, loadDuringWait, leaderChange, logUnavailable, foldedLines} {
 		if cause := rule(t); cause != "" {
 			found = append(found, cause)
 		}
@@ -117,6 +117,39 @@
 	return fmt.Sprintf("Moved %d times, since it pressed on serving tasks of its VM.", count)
 }
 
+// yieldedRuns tells of runs that were stopped for tasks of a more urgent queue.
+func yieldedRuns(t *Timeline) string {
+	count, lost, last := 0, 0.0, ""
+	t.forEach("gave way", func(e *Event) {
+		nanoseconds, _ := e.Fields["lost"].(float64)
+		count, lost, last = count+1, lost+nanoseconds, stringField(e, "to")
+	})
+	if count == 0 {
+		return ""
+	}
+	return fmt.Sprintf("Gave way %d times to tasks of more urgent queues, the last time to %s; %s of work was done again.", count, last, time.Duration(lost).Round(time.Millisecond))
+}
+
+// promisedWait tells of tasks that were too large for any VM and waited for a promised
+// start, and of those that were held back for a promise.
+func promisedWait(t *Timeline) string {
+	promised, kept, longest := 0, 0, 0.0
+	t.forEach("promise", func(*Event) { promised++ })
+	t.forEach("promise kept", func(e *Event) {
+		after, _ := e.Fields["after"].(float64)
+		kept, longest = kept+1, max(longest, after)
+	})
+	heldBack, holder := 0, ""
+	t.forEach("kept for", func(e *Event) { heldBack, holder = heldBack+1, stringField(e, "holder") })
+	switch {
+	case promised > 0:
+		return fmt.Sprintf("Waits for a promised start: no VM had room, %d promises, %d kept, the longest after %s.", promised, kept, time.Duration(longest).Round(time.Millisecond))
+	case heldBack > 0:
+		return fmt.Sprintf("Held back %d times for room promised to a larger task, the last time to %s.", heldBack, holder)
+	}
+	return ""
+}
+
 // longWait is the wait for a first placement above which it is reported.
 const longWait = 500 * time.Millisecond
 
--- a/internal/diagnostic/explainer/explainer_test.go
+++ b/internal/diagnostic/explainer/explainer_test.go
@@ -23,6 +23,9 @@
 			"Waited 5.8s until " + id + ".0.1.5 was placed. Meanwhile 60 fillers and 1 other tasks waited; of 400 cores 332 were reserved, 186 in use by others than fillers and 171 by fillers; 22 of 68 fillers were slowed"},
 		{"attempts exhausted", logLine("01.0", "e", "end", `"task":"`+id+`.0.0.1","vm":"v1","how":"failed"`) + logLine("02.0", "e", "finish", `"job":"`+id+`","state":"failed"`), "Given up"},
 		{"moved", logLine("01.0", "e", "halt", `"task":"`+id+`.0.0.1","vm":"v1","reason":"move"`), "Moved 1 times"},
+		{"gave way", logLine("01.0", "e", "gave way", `"task":"`+id+`.0.0.1","vm":"v1","to":"aa.0.0","lost":1500000000`), "Gave way 1 times to tasks of more urgent queues, the last time to aa.0.0; 1.5s of work"},
+		{"promise", logLine("01.0", "e", "promise", `"job":"`+id+`","vm":"v1"`) + logLine("01.7", "e", "promise kept", `"job":"`+id+`","vm":"v1","after":700000000`), "Waits for a promised start: no VM had room, 1 promises, 1 kept, the longest after 700ms"},
+		{"held back", logLine("01.0", "e", "kept for", `"job":"`+id+`","vm":"v1","holder":"aa.0.0"`), "Held back 1 times for room promised to a larger task, the last time to aa.0.0"},
 		{"no leader", logLine("01.0", "e", "accept", `"job":"`+id+`","outcome":"done"`) + logLine("01.5", "e", "lead ends", `"reason":"fenced"`), "The lead changed"},
 	}
 	for _, c := range cases {
--- a/internal/job/planner/promise.go
+++ b/internal/job/planner/promise.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"knapweedspur/internal/job/reserver"
@@ -167,12 +168,18 @@
 		}
 		for _, p := range r.Renew(vms, large, now) {
 			pl.promises.count.given++
-			pl.logDecision("promise", "step", p.Demand, "vm", p.VM, "tasks", p.Tasks, "starts_in", p.Start.Sub(now), "held_for", now.Sub(p.GivenAt),
+			pl.logDecision("promise", "job", jobOf(p.Demand), "step", p.Demand, "vm", p.VM, "tasks", p.Tasks, "starts_in", p.Start.Sub(now), "held_for", now.Sub(p.GivenAt),
 				"millis", p.Size.Millicores, "memory", p.Size.Memory)
 		}
 	}
 }
 
+// jobOf returns the job of a step with the given name.
+func jobOf(step string) string {
+	job, _, _ := strings.Cut(step, ".")
+	return job
+}
+
 // demand returns the tasks of a step that wait because they fit on no VM. It has no
 // tasks if they fit somewhere or wait for another reason.
 func (pl *Planner) demand(s *step, now time.Time) reserver.Demand {
@@ -280,7 +287,7 @@
 	}
 	if p := r.Started(v.name, s.policyName(), reservedSize(s.spec), cautiousDuration(s), now); p != nil {
 		pl.promises.count.kept++
-		pl.logDecision("promise kept", "step", p.Demand, "vm", v.name, "after", now.Sub(p.GivenAt), "late", now.Sub(p.FirstStart))
+		pl.logDecision("promise kept", "job", s.job.id, "step", p.Demand, "vm", v.name, "after", now.Sub(p.GivenAt), "late", now.Sub(p.FirstStart))
 	}
 }
 
@@ -294,7 +301,7 @@
 			h.logged = true
 			pl.promises.heldBack[s] = h
 			pl.promises.count.heldBack++
-			pl.logDecision("kept for", "step", s.policyName(), "vm", h.vm, "holder", h.holder, "held_for", now.Sub(h.since))
+			pl.logDecision("kept for", "job", s.job.id, "step", s.policyName(), "vm", h.vm, "holder", h.holder, "held_for", now.Sub(h.since))
 		}
 	}
 }
--- a/internal/job/planner/relocate.go
+++ b/internal/job/planner/relocate.go
@@ -30,6 +30,9 @@
 	// minStay bounds how often a filler is moved: it may be moved once it has
 	// been on its VM for half of this time.
 	minStay = 2 * time.Second
+	// maxStayDoublings bounds how often that time doubles, with each run of a task. A
+	// task that was slowed again where it was moved to gains little by another move.
+	maxStayDoublings = 3
 	// evacuationTime is how long before a draining worker may leave its runs are
 	// stopped. It covers the time of a stop and its way to the worker and back.
 	evacuationTime = 500 * time.Millisecond
@@ -101,10 +104,16 @@
 	s := p.step
 	t := &s.tasks[p.index]
 	i := runIndex(t, p.run)
-	return s.spec.Filler && p.active && p.pace <= slowPace && now.Sub(p.paceChangedAt) > minSlowTime && now.Sub(p.placedAt) > minStay/2 &&
+	return s.spec.Filler && p.active && p.pace <= slowPace && now.Sub(p.paceChangedAt) > minSlowTime && now.Sub(p.placedAt) > p.leastStay() &&
 		i >= 0 && t.Runs[i].StopReason == "" && (s.spec.Checkpoints || p.progressPercent <= maxUnsavedProgress) && s.job.outcome == nil
 }
 
+// leastStay returns how long a filler stays on its VM before it may be moved. It rests
+// on the number of the run, which a new leader knows.
+func (p *placement) leastStay() time.Duration {
+	return minStay / 2 << min(p.run-1, maxStayDoublings)
+}
+
 // moveIfBetter stops a filler if another VM is much better or its pace is at
 // most stopPace, and reports whether it did. The next run is placed once the
 // end of this one is known.
--- a/internal/job/planner/yield.go
+++ b/internal/job/planner/yield.go
@@ -32,7 +32,7 @@
 		if left <= 0 {
 			return
 		}
-		if s := candidates[i].step; s.waiting > 0 && pl.hasLessUrgentRuns(s) {
+		if s := candidates[i].step; s.waiting > 0 && !s.spec.Filler && pl.hasLessUrgentRuns(s) {
 			left -= pl.yieldToStep(s, min(left, pl.waitForOthers(s, now)), now)
 		}
 	}
--- a/internal/job/reserver/reserver.go
+++ b/internal/job/reserver/reserver.go
@@ -212,15 +212,14 @@
 }
 
 // drop ends the promises of demands that wait no more, of VMs that get no work or may
-// not run the tasks, and those that were kept for too long. A gang loses all of its
-// promises if it loses one.
+// not run the tasks, and those that were kept for too long.
 func (r *Reserver) drop(vms []VM, demands []Demand, now time.Time) {
 	for vm, until := range r.restsTo {
 		if !now.Before(until) {
 			delete(r.restsTo, vm)
 		}
 	}
-	waiting, broken := map[string]*Demand{}, map[string]bool{}
+	waiting := map[string]*Demand{}
 	for i := range demands {
 		waiting[demands[i].ID] = &demands[i]
 	}
@@ -229,19 +228,12 @@
 		known := slices.ContainsFunc(vms, func(v VM) bool { return v.Name == vm })
 		switch {
 		case d == nil, !known, d.MayRun(vm) < p.Tasks:
-			broken[p.Demand] = broken[p.Demand] || d != nil && d.Gang
 			delete(r.promises, vm)
 		case now.Sub(p.GivenAt) > MaxKept:
-			broken[p.Demand] = broken[p.Demand] || d.Gang
 			delete(r.promises, vm)
 			r.restsTo[vm] = now.Add(RestTime)
 		}
 	}
-	for vm, p := range r.promises {
-		if broken[p.Demand] {
-			delete(r.promises, vm)
-		}
-	}
 }
 
 // held returns the promises of a demand, the earliest start first.
