--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -73,7 +73,14 @@
 		return e, nil
 	}
 	avoidsSince := s.avoidsSince
-	defer func() { s.avoidsSince = avoidsSince }()
+	held, isHeld := pl.promises.heldBack[s]
+	defer func() {
+		s.avoidsSince = avoidsSince
+		delete(pl.promises.heldBack, s)
+		if isHeld {
+			pl.promises.heldBack[s] = held
+		}
+	}()
 	var placed []*placement
 	e.Starts = map[string]int{}
 	for i := range s.tasks {
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -69,6 +69,8 @@
 	// leastProgress is the least progress of its running tasks, in percent, as of the
 	// last decision about the order.
 	leastProgress int
+	// noRoomSince is since when the tasks of the step fit on no VM, zero if they do.
+	noRoomSince time.Time
 	// tickets are the answers of the policy service by VM.
 	tickets map[string]ticket
 }
--- a/internal/job/planner/order.go
+++ b/internal/job/planner/order.go
@@ -86,7 +86,10 @@
 		if !waiting[kind] {
 			continue
 		}
-		q.cores = pl.sequenceCapacity(kind, now)
+		if q.cores = pl.sequenceCapacity(kind, now); q.cores <= 0 {
+			// No VM is heard yet, as after a change of leader.
+			continue
+		}
 		var allInTime bool
 		q.results, allInTime = sequencer.Decide(q.jobs, q.cores, now)
 		q.overloaded = !allInTime
@@ -201,6 +204,7 @@
 		}
 		work := coreSeconds(spec, pl.expectedDuration(s))
 		x.TotalWork += work * float64(len(s.tasks))
+		x.Waiting += work * float64(s.waiting)
 		x.Work += work * max(float64(len(s.tasks)-s.done)-progress[s], 0)
 		if s.done < len(s.tasks) {
 			x.Shortest = max(x.Shortest, chains[i]-pl.finishedTime(s))
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -46,6 +46,7 @@
 	}
 	pl.logLoad(candidates, now)
 	if len(candidates) == 0 {
+		pl.afterPlacing(nil, now)
 		return
 	}
 	pl.markCrowdedPools(candidates, now)
@@ -57,6 +58,15 @@
 		}
 		remaining -= pl.placeStep(candidates[i].step, remaining, now)
 	}
+	pl.afterPlacing(candidates, now)
+}
+
+// afterPlacing looks after the tasks that a pass has left waiting.
+func (pl *Planner) afterPlacing(candidates []candidate, now time.Time) {
+	pl.renewPromises(candidates, now)
+	if !pl.Settings.NoYields {
+		pl.yield(candidates, now)
+	}
 }
 
 // placeStep places waiting tasks of a step, at most limit unless the step is a
@@ -127,6 +137,7 @@
 	t.Runs = append(t.Runs, r)
 	pl.addPlacement(s, index, r, now)
 	pl.markDirty(s, index)
+	pl.notePromiseKept(s, v, now)
 	pl.logDecision("place", "task", s.taskName(index), "run", run, "vm", v.name, "fence", r.Fence, "heard", now.Sub(v.lastContact),
 		"used", v.reserved.Millicores, "filled", v.fillerMillicores, "memory", v.reserved.Memory, "serving", v.servingRuns, "size", v.workerStatus.Capacity.Millicores)
 	pl.sendStart(v.runs[runKey{s.taskName(index), run}])
@@ -225,7 +236,7 @@
 
 // mayStart reports whether a task of a step may start on a VM that has room for it.
 func (pl *Planner) mayStart(v *vm, s *step, now time.Time) bool {
-	return pl.domainOpen(v, now) && pl.worthTrying(v, s, now)
+	return pl.domainOpen(v, now) && pl.worthTrying(v, s, now) && pl.keepsPromises(v, s, now)
 }
 
 // maxFillerCost is the cost above which a filler waits instead of taking memory
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -18,6 +18,7 @@
 	"knapweedspur/internal/job/estimator"
 	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/job/reserver"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/wire/work"
 )
@@ -43,6 +44,11 @@
 	// DeclaredDurations trusts the durations that clients declare. It is a baseline
 	// for comparison; otherwise durations are learned.
 	DeclaredDurations bool
+	// Promises says which tasks that wait for room are promised some; empty means
+	// reserver.All, and reserver.None is the baseline.
+	Promises reserver.Policy
+	// NoYields lets no run give way to a more urgent task. It is a baseline.
+	NoYields bool
 }
 
 // Policy is the order in which waiting jobs are placed.
@@ -81,6 +87,7 @@
 	// which long-running tasks ask for the room that is kept for short jobs.
 	shortWork    map[string]*shortWork
 	crowdedPools map[string]bool
+	promises     promises
 
 	// declaredRates are the rates of runs relative to the declared durations.
 	declaredRates healthtracker.Rates
@@ -117,6 +124,10 @@
 	// lastMoveCheck is when fillers were last considered for a move to another
 	// VM.
 	lastMoveCheck time.Time
+	// lastYield is when runs were last chosen to give way; yields counts them since the
+	// last line about the load.
+	lastYield time.Time
+	yields    int
 
 	outlook outlook
 
@@ -221,6 +232,7 @@
 		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
 		copyBudget: copier.Budget{MaxWaste: settings.MaxWaste}, interference: estimator.NewInterference(), durations: durationestimator.New(),
 		shortWork: map[string]*shortWork{}, fillerShares: map[string]*fillerShare{}, outlook: newOutlook(),
+		promises: promises{byPool: map[string]*reserver.Reserver{}, heldBack: map[*step]heldBack{}},
 	}
 	if state.Estimates != nil {
 		pl.interference.Restore(state.Estimates.Pairs)
--- a/internal/job/sequencer/sequencer.go
+++ b/internal/job/sequencer/sequencer.go
@@ -35,6 +35,8 @@
 	ArrivedAt, Deadline, LateDeadline time.Time
 	// Work is the remaining work in core-seconds, TotalWork that of the whole job.
 	Work, TotalWork float64
+	// Waiting is the part of Work whose tasks have not started.
+	Waiting float64
 	// Shortest is the least time that the rest of the job takes.
 	Shortest time.Duration
 	// Running is how many cores its tasks hold.
@@ -105,7 +107,7 @@
 	inTime, left := choose(items, deadline, cores, 0, now)
 	busy := 0.0
 	for _, x := range inTime {
-		busy += x.Work / cores
+		busy += x.Waiting / cores
 	}
 	late, rest := choose(left, lateDeadline, cores, busy, now)
 	order := make([]*item, 0, len(jobs))
@@ -165,18 +167,19 @@
 			continue
 		}
 		chosen = append(chosen, x)
-		seconds += x.Work / cores
-		// Tasks cannot be divided: the last of a job begin when its work is nearly done.
+		// Running tasks end all the time, so what waits begins at the rate of the cores;
+		// the last tasks of the job then take their whole time.
+		seconds += x.Waiting / cores
 		for seconds+x.Shortest.Seconds() > limit(x).Sub(now).Seconds() && len(chosen) > 0 {
 			worst := worstOf(chosen)
-			seconds -= chosen[worst].Work / cores
+			seconds -= chosen[worst].Waiting / cores
 			left = append(left, chosen[worst])
 			chosen = slices.Delete(chosen, worst, worst+1)
 		}
 	}
 	seconds = busy
 	for _, x := range chosen {
-		seconds += x.Work / cores
+		seconds += x.Waiting / cores
 		x.result.ExpectedEnd = now.Add(time.Duration(seconds*float64(time.Second)) + x.Shortest)
 	}
 	return chosen, left
--- a/internal/job/sequencer/sequencer_test.go
+++ b/internal/job/sequencer/sequencer_test.go
@@ -14,7 +14,7 @@
 func newJob(number int, work float64) Job {
 	return Job{
 		Number: number, ArrivedAt: start, Deadline: start.Add(10 * time.Second), LateDeadline: start.Add(30 * time.Second),
-		Work: work, TotalWork: work, Shortest: time.Second,
+		Work: work, TotalWork: work, Waiting: work, Shortest: time.Second,
 	}
 }
 
--- a/internal/standin/clustersimulator/clustersimulator.go
+++ b/internal/standin/clustersimulator/clustersimulator.go
@@ -69,7 +69,7 @@
 	if workload.Known {
 		s.state.Estimates = s.trueEstimates()
 	}
-	settings.MaxLease, settings.FarFactor = 6*time.Second, 1.5
+	settings.MaxLease, settings.FarFactor, settings.Promises = 6*time.Second, 1.5, workload.Promises
 	s.planner = planner.New(settings, s.state, s.startTime, func(string, ...any) {})
 	for i := range workload.VMs {
 		v := &vm{name: fmt.Sprintf("vm%04d", i), starts: map[string]work.Start{}, pacer: pacer.New(), nextReport: time.Duration(i%5) * timeStep}
--- a/internal/standin/standinrunner/lab.go
+++ b/internal/standin/standinrunner/lab.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"knapweedspur/internal/job/planner"
+	"knapweedspur/internal/job/reserver"
 	"knapweedspur/internal/standin/clustersimulator"
 )
 
@@ -27,6 +28,8 @@
 	JSON  bool   `help:"Print one JSON object a day."`
 	// Declared trusts declared durations; of two policies, only under the first.
 	Declared bool `help:"Trust declared durations (in a comparison: the base only)."`
+
+	Promises string `default:"all" enum:"none,first,all" help:"Waiting tasks to which room is promised: none, first or all."`
 }
 
 type labRun struct {
@@ -46,6 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
+	workload.Promises = reserver.Policy(o.Promises)
 	results := make([]*clustersimulator.Result, o.Seeds)
 	semaphore := make(chan struct{}, max(o.Jobs, 1))
 	var group sync.WaitGroup
