--- a/internal/standin/soaktester/checker.go
+++ b/internal/standin/soaktester/checker.go
@@ -27,6 +27,9 @@
 	jobSizes        map[string]size
 	workerUsage     map[string]size
 	workerCapacity  map[string]size
+	workerDomain    map[string]string
+	// evacuatedAt is when the log took the request to evacuate a failure domain.
+	evacuatedAt map[string]time.Time
 	// acceptedAt and canceledAt are when clients first got the answer to a submit
 	// or a cancel; refused are jobs that got only refusals.
 	acceptedAt map[string]time.Time
@@ -63,7 +66,7 @@
 	return &checker{
 		running: map[string]map[string]int{}, startCounts: map[string]int{}, lastStartedRun: map[string]int{},
 		lastStartedAt: map[string]time.Time{}, doneAt: map[completion]time.Time{}, completedAt: map[string]time.Time{}, acknowledgedRun: map[string]int{},
-		jobSizes: map[string]size{}, workerUsage: map[string]size{}, workerCapacity: map[string]size{},
+		jobSizes: map[string]size{}, workerUsage: map[string]size{}, workerCapacity: map[string]size{}, workerDomain: map[string]string{}, evacuatedAt: map[string]time.Time{},
 		acceptedAt: map[string]time.Time{}, canceledAt: map[string]time.Time{}, refused: map[string]bool{}, cancelRequested: map[string]bool{}, lastState: map[string]string{}, startedAt: now,
 	}
 }
@@ -92,6 +95,9 @@
 	if number, ok := c.acknowledgedRun[task]; ok {
 		c.addViolation(now, "started after completion: %s run %d on %s after the completion of run %d was acknowledged", task, run, worker, number)
 	}
+	if at, ok := c.evacuatedAt[c.workerDomain[worker]]; ok && arrivedAt.Sub(at) > platformemulator.EvacuationBound {
+		c.addViolation(now, "started in evacuated domain: %s on %s, %s after the request", task, worker, arrivedAt.Sub(at))
+	}
 	if c.refused[jobOf(task)] {
 		c.addViolation(now, "refused job started: %s on %s", task, worker)
 	}
--- a/internal/standin/soaktester/checker_test.go
+++ b/internal/standin/soaktester/checker_test.go
@@ -18,6 +18,10 @@
 			c.Started("a", "j.0.0.0", 1, now, now)
 			c.Started("b", "j.0.0.0", 2, now, now)
 		}},
+		{"started in evacuated domain", "started in evacuated domain", func(c *checker) {
+			c.evacuatedAt[c.workerDomain["a"]] = now
+			c.Started("a", "j.0.0.0", 1, now.Add(platformemulator.EvacuationBound+1), now)
+		}},
 		{"started after completion", "started after completion", func(c *checker) {
 			c.Started("a", "j.0.0.0", 1, now, now)
 			c.Ended("a", "j.0.0.0", 1, "done", now)
--- a/internal/standin/soaktester/soaktester.go
+++ b/internal/standin/soaktester/soaktester.go
@@ -135,10 +135,13 @@
 	time.Sleep(warmUpTime)
 	s.group.Go(func() { s.submitJobs(ctx) })
 	s.group.Go(s.changeSettings)
+	evacuationsDone := make(chan struct{})
+	go s.evacuateDomains(evacuationsDone)
 	pairsDone := make(chan struct{})
 	go s.injectPairs(pairsDone)
 	s.injectFaults()
 	<-pairsDone
+	<-evacuationsDone
 	if s.config.Seed%2 == 0 {
 		s.losePower()
 	}
@@ -179,14 +182,14 @@
 		p := &process{name: fmt.Sprintf("agent-%d", i), role: "agent", ip: s.address(2, i)}
 		s.agents = append(s.agents, p)
 		w := &platformemulator.Worker{
-			Name: fmt.Sprintf("w%d", i), AgentAddress: fmt.Sprintf("%s:%d", p.ip, basePort+platformemulator.ControlPortOffset), Millicores: workerMillicores, MemoryMB: workerMemory,
+			Name: fmt.Sprintf("w%d", i), Domain: domainOf(i), AgentAddress: fmt.Sprintf("%s:%d", p.ip, basePort+platformemulator.ControlPortOffset), Millicores: workerMillicores, MemoryMB: workerMemory,
 			Observer: s.checker, TaskDuration: s.taskDuration,
 		}
 		if s.config.Pairs {
 			w.ClockDrift = maxClockDrift * rand.New(rand.NewPCG(s.config.Seed, uint64(firstDriftStream+i))).Float64()
 		}
 		w.StartInstance(time.Now())
-		s.checker.workerCapacity[w.Name] = size{workerMillicores, workerMemory}
+		s.checker.workerCapacity[w.Name], s.checker.workerDomain[w.Name] = size{workerMillicores, workerMemory}, w.Domain
 		s.workers = append(s.workers, w)
 		if err := s.startServer(fmt.Sprintf("%s:%d", s.address(3, i), basePort), w); err != nil {
 			return err
@@ -256,7 +259,7 @@
 		return err
 	}
 	settings := platformemulator.Process{
-		Name: p.name, IsEntry: p.role == "entry", IP: p.ip, FirstPort: basePort, LogAddress: proxyAddress,
+		Name: p.name, Domain: domainOf(index), IsEntry: p.role == "entry", IP: p.ip, FirstPort: basePort, LogAddress: proxyAddress,
 		WorkerAddress: fmt.Sprintf("%s:%d", s.address(3, max(index-s.config.Entries, 0)), basePort),
 	}
 	p.settingsPath, p.settings = filepath.Join(s.config.LogDir, p.name+".json"), settings.SettingsFile()
