Leader test: the hook of the fake agents is set under their lock

Cause: TestAgentThatConnectsWhileATermBeginsIsRegistered set a function after the entry had started; -race reported it, in the test only. Change: the hook is written and read under the lock of the fake agents. Result: go test -race of the leader's package fails before and passes now (35 s).

--- a/internal/job/leader/leader_test.go
+++ b/internal/job/leader/leader_test.go
@@ -45,8 +45,11 @@
 }
 
 func (a *fakeAgents) Hellos() []*work.Hello {
-	if a.onHellos != nil {
-		a.onHellos()
+	a.mu.Lock()
+	onHellos := a.onHellos
+	a.mu.Unlock()
+	if onHellos != nil {
+		onHellos()
 	}
 	if a.hello == nil {
 		return nil
@@ -137,6 +140,7 @@
 func TestAgentThatConnectsWhileATermBeginsIsRegistered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := start(t, keyedlogemulator.New(), "a")
+		e.agents.mu.Lock()
 		e.agents.onHellos = func() {
 			go e.leader.WithPlanner(func(pl *planner.Planner, now time.Time) {
 				pl.RegisterAgent(&work.Hello{WorkerStatus: work.WorkerStatus{VM: "late", Incarnation: 1}, AgentIncarnation: "agent"}, now)
@@ -145,6 +149,7 @@
 				runtime.Gosched()
 			}
 		}
+		e.agents.mu.Unlock()
 		waitForLeader(t, e)
 		if e.agents.grantFor("late") == nil {
 			t.Error("the agent got no session")
