--- a/internal/job/planner/admission_test.go
+++ b/internal/job/planner/admission_test.go
@@ -204,12 +204,13 @@
 	baselines := map[bool]*burst{false: playBurst(t, false), true: playBurst(t, true)}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			before, after := baselines[c.filler], playBurst(t, c.filler, c.entries...)
 			inTimeBefore, usefulBefore := before.count()
 			inTime, useful := after.count()
 			shortestWait := time.Hour
 			for i, x := range after.clients {
-				if old := before.clients[i]; x.attempts > 1 {
+				if old := before.clients[i]; x.attempts > 1 && !old.done.IsZero() {
 					shortestWait = min(shortestWait, old.done.Sub(old.firstSent))
 				}
 			}
--- a/internal/job/planner/outlook.go
+++ b/internal/job/planner/outlook.go
@@ -176,7 +176,7 @@
 	if spent > (lateFactor*objective-rest)/2 {
 		return
 	}
-	jobWork := time.Duration(pl.remainingWork(j, occurrence) * float64(time.Second))
+	jobWork := j.declaredWork(occurrence)
 	for _, s := range waiting {
 		p.fillersWait = p.fillersWait || s.spec.Filler && s.dependenciesDone()
 		p.Demands = append(p.Demands, roomforecaster.Demand{
@@ -185,3 +185,17 @@
 		})
 	}
 }
+
+// declaredWork returns the remaining work of an occurrence as it was declared, in core
+// time. An entry compares it with that of a new job, of which it knows nothing else.
+func (j *job) declaredWork(occurrence int) time.Duration {
+	sum := time.Duration(0)
+	for i := range j.record.Steps {
+		tasks := j.record.Steps[i].Tasks
+		if s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: i}]; s != nil {
+			tasks -= s.done
+		}
+		sum += jobmeasurer.CoreTime(&j.record.Steps[i], tasks)
+	}
+	return sum
+}
