--- a/internal/job/planner/order_test.go
+++ b/internal/job/planner/order_test.go
@@ -115,3 +115,34 @@
 		s.restart()
 	}
 }
+
+// Two fillers run at half of their pace, and another VM is free. The one that makes its
+// job late must move although its pace alone is no reason to; the one whose job cannot be
+// in time must not.
+func TestFillerThatMakesItsJobLateMoves(t *testing.T) {
+	s := newSimulation(t)
+	a := s.addVM("a", 5000, 10_000)
+	filler := stepSpec(1, 2000)
+	filler.Filler, filler.Image, filler.Checkpoints, filler.EstimatedDuration = true, "fill", true, 4*time.Second
+	many := filler
+	many.Tasks, many.MaxPerVM = 50, 1
+	for n, step := range []work.Step{filler, many} {
+		s.acceptJob(&work.Job{ID: jobID(n + 1), AcceptedAt: s.now, Steps: []work.Step{step}, Queue: work.Queue{Name: "queue", Pool: "pool", MaxFailures: 2, Stretch: 3, Target: time.Second}})
+	}
+	s.addVM("b", 8000, 10_000)
+	s.advance(200 * time.Millisecond)
+	for i := range a.active {
+		a.active[i].Pace, a.active[i].Measurement = 50, 1000
+	}
+	b := s.vms["b"]
+	b.active[0].Measurement = 2000
+	want := map[string]string{jobID(1) + ".0.0.0": "b", jobID(2) + ".0.0.0": "a", jobID(2) + ".0.0.1": "b"}
+	s.advance(7 * time.Second)
+	got := s.placements(jobID(1))
+	for task, vm := range s.placements(jobID(2)) {
+		got[task] = vm
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("placements (-want +got):\n%s", diff)
+	}
+}
--- a/internal/job/sequencer/sequencer_test.go
+++ b/internal/job/sequencer/sequencer_test.go
@@ -86,6 +86,14 @@
 	wantEqual(t, "classes", []Class{InTime, Late, Late}, classes(results))
 }
 
+// Fillers that press on serving tasks get less out of the same processors.
+func TestJobWithCostlyWorkIsLeftOut(t *testing.T) {
+	jobs := []Job{newJob(1, 50), newJob(2, 50)}
+	jobs[0].Cost = 2
+	results, _ := Decide(jobs, 10, start)
+	wantEqual(t, "classes", []Class{Late, InTime}, classes(results))
+}
+
 // Estimates of work vary from pass to pass; a job that was chosen must stay so unless
 // another is clearly worth more for its work.
 func TestChosenJobsDoNotFlap(t *testing.T) {
