--- a/internal/job/planner/durations.go
+++ b/internal/job/planner/durations.go
@@ -30,11 +30,20 @@
 	if pl.Settings.DeclaredDurations || spec.LongRunning {
 		return spec.EstimatedDuration
 	}
-	var observed durationestimator.Observation
-	if s := j.steps[key]; s != nil {
-		observed = s.observed
+	s := j.steps[key]
+	if s == nil {
+		return pl.durations.Expected(j.kind(key.Step), spec.EstimatedDuration, durationestimator.Observation{})
 	}
-	return pl.durations.Expected(j.kind(key.Step), spec.EstimatedDuration, observed)
+	if from := (knowledge{pl.durations.Changes(), s.observed}); s.expectedFrom != from || s.expected == 0 {
+		s.expected, s.expectedFrom = pl.durations.Expected(j.kind(key.Step), spec.EstimatedDuration, s.observed), from
+	}
+	return s.expected
+}
+
+// knowledge is what an expected duration rests on.
+type knowledge struct {
+	changes  int64
+	observed durationestimator.Observation
 }
 
 func (j *job) kind(index int) durationestimator.Kind {
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -54,6 +54,9 @@
 	// once the estimator has it.
 	observed durationestimator.Observation
 	learned  bool
+	// expected is the duration to expect of its tasks, computed from expectedFrom.
+	expected     time.Duration
+	expectedFrom knowledge
 	// leastProgress is the least progress of its running tasks, in percent, as of the
 	// last decision about the order.
 	leastProgress int
