--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -105,6 +105,8 @@
 	// they need; fillerShares is what fillers get of it, by pool.
 	sequences    map[sequenceKind]*sequence
 	fillerShares map[string]*fillerShare
+	// speeds is how fast fillers run beside serving tasks.
+	speeds *estimator.Speeds
 
 	interference *estimator.Interference
 	// durations is what ended tasks showed; savedDurations is the number of its
@@ -231,6 +233,7 @@
 		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, termStart: now, logDecision: log,
 		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
 		copyBudget: copier.Budget{MaxWaste: settings.MaxWaste}, interference: estimator.NewInterference(), durations: durationestimator.New(),
+		speeds:    estimator.NewSpeeds(),
 		shortWork: map[string]*shortWork{}, fillerShares: map[string]*fillerShare{}, outlook: newOutlook(),
 		promises: promises{byPool: map[string]*reserver.Reserver{}, heldBack: map[*step]heldBack{}},
 	}
--- a/internal/job/planner/relocate.go
+++ b/internal/job/planner/relocate.go
@@ -32,7 +32,7 @@
 	minStay = 2 * time.Second
 	// maxStayDoublings bounds how often that time doubles, with each run of a task. A
 	// task that was slowed again where it was moved to gains little by another move.
-	maxStayDoublings = 3
+	maxStayDoublings = 2
 	// evacuationTime is how long before a draining worker may leave its runs are
 	// stopped. It covers the time of a stop and its way to the worker and back.
 	evacuationTime = 500 * time.Millisecond
@@ -90,7 +90,7 @@
 func (pl *Planner) movableFillers(v *vm, now time.Time) []*placement {
 	var list []*placement
 	for _, p := range v.runs {
-		if p.movable(now) {
+		if p.movable(now) && (p.pace <= slowPace && now.Sub(p.placedAt) > p.leastStay() || pl.urgent(p, now)) {
 			list = append(list, p)
 		}
 	}
@@ -104,7 +104,7 @@
 	s := p.step
 	t := &s.tasks[p.index]
 	i := runIndex(t, p.run)
-	return s.spec.Filler && p.active && p.pace <= slowPace && now.Sub(p.paceChangedAt) > minSlowTime && now.Sub(p.placedAt) > p.leastStay() &&
+	return s.spec.Filler && p.active && now.Sub(p.paceChangedAt) > minSlowTime && now.Sub(p.placedAt) > minStay/2 &&
 		i >= 0 && t.Runs[i].StopReason == "" && (s.spec.Checkpoints || p.progressPercent <= maxUnsavedProgress) && s.job.outcome == nil
 }
 
@@ -128,7 +128,11 @@
 		bestCost = min(bestCost, pl.cost(v, s, t, now))
 	}
 	currentCost := float64(fullPace) / float64(max(p.pace, 5))
-	if bestCost*minMoveSpeedup > currentCost && p.pace > stopPace {
+	speedup := minMoveSpeedup
+	if pl.urgent(p, now) {
+		speedup = minUrgentSpeedup
+	}
+	if bestCost*speedup > currentCost && p.pace > stopPace {
 		return false
 	}
 	pl.stopRun(s, p.index, runIndex(t, p.run), "move", now)
