--- a/internal/job/planner/order.go
+++ b/internal/job/planner/order.go
@@ -31,6 +31,8 @@
 	results []sequencer.Result
 	// overloaded says that not all jobs can be in time.
 	overloaded bool
+	// halfUsed says that at least half of the processors of the pool are used.
+	halfUsed bool
 	// cores is the capacity that the decision counts on.
 	cores float64
 }
@@ -89,7 +91,7 @@
 		q.cores = pl.sequenceCapacity(kind, now)
 		var allInTime bool
 		q.results, allInTime = sequencer.Decide(q.jobs, q.cores, now)
-		q.overloaded = !allInTime
+		q.overloaded, q.halfUsed = !allInTime, pl.halfUsed(kind.pool, now)
 		for i, r := range q.results {
 			pl.noteClass(q, i, r, now)
 		}
@@ -287,18 +289,32 @@
 }
 
 // acceptsCost reports whether a filler takes memory on a VM at the given cost, rather
-// than wait. It always does after the longest wait.
+// than wait. It always does after the longest wait. While there is too little for all, one
+// of a job that cannot be in time does not slow the other fillers of a VM, unless it is the
+// first of its step and less than half of the pool is used.
 func (pl *Planner) acceptsCost(s *step, v *vm, cost float64, now time.Time) bool {
-	switch {
+	switch q := pl.sequences[sequenceKind{s.job.record.Queue.Pool, true}]; {
 	case cost <= maxLateFillerCost:
 		return true
-	case pl.overloadedFillers(s) && v.fillerMillicores > 0 && s.job.sequenced[s.classKey()].Class != sequencer.InTime:
+	case q != nil && q.overloaded && v.fillerMillicores > 0 && (s.running > 0 || q.halfUsed) && s.job.sequenced[s.classKey()].Class != sequencer.InTime:
 		return pl.waitedTooLong(s, now)
 	default:
 		return cost <= maxFillerCost || pl.waitedTooLong(s, now)
 	}
 }
 
+// halfUsed reports whether at least half of the processors of a pool are used.
+func (pl *Planner) halfUsed(pool string, now time.Time) bool {
+	used, capacity := 0, 0
+	for _, v := range pl.sortedVMs {
+		if v.workerStatus.Pool == pool && v.usable(now) {
+			used += v.expectedUse() + v.fillerUse()
+			capacity += v.workerStatus.Capacity.Millicores
+		}
+	}
+	return 2*used >= capacity
+}
+
 // countClasses counts the jobs by the class of the last decision, where not all could be
 // in time.
 func (pl *Planner) countClasses() (counts [sequencer.Rest + 1]int) {
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -45,6 +45,7 @@
 	}
 	pl.logLoad(candidates, now)
 	if len(candidates) == 0 {
+		pl.sequences = nil
 		return
 	}
 	pl.markCrowdedPools(candidates, now)
