--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -46,6 +46,7 @@
 	}
 	pl.logLoad(candidates, now)
 	if len(candidates) == 0 {
+		pl.sequences = nil
 		pl.afterPlacing(nil, now)
 		return
 	}
