Tasks that got promised room count as promised while they run

Change: a VM on which a promised task runs that ends counts as promised for batch tasks, so these have a quarter of a pool at most.

--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -137,10 +137,11 @@
 	t.Runs = append(t.Runs, r)
 	pl.addPlacement(s, index, r, now)
 	pl.markDirty(s, index)
-	pl.notePromiseKept(s, v, now)
+	started := v.runs[runKey{s.taskName(index), run}]
+	pl.notePromiseKept(started, now)
 	pl.logDecision("place", "task", s.taskName(index), "run", run, "vm", v.name, "fence", r.Fence, "heard", now.Sub(v.lastContact),
 		"used", v.reserved.Millicores, "filled", v.fillerMillicores, "memory", v.reserved.Memory, "serving", v.servingRuns, "size", v.workerStatus.Capacity.Millicores)
-	pl.sendStart(v.runs[runKey{s.taskName(index), run}])
+	pl.sendStart(started)
 }
 
 // fits reports whether the VM has room for a task.
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -142,6 +142,8 @@
 	// milliseconds of a serving task, or the processor use of another in
 	// millicores.
 	measurement float64
+	// promised is set if the room of the run was promised before.
+	promised bool
 	// active is set once the agent reported the run as active.
 	active bool
 	// pace is the share at which the agent lets a filler run, in percent;
--- a/internal/job/planner/promise.go
+++ b/internal/job/planner/promise.go
@@ -263,6 +263,7 @@
 				continue
 			}
 			size := reservedSize(p.step.spec)
+			r.Taken = r.Taken || p.promised
 			count++
 			mean.Millicores += size.Millicores
 			mean.Memory += size.Memory
@@ -279,7 +280,8 @@
 
 // notePromiseKept ends the promise on a VM if the step that started there holds it, and
 // the time for which the step was held back.
-func (pl *Planner) notePromiseKept(s *step, v *vm, now time.Time) {
+func (pl *Planner) notePromiseKept(started *placement, now time.Time) {
+	s, v := started.step, started.vm
 	delete(pl.promises.heldBack, s)
 	r := pl.promises.byPool[v.workerStatus.Pool]
 	if r == nil || r.On(v.name) == nil {
@@ -287,6 +289,7 @@
 	}
 	if p := r.Started(v.name, s.policyName(), reservedSize(s.spec), cautiousDuration(s), now); p != nil {
 		pl.promises.count.kept++
+		started.promised = true
 		pl.logDecision("promise kept", "job", s.job.id, "step", p.Demand, "vm", v.name, "after", now.Sub(p.GivenAt), "late", now.Sub(p.FirstStart))
 	}
 }
--- a/internal/job/planner/promise_test.go
+++ b/internal/job/planner/promise_test.go
@@ -15,6 +15,8 @@
 	first, interval time.Duration
 	priority        int
 	step            work.Step
+	// slowness is how many times the declared duration a task takes, 0 for once.
+	slowness int
 }
 
 // played is what the jobs of one kind got.
@@ -85,11 +87,12 @@
 			if p.placedAt[task].IsZero() {
 				p.placedAt[task] = p.now
 			}
-			spec := &p.kinds[p.kindOf[job]].step
+			kind := &p.kinds[p.kindOf[job]]
+			spec, duration := &kind.step, kind.step.EstimatedDuration*time.Duration(max(kind.slowness, 1))
 			took := p.now.Sub(p.startedAt[run])
 			if v.active[i].ProgressPercent = fullProgress; !spec.LongRunning {
-				v.active[i].ProgressPercent = min(fullProgress, int(100*took/spec.EstimatedDuration))
-				if took >= spec.EstimatedDuration {
+				v.active[i].ProgressPercent = min(fullProgress, int(100*took/duration))
+				if took >= duration {
 					p.endRun(v, task, endDone)
 				}
 			}
@@ -196,6 +199,32 @@
 	}
 }
 
+// Load: more large tasks than room, with the checks that use nine tenths of the
+// processors. Promised tasks run on at most a quarter of the VMs.
+func TestManyLargeTasksLeaveSmallOnesTheirRoom(t *testing.T) {
+	many := wideBatchLoad[1]
+	many.interval = 300 * time.Millisecond
+	p := newPlay(t, reserver.All, 8, wideBatchLoad[0], many)
+	p.run(24 * time.Second)
+	small, large := p.result(0), p.result(1)
+	t.Logf("small in time %.2f, longest wait %s; large in time %.2f", small.share(), small.longestWait, large.share())
+	if small.share() < 0.8 || large.share() < 0.4 {
+		t.Errorf("%.2f of the small and %.2f of the large jobs are in time, want at least 0.80 and 0.40", small.share(), large.share())
+	}
+}
+
+// Checks that take three times as long as declared push a promise back. It must not
+// be pushed back for ever.
+func TestLargeTaskStartsBesideTasksThatTakeLonger(t *testing.T) {
+	checks := wideBatchLoad[0]
+	checks.step.Tasks, checks.slowness = 17, 3
+	p := newPlay(t, reserver.All, 8, checks, wideBatchLoad[1])
+	p.run(24 * time.Second)
+	if wait := p.result(1).longestWait; wait > 4*time.Second {
+		t.Errorf("the longest wait of a large task is %s, want at most 4 s", wait)
+	}
+}
+
 // midPromise returns a play in which the first large task has a promise.
 func midPromise(t *testing.T) (*play, *reserver.Promise) {
 	p := newPlay(t, reserver.All, 8, wideBatchLoad...)
--- a/internal/job/reserver/reserver.go
+++ b/internal/job/reserver/reserver.go
@@ -57,6 +57,10 @@
 	Capacity work.Size
 	Used     work.Size
 	Releases []Release
+	// Taken says that a task which ends and was promised room runs there. The VM then
+	// counts as promised for tasks of class 1 and later, so that many large ones do not
+	// drive the small ones out.
+	Taken bool
 }
 
 // Rank is the place of a task among those that wait. A promise binds only tasks that
--- a/internal/job/reserver/reserver_test.go
+++ b/internal/job/reserver/reserver_test.go
@@ -129,6 +129,19 @@
 	}
 }
 
+func TestVMsWithPromisedTasksCountAsPromised(t *testing.T) {
+	vms := []VM{fullVM("a", time.Second, time.Second), fullVM("b"), fullVM("c"), fullVM("d")}
+	vms[1].Taken = true
+	batch := demand("batch")
+	batch.Rank = Rank{Class: 1}
+	if got := New(All).Renew(vms, []Demand{batch}, start); len(got) != 0 {
+		t.Errorf("promises %+v beside a promised task on a quarter of the VMs, want none", got)
+	}
+	if got := New(All).Renew(vms, []Demand{demand("serving")}, start); len(got) != 1 {
+		t.Error("a serving task got no promise beside a promised batch task")
+	}
+}
+
 func TestPromiseBindsOnlyTasksThatComeNoEarlier(t *testing.T) {
 	p := &Promise{Rank: Rank{Class: 1, Priority: 1}}
 	got := []bool{p.Binds(Rank{0, 5}), p.Binds(Rank{1, 0}), p.Binds(Rank{1, 1}), p.Binds(Rank{2, 0})}
--- a/internal/job/reserver/search.go
+++ b/internal/job/reserver/search.go
@@ -75,6 +75,11 @@
 // left returns on how many further VMs room may be promised to a demand.
 func (s *search) left(d *Demand) int {
 	n := s.limit()
+	for i := range s.vms {
+		if s.vms[i].Taken && d.Rank.Class > 0 && s.reserver.promises[s.vms[i].Name] == nil {
+			n--
+		}
+	}
 	for _, p := range s.reserver.promises {
 		if p.Binds(d.Rank) {
 			n--
