A promise stays until the ticket for its VM has come

Cause: once a VM had the promised room, the step counted as fitting there although its queue needs a ticket first; the promise ended, and small tasks could take the room.

Change: a VM without a valid ticket does not count as one where the step could start.

--- a/internal/job/planner/promise.go
+++ b/internal/job/planner/promise.go
@@ -225,10 +225,10 @@
 }
 
 // fitsSomewhere reports whether a task of the step could start on a VM but for
-// promises.
+// promises. Without a ticket it can not; the promise keeps the room until that comes.
 func (pl *Planner) fitsSomewhere(s *step, now time.Time) bool {
 	return slices.ContainsFunc(pl.sortedVMs, func(v *vm) bool {
-		return v.workerStatus.Pool == s.job.record.Queue.Pool && v.usable(now) && v.fits(s.spec) && pl.mayHost(v, s, now)
+		return v.workerStatus.Pool == s.job.record.Queue.Pool && v.usable(now) && v.fits(s.spec) && pl.mayHost(v, s, now) && s.mayRunOn(v, now)
 	})
 }
 
