--- a/internal/job/planner/promise_test.go
+++ b/internal/job/planner/promise_test.go
@@ -297,3 +297,22 @@
 		t.Errorf("%d promises to tasks that are as large as those that run", r.Len())
 	}
 }
+
+// The promised room stays kept while the ticket for its VM is on its way.
+func TestPromiseStaysUntilTicketComes(t *testing.T) {
+	s := newSimulation(t)
+	v := s.addVM("a", 8000, 64_000)
+	s.submitJob(jobID(1), taskStep(1, 1000, 100, time.Second))
+	s.acceptJob(&work.Job{ID: jobID(2), Spec: "spec", AcceptedAt: s.now, Steps: []work.Step{taskStep(1, 8000, 100, time.Second)},
+		Queue: work.Queue{Name: "approved", Pool: "pool", MaxFailures: 2, Approval: &work.ApprovalPolicy{}}})
+	s.advance(900 * time.Millisecond)
+	s.endRun(v, jobID(1)+".0.0.0", endDone)
+	s.advance(200 * time.Millisecond)
+	s.submitJob(jobID(3), taskStep(1, 1000, 100, 9*time.Second))
+	s.advance(300 * time.Millisecond)
+	s.planner.HandlePolicyAnswer(PolicyQuery{Step: jobID(2) + ".0.0", VMs: []string{"a"}}, map[string]string{"a": "ticket"}, time.Minute, s.now)
+	s.advance(100 * time.Millisecond)
+	if got := len(s.placements(jobID(2))); got != 1 {
+		t.Error("a smaller task took the promised room before the ticket came")
+	}
+}
