--- a/internal/job/planner/promise.go
+++ b/internal/job/planner/promise.go
@@ -220,10 +220,10 @@
 }
 
 // fitsSomewhere reports whether a task of the step could start on a VM but for
-// promises.
+// promises. Without a ticket it can not; the promise keeps the room until that comes.
 func (pl *Planner) fitsSomewhere(s *step, now time.Time) bool {
 	return slices.ContainsFunc(pl.sortedVMs, func(v *vm) bool {
-		return v.workerStatus.Pool == s.job.record.Queue.Pool && v.usable(now) && v.fits(s.spec) && pl.mayHost(v, s, now)
+		return v.workerStatus.Pool == s.job.record.Queue.Pool && v.usable(now) && v.fits(s.spec) && pl.mayHost(v, s, now) && s.mayRunOn(v, now)
 	})
 }
 
@@ -258,6 +258,7 @@
 				continue
 			}
 			size := reservedSize(p.step.spec)
+			r.Taken = r.Taken || p.promised
 			count++
 			mean.Millicores += size.Millicores
 			mean.Memory += size.Memory
@@ -274,7 +275,8 @@
 
 // notePromiseKept ends the promise on a VM if the step that started there holds it, and
 // the time for which the step was held back.
-func (pl *Planner) notePromiseKept(s *step, v *vm, now time.Time) {
+func (pl *Planner) notePromiseKept(started *placement, now time.Time) {
+	s, v := started.step, started.vm
 	delete(pl.promises.heldBack, s)
 	r := pl.promises.byPool[v.workerStatus.Pool]
 	if r == nil || r.On(v.name) == nil {
@@ -282,6 +284,7 @@
 	}
 	if p := r.Started(v.name, s.policyName(), reservedSize(s.spec), pl.cautiousDuration(s), now); p != nil {
 		pl.promises.count.kept++
+		started.promised = true
 		pl.logDecision("promise kept", "job", s.job.id, "step", p.Demand, "vm", v.name, "after", now.Sub(p.GivenAt), "late", now.Sub(p.FirstStart))
 	}
 }
