--- a/internal/job/planner/relocate.go
+++ b/internal/job/planner/relocate.go
@@ -30,9 +30,10 @@
 	// minStay bounds how often a filler is moved: it may be moved once it has
 	// been on its VM for half of this time.
 	minStay = 2 * time.Second
-	// maxStayDoublings bounds how often that time doubles, with each run of a task. A
-	// task that was slowed again where it was moved to gains little by another move.
-	maxStayDoublings = 2
+	// From the run after freeMoves the time doubles with each run of a task, at most
+	// maxStayDoublings times: a task that was slowed wherever it was moved gains little
+	// by another move.
+	freeMoves, maxStayDoublings = 2, 3
 	// evacuationTime is how long before a draining worker may leave its runs are
 	// stopped. It covers the time of a stop and its way to the worker and back.
 	evacuationTime = 500 * time.Millisecond
@@ -111,7 +112,7 @@
 // leastStay returns how long a filler stays on its VM before it may be moved. It rests
 // on the number of the run, which a new leader knows.
 func (p *placement) leastStay() time.Duration {
-	return minStay / 2 << min(p.run-1, maxStayDoublings)
+	return minStay / 2 << min(max(p.run-freeMoves, 0), maxStayDoublings)
 }
 
 // moveIfBetter stops a filler if another VM is much better or its pace is at
