sequencer: leave out no job without need

Cause: choose() went on leaving out jobs after the one that would be late was left out itself, so one long job near its deadline put all before it among the late ones. A job whose tasks all run also took others along, or was left out, although it waits for none and none waits for it. Change: stop once the job itself is out, and weigh only jobs that wait.

--- a/internal/job/sequencer/sequencer.go
+++ b/internal/job/sequencer/sequencer.go
@@ -170,13 +170,17 @@
 			continue
 		}
 		chosen = append(chosen, x)
+		if x.Waiting <= 0 {
+			continue // all that is left of it runs, so it waits for no other
+		}
 		// Running tasks end all the time, so what waits begins at the rate of the cores;
 		// the last tasks of the job then take their whole time.
 		seconds += x.Waiting / cores
-		for seconds+x.Shortest.Seconds() > limit(x).Sub(now).Seconds() && len(chosen) > 0 {
+		for in := true; in && seconds+x.Shortest.Seconds() > limit(x).Sub(now).Seconds(); {
 			worst := worstOf(chosen)
 			seconds -= chosen[worst].Waiting / cores
 			left = append(left, chosen[worst])
+			in = chosen[worst] != x // without it, the others have time enough
 			chosen = slices.Delete(chosen, worst, worst+1)
 		}
 	}
@@ -188,13 +192,15 @@
 	return chosen, left
 }
 
-// worstOf returns the position of the job to leave out: of the least urgent priority,
-// that with the least worth for its work.
+// worstOf returns the position of the job to leave out: of the least urgent priority
+// of those that wait, that with the least worth for its work.
 func worstOf(chosen []*item) int {
-	worst := 0
+	worst := -1
 	for i, x := range chosen {
-		w := chosen[worst]
-		if x.Priority > w.Priority || x.Priority == w.Priority && x.density <= w.density {
+		if x.Waiting <= 0 {
+			continue // without it, the others begin no sooner
+		}
+		if worst < 0 || x.Priority > chosen[worst].Priority || x.Priority == chosen[worst].Priority && x.density <= chosen[worst].density {
 			worst = i
 		}
 	}
--- a/internal/job/sequencer/sequencer_test.go
+++ b/internal/job/sequencer/sequencer_test.go
@@ -160,3 +160,23 @@
 	}
 	t.Logf("%s for a decision", time.Duration(result.NsPerOp()))
 }
+
+// A job that is left out itself makes no room by leaving out others.
+func TestJobThatIsLeftOutTakesNoOtherAlong(t *testing.T) {
+	long := newJob(4, 5)
+	long.TotalWork, long.Shortest = 0.1, 9*time.Second
+	jobs := []Job{newJob(1, 20), newJob(2, 20), newJob(3, 20), long}
+	results, allInTime := Decide(jobs, 10, start)
+	wantEqual(t, "all in time", false, allInTime)
+	wantEqual(t, "classes", []Class{InTime, InTime, InTime, Late}, classes(results))
+}
+
+// A job whose tasks all run waits for no other, so none is left out for it, and leaving it
+// out makes no room.
+func TestJobThatRunsWholeIsInTimeBesideOthers(t *testing.T) {
+	running := newJob(4, 60)
+	running.Waiting, running.Running, running.Begun, running.Shortest = 0, 10, true, 8*time.Second
+	jobs := []Job{newJob(1, 40), newJob(2, 40), newJob(3, 40), running}
+	results, _ := Decide(jobs, 10, start)
+	wantEqual(t, "classes", []Class{InTime, InTime, Late, InTime}, classes(results))
+}
