planner: evacuation, promises, yields and holds work together

Cause, each shown by a test that fails on: - Promises and yields did not know of evacuated domains: a free evacuated VM counted as room for a large task, so that it got neither; promises were given and runs stopped on VMs where nothing may start, and on VMs on trial. - Room was promised, and runs stopped, for tasks that wait for a doubtful one. - The wait for a sound VM (2 s) and the hold of a promise (1 s) came one after the other: 3.0 s beside free room. Now they run at the same time. - Each start of a task of a long-running step began the hold of a promise anew for the others, 1 s for each promised VM. - noRoomSince outlived the wait, so a later wait made others yield at once. - A job of short tasks that are done and of long-running ones counted as aged after ten objectives, for good, so the sequence took every pool as overloaded. - hasLessUrgentRuns went through all jobs, ended ones too, for each candidate; now one walk through the jobs for each check.

--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -114,7 +114,7 @@
 		}
 	}
 	if s.waiting == 0 {
-		s.avoidsSince = time.Time{}
+		s.avoidsSince, s.noRoomSince = time.Time{}, time.Time{}
 	}
 }
 
--- a/internal/job/planner/order.go
+++ b/internal/job/planner/order.go
@@ -188,7 +188,7 @@
 	x := sequencer.Job{Priority: j.record.Queue.Priority, Previous: j.sequenced[key].Class}
 	chains := pl.chains(j, key.occurrence)
 	objective := time.Duration(0)
-	unfinished := false
+	unfinished, ends := false, false
 	for i := range j.record.Steps {
 		spec := &j.record.Steps[i]
 		if len(spec.DependsOn) == 0 {
@@ -209,6 +209,7 @@
 		x.Waiting += work * float64(s.waiting)
 		x.Work += work * max(float64(len(s.tasks)-s.done)-progress[s], 0)
 		if s.done < len(s.tasks) {
+			ends = true
 			x.Shortest = max(x.Shortest, chains[i]-pl.finishedTime(s))
 		}
 	}
@@ -224,7 +225,7 @@
 	objective = time.Duration(j.record.Queue.Stretch*float64(objective)) + j.record.Queue.Target
 	x.ArrivedAt = j.dueAt(key.occurrence)
 	x.Deadline, x.LateDeadline = x.ArrivedAt.Add(objective), x.ArrivedAt.Add(lateFactor*objective)
-	if x.TotalWork == 0 {
+	if !ends || x.TotalWork == 0 {
 		// Long-running tasks have no end that could be late.
 		x.ArrivedAt = now
 		x.Deadline, x.LateDeadline = now.Add(objective), now.Add(lateFactor*objective)
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -238,7 +238,12 @@
 
 // mayStart reports whether a task of a step may start on a VM that has room for it.
 func (pl *Planner) mayStart(v *vm, s *step, now time.Time) bool {
-	return pl.domainOpen(v, now) && pl.worthTrying(v, s, now) && pl.keepsPromises(v, s, now)
+	if !pl.domainOpen(v, now) {
+		return false
+	}
+	// Both are asked, so that a step waits for them at the same time.
+	tries, keeps := pl.worthTrying(v, s, now), pl.keepsPromises(v, s, now)
+	return tries && keeps
 }
 
 // maxFillerCost is the cost above which a filler waits instead of taking memory
--- a/internal/job/planner/promise.go
+++ b/internal/job/planner/promise.go
@@ -196,26 +196,35 @@
 	return d
 }
 
-// tasksForRoom returns how many tasks of a step would start if there were room. In a
-// crowded pool the others wait for short jobs. Fillers get no promises: they take what
+// tasksForRoom returns how many tasks of a step would start if there were room. The
+// others wait for a doubtful task or, in a crowded pool, for short jobs. Fillers get no promises: they take what
 // others leave, so no room is kept idle for them.
 func (pl *Planner) tasksForRoom(s *step, now time.Time) int {
 	pool := s.job.record.Queue.Pool
 	if s.spec.Filler || s.spec.Gang && s.waiting < len(s.tasks) {
 		return 0
 	}
+	if pl.heldBack(s, &work.Task{}, now) {
+		return s.waitingAgain()
+	}
 	if !reservesForLong(s.spec) || !pl.crowdedPools[pool] || pl.leavesRoom(pool, s.waiting*s.spec.Size.Millicores, now) {
 		return s.waiting
 	}
+	count := s.waitingAgain()
+	if s.running == 0 || pl.leavesRoom(pool, s.spec.Size.Millicores, now) {
+		count = max(count, 1)
+	}
+	return count
+}
+
+// waitingAgain counts the waiting tasks that have run before.
+func (s *step) waitingAgain() int {
 	count := 0
 	for i := range s.tasks {
 		if t := &s.tasks[i]; !t.Done && len(t.Runs) == 0 && t.LastRun > 0 {
 			count++
 		}
 	}
-	if s.running == 0 || pl.leavesRoom(pool, s.spec.Size.Millicores, now) {
-		count = max(count, 1)
-	}
 	return count
 }
 
@@ -230,7 +239,7 @@
 // mayHost reports whether a VM may run a task of a step once it has the room that the
 // task reserves.
 func (pl *Planner) mayHost(v *vm, s *step, now time.Time) bool {
-	if s.spec.Label != "" && !slices.Contains(v.workerStatus.Labels, s.spec.Label) || s.spec.MaxPerVM > 0 && v.countRuns(s) >= s.spec.MaxPerVM {
+	if pl.evacuated(v) || s.spec.Label != "" && !slices.Contains(v.workerStatus.Labels, s.spec.Label) || s.spec.MaxPerVM > 0 && v.countRuns(s) >= s.spec.MaxPerVM {
 		return false
 	}
 	t, asked := s.tickets[v.name]
@@ -248,7 +257,7 @@
 func (pl *Planner) reservableVMs(pool string, now time.Time) (vms []reserver.VM, mean work.Size) {
 	count := 0
 	for _, v := range pl.sortedVMs {
-		if v.workerStatus.Pool != pool || !v.usable(now) {
+		if v.workerStatus.Pool != pool || !v.usable(now) || pl.evacuated(v) {
 			continue
 		}
 		r := reserver.VM{Name: v.name, Capacity: v.workerStatus.Capacity, Used: v.reserved}
@@ -277,7 +286,11 @@
 // the time for which the step was held back.
 func (pl *Planner) notePromiseKept(started *placement, now time.Time) {
 	s, v := started.step, started.vm
-	delete(pl.promises.heldBack, s)
+	if !s.spec.LongRunning {
+		// The next task waits anew for promised room. Those of a long-running step may
+		// not: none of them may be away for long.
+		delete(pl.promises.heldBack, s)
+	}
 	r := pl.promises.byPool[v.workerStatus.Pool]
 	if r == nil || r.On(v.name) == nil {
 		return
--- a/internal/job/planner/yield.go
+++ b/internal/job/planner/yield.go
@@ -27,12 +27,12 @@
 		return
 	}
 	pl.lastYield = now
-	left := maxYieldsPerPass
+	left, leastUrgent := maxYieldsPerPass, pl.leastUrgentRuns()
 	for i := range candidates {
 		if left <= 0 {
 			return
 		}
-		if s := candidates[i].step; s.waiting > 0 && !s.spec.Filler && pl.hasLessUrgentRuns(s) {
+		if s := candidates[i].step; s.waiting > 0 && !s.spec.Filler && leastUrgent[s.job.record.Queue.Pool] > s.job.record.Queue.Priority {
 			left -= pl.yieldToStep(s, min(left, pl.waitForOthers(s, now)), now)
 		}
 	}
@@ -49,21 +49,21 @@
 	return limit
 }
 
-// hasLessUrgentRuns reports whether a run of a less urgent queue is in the pool of a
-// step.
-func (pl *Planner) hasLessUrgentRuns(s *step) bool {
-	queue := &s.job.record.Queue
+// leastUrgentRuns returns the priority of the least urgent queue with runs, by pool.
+func (pl *Planner) leastUrgentRuns() map[string]int {
+	priorities := map[string]int{}
 	for _, j := range pl.jobs {
-		if j.record == nil || j.outcome != nil || j.record.Queue.Pool != queue.Pool || j.record.Queue.Priority <= queue.Priority {
+		if j.record == nil || j.outcome != nil || j.record.Queue.Priority <= priorities[j.record.Queue.Pool] {
 			continue
 		}
-		for _, other := range j.steps {
-			if other.running > 0 {
-				return true
+		for _, s := range j.steps {
+			if s.running > 0 {
+				priorities[j.record.Queue.Pool] = j.record.Queue.Priority
+				break
 			}
 		}
 	}
-	return false
+	return priorities
 }
 
 // waitForOthers returns how many tasks of a step wait because they fit on no VM, have
@@ -94,7 +94,7 @@
 	for i := range vms {
 		p := r.On(vms[i].Name)
 		kept := p != nil && p.Binds(rankOf(s)) && (p.Demand != s.policyName() || !p.Start.After(now.Add(yieldPatience)))
-		if !kept && pl.mayHost(pl.vms[vms[i].Name], s, now) {
+		if v := pl.vms[vms[i].Name]; !kept && pl.mayHost(v, s, now) && v.mayTry(s, now) {
 			hosts = append(hosts, vms[i])
 		}
 	}
