leader: guard every use of the planner

Cause: the agents that are connected when a term begins were registered, tickets chosen and the metrics read outside of the guard, so an unexpected error of the planner there ended the process of the entry, and of each one that led next. Change: these three calls run under the guard as well. Result: a new test, which ends the test process before, passes; go test of the package passes.

--- a/internal/job/leader/advisor.go
+++ b/internal/job/leader/advisor.go
@@ -24,13 +24,14 @@
 
 // nextPolicyQuery returns the next query to the policy service, if this entry
 // leads and there is one.
-func (l *Leader) nextPolicyQuery(now time.Time) (planner.PolicyQuery, bool) {
+func (l *Leader) nextPolicyQuery(now time.Time) (query planner.PolicyQuery, wanted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.planner == nil {
 		return planner.PolicyQuery{}, false
 	}
-	return l.planner.NextPolicyQuery(now)
+	l.guard(func() { query, wanted = l.planner.NextPolicyQuery(now) })
+	return query, wanted
 }
 
 // requestTickets requests tickets from the policy service while this entry leads,
--- a/internal/job/leader/failure_test.go
+++ b/internal/job/leader/failure_test.go
@@ -55,3 +55,26 @@
 		e.shutdown()
 	})
 }
+
+// An error while a new leader registers the agents must not end its process either.
+func TestFailureAtStartOfTermEndsOnlyTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := keyedlogemulator.New()
+		e := start(t, log, "a")
+		e.agents.mu.Lock()
+		failed := false
+		e.agents.onHellos = func() {
+			if !failed {
+				failed = true
+				panic("unexpected")
+			}
+		}
+		e.agents.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		if e.leader.Leading() != 0 {
+			t.Error("an entry whose planner failed leads")
+		}
+		waitForLeader(t, e)
+		e.shutdown()
+	})
+}
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -262,8 +262,9 @@
 	if l.planner == nil {
 		return Uneven{}
 	}
-	vms, counters := l.planner.Uneven(time.Now())
-	return Uneven{vms, counters}
+	var u Uneven
+	l.guard(func() { u.VMs, u.Counters = l.planner.Uneven(time.Now()) })
+	return u
 }
 
 // Resign hands the leadership to another entry. This entry never claims it again.
@@ -408,8 +409,10 @@
 	}
 	l.Logger.Info("lead begins", "epoch", l.epoch, "book", l.planner.Summary())
 	// An agent that connects after this call waits for the lock to be registered.
-	for _, h := range l.Agents.Hellos() {
-		l.planner.RegisterAgent(h, now)
-	}
-	return true
+	l.guard(func() {
+		for _, h := range l.Agents.Hellos() {
+			l.planner.RegisterAgent(h, now)
+		}
+	})
+	return l.planner != nil
 }
