--- a/internal/job/planner/harness_test.go
+++ b/internal/job/planner/harness_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -68,12 +70,16 @@
 func (s *simulation) restart() {
 	s.planner = New(Settings{MaxLease: 6 * time.Second, FarFactor: 2, MaxRequestAge: s.maxRequestAge}, s.state, s.now, func(string, ...any) {})
 	s.planner.Resume(s.state, s.now)
-	for name := range s.vms {
+	for _, name := range s.vmNames() {
 		s.sendHello(name)
 	}
 	s.runPass()
 }
 
+// vmNames returns the names of the VMs in order, so that each run of a test sends
+// their reports in the same order.
+func (s *simulation) vmNames() []string { return slices.Sorted(maps.Keys(s.vms)) }
+
 // addVM adds a VM with a worker and connects its agent.
 func (s *simulation) addVM(name string, millicores, memory int, labels ...string) *simulatedVM {
 	return s.addVMIn("", name, millicores, memory, labels...)
@@ -225,8 +231,8 @@
 	for ; d > 0; d -= step {
 		s.now = s.now.Add(step)
 		s.passTime()
-		for name, v := range s.vms {
-			if !v.silent {
+		for _, name := range s.vmNames() {
+			if !s.vms[name].silent {
 				s.sendReport(name)
 			}
 		}
--- a/internal/job/planner/promise_test.go
+++ b/internal/job/planner/promise_test.go
@@ -74,7 +74,8 @@
 
 // step carries out one step of all tasks and reports it.
 func (p *play) step() {
-	for name, v := range p.vms {
+	for _, name := range p.vmNames() {
+		v := p.vms[name]
 		if v.silent {
 			continue
 		}
