--- a/internal/sidecar/workercontroller/workercontroller.go
+++ b/internal/sidecar/workercontroller/workercontroller.go
@@ -80,7 +80,7 @@
 	WorkerIncarnation int64
 	Active            []work.RunStatus
 	Ends              []work.RunEnd
-	// MoreEnds is set if the worker has more ends than it lists.
+	// MoreEnds is set if the worker has more ends than are listed here.
 	MoreEnds bool
 	// UnreadableRows counts the rows of the lists that could not be decoded. MoreEnds
 	// is set if there are any, since a run that is not listed may be in one of them.
