planner: bound what one question `where` explains

Cause: the bound of 400 starts held for each step, so a job of many steps or occurrences kept the leader's lock for that many searches of all VMs; a gang of more tasks was always told not to start. Change: the bound holds for the whole job, and a gang is explained whole.

--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -55,7 +55,7 @@
 			if s == nil {
 				continue
 			}
-			explanation, placements := pl.explainStep(s, now)
+			explanation, placements := pl.explainStep(s, maxPlacements-len(placed), now)
 			e.Steps, placed = append(e.Steps, explanation), append(placed, placements...)
 		}
 	}
@@ -65,8 +65,9 @@
 	return e
 }
 
-// explainStep explains a step, and returns the placements of its tasks that would start.
-func (pl *Planner) explainStep(s *step, now time.Time) (StepExplanation, []*placement) {
+// explainStep explains a step, and returns the placements of its tasks that would start,
+// at most limit unless the step is a gang.
+func (pl *Planner) explainStep(s *step, limit int, now time.Time) (StepExplanation, []*placement) {
 	e := StepExplanation{Occurrence: s.key.Occurrence, Step: s.key.Step, Waiting: s.waiting, Running: s.running, Done: s.done}
 	if !s.dependenciesDone() {
 		e.After = s.spec.DependsOn
@@ -85,7 +86,7 @@
 	e.Starts = map[string]int{}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.Done || len(t.Runs) > 0 || len(placed) >= maxPlacements {
+		if t.Done || len(t.Runs) > 0 || !s.spec.Gang && len(placed) >= limit {
 			continue
 		}
 		against := map[Reason]int{}
--- a/internal/job/planner/explain_test.go
+++ b/internal/job/planner/explain_test.go
@@ -76,3 +76,21 @@
 		t.Errorf("%d millicores are reserved", reserved)
 	}
 }
+
+// A question must not hold the leader up: the starts that it counts are bounded as those
+// of a pass are.
+func TestExplanationIsBounded(t *testing.T) {
+	s := newSimulation(t)
+	s.addVM("a", 16_000, 1_000_000)
+	got := s.planner.ExplainJob(newExplainedJob(stepSpec(300, 1), stepSpec(300, 1), stepSpec(300, 1)), s.now)
+	count := 0
+	for _, step := range got.Steps {
+		count += step.Starts["a"]
+	}
+	if count != maxPlacements {
+		t.Errorf("%d starts are explained, want %d", count, maxPlacements)
+	}
+	if s.planner.vms["a"].reserved != (work.Size{}) || len(s.planner.vms["a"].runs) != 0 {
+		t.Error("the planner has changed")
+	}
+}
