--- a/internal/job/healthtracker/healthtracker.go
+++ b/internal/job/healthtracker/healthtracker.go
@@ -30,14 +30,14 @@
 	// firstPause and maxPause bound how long a slow VM gets no work. The pause
 	// doubles while the runs that are tried there are slow.
 	firstPause, maxPause = time.Second, 4 * time.Second
-	// soundAllowance is the number of runs at once from which a VM on trial counts
+	// soundRunLimit is the number of runs at once from which a VM on probation counts
 	// as sound. The number doubles with each run that goes well.
-	soundAllowance = 4
+	soundRunLimit = 4
 	// maxSamples bounds the runs, and the results, that are kept of one VM.
 	maxSamples = 16
 )
 
-// Cause is why a VM is on trial.
+// Cause is why a VM is on probation.
 type Cause string
 
 // The causes.
@@ -57,7 +57,7 @@
 	lastRefusal   time.Time
 	results       []result
 	samples       []sample
-	trial         *trial
+	probation     *probation
 	// changed is set if anything was learned since the last judgement.
 	changed bool
 }
@@ -69,14 +69,14 @@
 	at     time.Time
 }
 
-// trial is the state of a VM that gets little work until it shows that it is sound.
-type trial struct {
+// probation is the state of a VM that gets little work until it shows that it is sound.
+type probation struct {
 	cause   Cause
 	began   time.Time
 	pause   time.Duration
 	resumes time.Time
-	// allowance is how many runs may be tried at once.
-	allowance int
+	// runLimit is how many runs may be tried at once.
+	runLimit int
 	// judged holds the runs that count already, and whether they went well.
 	judged map[string]bool
 }
@@ -86,7 +86,7 @@
 	h.failures = 0
 	h.lastFailedJob = ""
 	h.addResult(result{job, false, now})
-	if h.trial != nil && h.trial.cause == Flaky {
+	if h.probation != nil && h.probation.cause == Flaky {
 		h.pass()
 	}
 }
@@ -100,8 +100,8 @@
 		h.lastFailure = now
 	}
 	h.addResult(result{job, true, now})
-	if h.trial != nil && h.trial.cause == Flaky {
-		h.trial.resumes, h.trial.allowance = now.Add(SuspectPause), 1
+	if h.probation != nil && h.probation.cause == Flaky {
+		h.probation.resumes, h.probation.runLimit = now.Add(SuspectPause), 1
 	}
 }
 
@@ -130,7 +130,7 @@
 // the job: runs of other jobs have failed there lately too.
 func (h *Health) Blamed(now time.Time) bool {
 	failures, _ := h.countResults(now)
-	return h.Suspect() || h.trial != nil || failures > 1.5
+	return h.Suspect() || h.probation != nil || failures > 1.5
 }
 
 // countResults returns the numbers of jobs that failed on the VM and of runs that
@@ -156,22 +156,22 @@
 // MayStart reports whether the VM may get another run, given how many of the runs
 // that were placed there since a time are still there.
 func (h *Health) MayStart(now time.Time, placedSince func(time.Time) int) bool {
-	t := h.trial
-	return t == nil || !now.Before(t.resumes) && placedSince(t.resumes) < t.allowance
+	t := h.probation
+	return t == nil || !now.Before(t.resumes) && placedSince(t.resumes) < t.runLimit
 }
 
-// OnTrial returns why the VM gets little work, or "" if it is sound.
-func (h *Health) OnTrial() Cause {
-	if h.trial == nil {
+// OnProbation returns why the VM gets little work, or "" if it is sound.
+func (h *Health) OnProbation() Cause {
+	if h.probation == nil {
 		return ""
 	}
-	return h.trial.cause
+	return h.probation.cause
 }
 
-// Restore puts a VM on trial that an earlier leader had on trial. It may be tried at
+// Restore puts a VM on probation that an earlier leader had on probation. It may be tried at
 // once.
 func (h *Health) Restore(cause Cause, speed float64, now time.Time) {
-	h.trial = &trial{cause: cause, began: now, pause: firstPause, resumes: now, allowance: 1, judged: map[string]bool{}}
+	h.probation = &probation{cause: cause, began: now, pause: firstPause, resumes: now, runLimit: 1, judged: map[string]bool{}}
 	if cause == Slow {
 		h.samples = []sample{{logRatio: math.Log(max(speed, minSpeed)), evidence: maxEvidence, at: now, slowSince: now}}
 	}
@@ -180,8 +180,8 @@
 // Update judges the VM by what is known now, and returns whether the judgement has
 // changed.
 func (h *Health) Update(now time.Time) bool {
-	if h.trial != nil {
-		return h.updateTrial(now)
+	if h.probation != nil {
+		return h.updateProbation(now)
 	}
 	if !h.changed {
 		// Evidence only fades.
@@ -189,21 +189,21 @@
 	}
 	h.changed = false
 	if h.evidence(now) >= slowEvidence {
-		h.trial = &trial{cause: Slow, began: now, pause: firstPause, resumes: now.Add(firstPause), allowance: 1, judged: map[string]bool{}}
+		h.probation = &probation{cause: Slow, began: now, pause: firstPause, resumes: now.Add(firstPause), runLimit: 1, judged: map[string]bool{}}
 		return true
 	}
 	failures, successes := h.countResults(now)
 	if failures >= flakyFailures && failures >= flakyShare*(failures+successes) {
-		h.trial = &trial{cause: Flaky, began: now, resumes: now.Add(SuspectPause), allowance: 1, judged: map[string]bool{}}
+		h.probation = &probation{cause: Flaky, began: now, resumes: now.Add(SuspectPause), runLimit: 1, judged: map[string]bool{}}
 		return true
 	}
 	return false
 }
 
-// updateTrial applies the progress of the runs on a slow VM, and ends a trial that
+// updateProbation applies the progress of the runs on a slow VM, and ends a probation that
 // was passed.
-func (h *Health) updateTrial(now time.Time) bool {
-	t := h.trial
+func (h *Health) updateProbation(now time.Time) bool {
+	t := h.probation
 	if t.cause == Slow {
 		for i := range h.samples {
 			if s := &h.samples[i]; s.at.After(t.began) && s.telling() {
@@ -211,18 +211,18 @@
 			}
 		}
 	}
-	if t.allowance < soundAllowance {
+	if t.runLimit < soundRunLimit {
 		return false
 	}
-	h.trial, h.results = nil, nil
+	h.probation, h.results = nil, nil
 	h.samples = slices.DeleteFunc(h.samples, func(s sample) bool { return s.evidence > 0 })
 	return true
 }
 
-// judge applies one run on a slow VM to its trial. A run counts once as slow, and once
+// judge applies one run on a slow VM to its probation. A run counts once as slow, and once
 // more if it turns out well.
 func (h *Health) judge(s *sample, now time.Time) {
-	t, good := h.trial, s.evidence < 0
+	t, good := h.probation, s.evidence < 0
 	if before, counted := t.judged[s.run]; counted && before == good {
 		return
 	}
@@ -234,10 +234,10 @@
 		return
 	default:
 		t.pause = min(2*t.pause, maxPause)
-		t.resumes, t.allowance = now.Add(t.pause), 1
+		t.resumes, t.runLimit = now.Add(t.pause), 1
 	}
 	t.judged[s.run] = good
 }
 
-// pass counts a run that went well during a trial.
-func (h *Health) pass() { h.trial.allowance *= 2 }
+// pass counts a run that went well during a probation.
+func (h *Health) pass() { h.probation.runLimit *= 2 }
--- a/internal/job/healthtracker/healthtracker_test.go
+++ b/internal/job/healthtracker/healthtracker_test.go
@@ -16,12 +16,12 @@
 	return h
 }
 
-// Runs that were there when a VM was found slow go on slowly; that is no failed trial.
+// Runs that were there when a VM was found slow go on slowly; that is no failed probation.
 func TestSlowVMIsTriedAfterFirstPause(t *testing.T) {
 	now := time.Unix(1000, 0)
 	h := slowVM(now)
-	if h.OnTrial() != Slow || h.MayStart(now, noRuns) {
-		t.Fatalf("on trial: %q, may start: %t", h.OnTrial(), h.MayStart(now, noRuns))
+	if h.OnProbation() != Slow || h.MayStart(now, noRuns) {
+		t.Fatalf("on probation: %q, may start: %t", h.OnProbation(), h.MayStart(now, noRuns))
 	}
 	h.ObserveRun("a", 0.2, PeerSpread, now.Add(firstPause/2))
 	h.Update(now.Add(firstPause / 2))
@@ -36,7 +36,7 @@
 	h.ObserveRun("c", 0.2, PeerSpread, now.Add(time.Second))
 	h.Update(now.Add(time.Second))
 	if h.MayStart(now.Add(2*time.Second), noRuns) {
-		t.Error("the VM is tried again after the first pause although the trial was slow")
+		t.Error("the VM is tried again after the first pause although the probation was slow")
 	}
 }
 
@@ -46,14 +46,14 @@
 	h := slowVM(now)
 	now = now.Add(firstPause)
 	for i, run := range []string{"c", "d"} {
-		if h.OnTrial() != Slow {
+		if h.OnProbation() != Slow {
 			t.Fatalf("sound after %d runs", i)
 		}
 		h.ObserveRun(run, 1, PeerSpread, now.Add(time.Second))
 		h.Update(now.Add(time.Second))
 	}
-	if h.OnTrial() != "" || h.Speed(now) != 1 {
-		t.Errorf("on trial: %q, speed %v; want a sound VM", h.OnTrial(), h.Speed(now))
+	if h.OnProbation() != "" || h.Speed(now) != 1 {
+		t.Errorf("on probation: %q, speed %v; want a sound VM", h.OnProbation(), h.Speed(now))
 	}
 }
 
@@ -64,7 +64,7 @@
 	h.ObserveRun("a", 0.2, PeerSpread, now)
 	now = now.Add(4 * halfLife)
 	h.ObserveRun("b", 0.2, PeerSpread, now)
-	if h.Update(now); h.OnTrial() != "" {
+	if h.Update(now); h.OnProbation() != "" {
 		t.Error("one old and one new run condemn a VM")
 	}
 }
--- a/internal/job/healthtracker/speed.go
+++ b/internal/job/healthtracker/speed.go
@@ -20,7 +20,7 @@
 	// so that a VM that turns slow is noticed by the next two.
 	maxSoundEvidence = 2.5
 	// tellingEvidence is the least evidence by which one run decides about a VM on
-	// trial.
+	// probation.
 	tellingEvidence = 0.5
 	// PeerSpread is the standard deviation of the logarithm of the rates of the tasks
 	// of one step.
@@ -92,7 +92,7 @@
 
 // Speed returns the expected speed of the VM, 1 unless it is slow.
 func (h *Health) Speed(now time.Time) float64 {
-	if h.trial == nil || h.trial.cause != Slow {
+	if h.probation == nil || h.probation.cause != Slow {
 		return 1
 	}
 	sum, weights := 0.0, 0.0
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -6,11 +6,9 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
@@ -235,38 +233,6 @@
 	return l.planner != nil
 }
 
-// guard calls f, which uses the planner, and ends the leadership if f panics. The
-// next leader rebuilds the planner from the log; no command of the broken one was
-// sent before its records. The caller holds the lock.
-func (l *Leader) guard(f func()) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			l.Logger.Error("the planner failed", "epoch", l.epoch, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
-			l.stepDown("the planner failed", failedPause)
-		}
-	}()
-	f()
-}
-
-// Uneven is what this entry, if it leads, knows about uneven VMs and tasks.
-type Uneven struct {
-	VMs      []work.VMTrial
-	Counters planner.Counters
-}
-
-// Uneven returns the VMs that get little work and the decisions of this term, both
-// empty if this entry does not lead.
-func (l *Leader) Uneven() Uneven {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.planner == nil {
-		return Uneven{}
-	}
-	var u Uneven
-	l.guard(func() { u.VMs, u.Counters = l.planner.Uneven(time.Now()) })
-	return u
-}
-
 // Resign hands the leadership to another entry. This entry never claims it again.
 func (l *Leader) Resign() {
 	l.mu.Lock()
--- a/internal/job/planner/copy.go
+++ b/internal/job/planner/copy.go
@@ -131,7 +131,7 @@
 	var best *vm
 	var bestCost float64
 	for _, v := range pl.sortedVMs {
-		if v == p.vm || v.health.OnTrial() != "" || v.health.Suspect() || slices.Contains(t.ExcludedVMs, v.name) || !pl.suitable(v, s, now) || !v.fitsTwice(s.spec) {
+		if v == p.vm || v.health.OnProbation() != "" || v.health.Suspect() || slices.Contains(t.ExcludedVMs, v.name) || !pl.suitable(v, s, now) || !v.fitsTwice(s.spec) {
 			continue
 		}
 		if cost := pl.cost(v, s, t, now); best == nil || cost < bestCost {
--- a/internal/job/planner/interplay_test.go
+++ b/internal/job/planner/interplay_test.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// A VM on trial gets no task at once, so nothing gives way there.
-func TestNothingGivesWayOnVMOnTrial(t *testing.T) {
+// A VM on probation gets no task at once, so nothing gives way there.
+func TestNothingGivesWayOnVMOnProbation(t *testing.T) {
 	s := newSimulation(t)
 	s.addVM("a", 16_000, 6400)
 	s.submitFiller(6400)
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -59,7 +59,7 @@
 	rates         healthtracker.Rates
 	// endedTimes are the times of the latest runs that completed.
 	endedTimes []time.Duration
-	// avoidsSince is since when tasks wait although a VM that is on trial has room,
+	// avoidsSince is since when tasks wait although a VM that is on probation has room,
 	// zero if none does.
 	avoidsSince time.Time
 	// observed is what tasks of the step showed about their duration; learned is set
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -91,10 +91,10 @@
 
 	// declaredRates are the rates of runs relative to the declared durations.
 	declaredRates healthtracker.Rates
-	// trialsSavedAt is when the VMs on trial were last written to the log, savedTrials
+	// probationsSavedAt is when the VMs on probation were last written to the log, savedProbations
 	// what was written.
-	trialsSavedAt time.Time
-	savedTrials   []work.VMTrial
+	probationsSavedAt time.Time
+	savedProbations   []work.VMProbation
 
 	// copyBudget bounds the copies, lastCopyCheck is when runs were last considered
 	// for one.
@@ -254,7 +254,7 @@
 			v.revokedAt = now
 		}
 	}
-	pl.restoreTrials(state.Speeds, now)
+	pl.restoreProbations(state.Speeds, now)
 	for id, stored := range state.Jobs {
 		pl.restoreJob(id, stored, now)
 	}
--- a/internal/job/planner/record.go
+++ b/internal/job/planner/record.go
@@ -33,7 +33,7 @@
 // probes reports whether a run was placed on a suspect VM since the last failure
 // there.
 func (v *vm) probes(p *placement) bool {
-	return (v.health.Suspect() || v.health.OnTrial() == healthtracker.Flaky) && p.placedAt.After(v.health.LastFailure())
+	return (v.health.Suspect() || v.health.OnProbation() == healthtracker.Flaky) && p.placedAt.After(v.health.LastFailure())
 }
 
 // probeWorks reports whether a run on a suspect VM shows that the VM works, although
--- a/internal/job/planner/speed.go
+++ b/internal/job/planner/speed.go
@@ -116,11 +116,11 @@
 // judgeVMs updates which VMs are slow or fail often.
 func (pl *Planner) judgeVMs(now time.Time) {
 	for _, v := range pl.sortedVMs {
-		before := v.health.OnTrial()
+		before := v.health.OnProbation()
 		if !v.synced || !v.health.Update(now) {
 			continue
 		}
-		if cause := v.health.OnTrial(); cause != "" {
+		if cause := v.health.OnProbation(); cause != "" {
 			pl.counters.SlowVMs++
 			pl.logDecision("slow VM", "vm", v.name, "cause", string(cause), "speed", v.health.Speed(now), "runs", len(v.runs))
 		} else {
@@ -128,47 +128,47 @@
 			pl.logDecision("VM sound again", "vm", v.name, "cause", string(before))
 		}
 	}
-	pl.saveTrials(now)
+	pl.saveProbations(now)
 }
 
 const (
-	// trialSaveInterval is the least time between two records of the VMs on trial.
-	trialSaveInterval = 2 * time.Second
-	// maxSavedTrials bounds the VMs in the record, so that it stays below 2 KB.
-	maxSavedTrials = 20
-	// maxTrialAge is how old the record may be when a new leader reads it.
-	maxTrialAge = 10 * time.Second
+	// probationSaveInterval is the least time between two records of the VMs on probation.
+	probationSaveInterval = 2 * time.Second
+	// maxSavedProbations bounds the VMs in the record, so that it stays below 2 KB.
+	maxSavedProbations = 20
+	// maxProbationAge is how old the record may be when a new leader reads it.
+	maxProbationAge = 10 * time.Second
 )
 
-// trials returns the VMs on trial, at most maxSavedTrials.
-func (pl *Planner) trials(now time.Time) []work.VMTrial {
-	list := []work.VMTrial{}
+// probations returns the VMs on probation, at most maxSavedProbations.
+func (pl *Planner) probations(now time.Time) []work.VMProbation {
+	list := []work.VMProbation{}
 	for _, v := range pl.sortedVMs {
-		if cause := v.health.OnTrial(); cause != "" && len(list) < maxSavedTrials {
+		if cause := v.health.OnProbation(); cause != "" && len(list) < maxSavedProbations {
 			speed := math.Round(100*v.health.Speed(now)) / 100
-			list = append(list, work.VMTrial{VM: v.name, WorkerIncarnation: v.session.WorkerIncarnation, Cause: string(cause), Speed: speed})
+			list = append(list, work.VMProbation{VM: v.name, WorkerIncarnation: v.session.WorkerIncarnation, Cause: string(cause), Speed: speed})
 		}
 	}
 	return list
 }
 
-// saveTrials writes the VMs on trial for the next leader when they have changed.
-func (pl *Planner) saveTrials(now time.Time) {
-	if now.Sub(pl.trialsSavedAt) < trialSaveInterval {
+// saveProbations writes the VMs on probation for the next leader when they have changed.
+func (pl *Planner) saveProbations(now time.Time) {
+	if now.Sub(pl.probationsSavedAt) < probationSaveInterval {
 		return
 	}
-	list := pl.trials(now)
-	if slices.EqualFunc(list, pl.savedTrials, func(a, b work.VMTrial) bool { return a.VM == b.VM && a.Cause == b.Cause }) {
+	list := pl.probations(now)
+	if slices.EqualFunc(list, pl.savedProbations, func(a, b work.VMProbation) bool { return a.VM == b.VM && a.Cause == b.Cause }) {
 		return
 	}
-	pl.trialsSavedAt, pl.savedTrials = now, list
+	pl.probationsSavedAt, pl.savedProbations = now, list
 	pl.records = append(pl.records, jobreducer.SpeedsRecord(&work.Speeds{VMs: list, WrittenAt: now}))
 }
 
-// restoreTrials puts VMs on trial that the last leader had on trial, if their workers
+// restoreProbations puts VMs on probation that the last leader had on probation, if their workers
 // are still the same.
-func (pl *Planner) restoreTrials(speeds *work.Speeds, now time.Time) {
-	if speeds == nil || now.Sub(speeds.WrittenAt).Abs() > maxTrialAge {
+func (pl *Planner) restoreProbations(speeds *work.Speeds, now time.Time) {
+	if speeds == nil || now.Sub(speeds.WrittenAt).Abs() > maxProbationAge {
 		return
 	}
 	for _, t := range speeds.VMs {
@@ -176,7 +176,7 @@
 			v.health.Restore(healthtracker.Cause(t.Cause), t.Speed, now)
 		}
 	}
-	pl.savedTrials = speeds.VMs
+	pl.savedProbations = speeds.VMs
 }
 
 // Counters count decisions about uneven VMs and tasks in this term.
@@ -189,12 +189,12 @@
 	Copies, CopiesWon int
 }
 
-// Uneven returns the VMs on trial and the counters, for the metrics.
-func (pl *Planner) Uneven(now time.Time) ([]work.VMTrial, Counters) {
-	return pl.trials(now), pl.counters
+// Uneven returns the VMs on probation and the counters, for the metrics.
+func (pl *Planner) Uneven(now time.Time) ([]work.VMProbation, Counters) {
+	return pl.probations(now), pl.counters
 }
 
-// worthTrying reports whether a VM on trial may get a task of a step. It may as the
+// worthTrying reports whether a VM on probation may get a task of a step. It may as the
 // last resort: no task must wait for long while there is room for it.
 func (pl *Planner) worthTrying(v *vm, s *step, now time.Time) bool {
 	if v.mayTry(s, now) {
@@ -204,7 +204,7 @@
 		s.avoidsSince = now
 	}
 	wait := maxSlowWait
-	if v.health.OnTrial() == healthtracker.Slow {
+	if v.health.OnProbation() == healthtracker.Slow {
 		// Waiting costs less than the time that the task would lose there.
 		lost := time.Duration(float64(pl.expectedDuration(s)) * (1/v.health.Speed(now) - 1))
 		wait = min(max(lost, minSlowWait), maxSlowWait)
@@ -214,7 +214,7 @@
 
 // mayTry reports whether the VM is sound, or may be tried with a task of the step.
 func (v *vm) mayTry(s *step, now time.Time) bool {
-	slow := v.health.OnTrial() == healthtracker.Slow
+	slow := v.health.OnProbation() == healthtracker.Slow
 	placedSince := func(since time.Time) int {
 		count := 0
 		for _, p := range v.runs {
--- a/internal/job/planner/uneven_test.go
+++ b/internal/job/planner/uneven_test.go
@@ -257,7 +257,7 @@
 		f.planner.vms["vm00"].health.ObserveRun(run, 0.1, healthtracker.PeerSpread, f.now)
 	}
 	f.runPass()
-	if f.planner.vms["vm00"].health.OnTrial() != healthtracker.Slow {
+	if f.planner.vms["vm00"].health.OnProbation() != healthtracker.Slow {
 		t.Fatal("the VM does not count as slow")
 	}
 	f.submitJob(jobID(1), stepSpec(1, 500))
@@ -270,10 +270,10 @@
 	}
 }
 
-// A new leader goes on with the VMs on trial, unless their worker is another one.
+// A new leader goes on with the VMs on probation, unless their worker is another one.
 func TestNewLeaderKnowsSlowVMs(t *testing.T) {
 	f := newFleet(t, 2)
-	slow := func(name string) bool { return f.planner.vms[name].health.OnTrial() == healthtracker.Slow }
+	slow := func(name string) bool { return f.planner.vms[name].health.OnProbation() == healthtracker.Slow }
 	for _, name := range []string{"vm00", "vm01"} {
 		for _, run := range []string{"a", "b"} {
 			f.planner.vms[name].health.ObserveRun(run, 0.1, healthtracker.PeerSpread, f.now)
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -529,7 +529,7 @@
 	WrittenAt time.Time `json:"at" cbor:"at" yaml:"at"`
 
 	// VMs that get little work.
-	VMs []VMTrial `json:"vms" cbor:"vms" yaml:"vms"`
+	VMs []VMProbation `json:"vms" cbor:"vms" yaml:"vms"`
 }
 
 // Command to start a run.
@@ -656,7 +656,7 @@
 }
 
 // A VM that gets little work because it was slow or failed often.
-type VMTrial struct {
+type VMProbation struct {
 	// Incarnation of the VM's worker: its start time in Unix milliseconds.
 	WorkerIncarnation int64 `json:"born" cbor:"born" yaml:"born"`
 
