planner: move no filler to promised room

Cause: moves of slow fillers did not look at promises, so a filler was stopped for a VM where the promise then held it back for a second, or for good if the room was taken. Change: a VM whose promise the filler would break does not count as better. Result: the new test fails before and passes after.

--- a/internal/job/planner/interplay_test.go
+++ b/internal/job/planner/interplay_test.go
@@ -7,6 +7,7 @@
 
 	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/job/reserver"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -184,3 +185,21 @@
 		t.Errorf("the sequence is %+v, want one in which all jobs can be in time", q)
 	}
 }
+
+// A filler is not stopped for a VM whose room is promised: it would wait beside it.
+func TestFillerIsNotMovedToPromisedVM(t *testing.T) {
+	s := newSimulation(t)
+	s.addVM("a", 16_000, 6400)
+	s.submitFiller(5400)
+	s.addVM("b", 16_000, 6400)
+	p := s.planner.vms["a"].runs[runKey{jobID(1) + ".0.0.0", 1}]
+	p.pace = slowPace
+	s.planner.reserverOf("pool").Keep("b", jobID(2)+".0.0", reserver.Rank{Class: 1}, work.Size{Memory: 6400}, s.now.Add(time.Second), s.now)
+	if s.planner.moveIfBetter(p, s.now) {
+		t.Error("the filler is stopped, although the other VM is promised")
+	}
+	delete(s.planner.promises.byPool, "pool")
+	if !s.planner.moveIfBetter(p, s.now) {
+		t.Error("the filler is not moved to a free VM")
+	}
+}
--- a/internal/job/planner/promise.go
+++ b/internal/job/planner/promise.go
@@ -57,15 +57,8 @@
 // keepsPromises reports whether the start of a task leaves the room promised on a VM.
 // A step that was held back for maxHeldBack may start in any case.
 func (pl *Planner) keepsPromises(v *vm, s *step, now time.Time) bool {
-	r := pl.promises.byPool[v.workerStatus.Pool]
-	if r == nil {
-		return true
-	}
-	p := r.On(v.name)
-	if p == nil || !p.Binds(rankOf(s)) || p.Demand == s.policyName() {
-		return true
-	}
-	if p.Allows(reservedSize(s.spec), pl.cautiousDuration(s), now) {
+	p := pl.promiseAgainst(v, s, now)
+	if p == nil {
 		return true
 	}
 	h, ok := pl.promises.heldBack[s]
@@ -77,6 +70,20 @@
 	return now.Sub(h.since) >= maxHeldBack
 }
 
+// promiseAgainst returns the promise on a VM whose room the start of a task would take,
+// or nil.
+func (pl *Planner) promiseAgainst(v *vm, s *step, now time.Time) *reserver.Promise {
+	r := pl.promises.byPool[v.workerStatus.Pool]
+	if r == nil {
+		return nil
+	}
+	p := r.On(v.name)
+	if p == nil || !p.Binds(rankOf(s)) || p.Demand == s.policyName() || p.Allows(reservedSize(s.spec), pl.cautiousDuration(s), now) {
+		return nil
+	}
+	return p
+}
+
 // rankOf returns the rank of the tasks of a step: the order in which steps are placed,
 // without their deadlines. Those of small jobs are always nearer.
 func rankOf(s *step) reserver.Rank {
--- a/internal/job/planner/relocate.go
+++ b/internal/job/planner/relocate.go
@@ -122,7 +122,7 @@
 	t := &s.tasks[p.index]
 	bestCost := math.Inf(1)
 	for _, v := range pl.sortedVMs {
-		if v == p.vm || v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) || !pl.domainOpen(v, now) || v.health.OnTrial() != "" {
+		if v == p.vm || v.workerStatus.Pool != s.job.record.Queue.Pool || !v.usable(now) || !v.fits(s.spec) || !pl.domainOpen(v, now) || v.health.OnTrial() != "" || pl.promiseAgainst(v, s, now) != nil {
 			continue
 		}
 		bestCost = min(bestCost, pl.cost(v, s, t, now))
