--- a/internal/job/planner/speed.go
+++ b/internal/job/planner/speed.go
@@ -20,7 +20,7 @@
 	rateWindow = 450 * time.Millisecond
 	// minSlowWait and maxSlowWait bound how long a task waits for a sound VM while a
 	// slow one has room. Tasks must not wait for more than 3 s beside free room.
-	minSlowWait, maxSlowWait = 300 * time.Millisecond, 2 * time.Second
+	minSlowWait, maxSlowWait = 300 * time.Millisecond, 1300 * time.Millisecond
 )
 
 // showsSpeed reports whether the progress of the step's tasks shows the speed of VMs.
