sequencer test: the cost of a decision is that of the fastest

Cause: the mean of a benchmark failed once beside other load (6.06 ms, limit 5 ms; 0.54 to 0.66 ms at other times), so it told the load of the machine. Change: the fastest of 200 decisions, with the stated target of 1 ms as limit.

--- a/internal/job/sequencer/sequencer_test.go
+++ b/internal/job/sequencer/sequencer_test.go
@@ -150,15 +150,18 @@
 		jobs[i] = newJob(i, 5+float64(i*37%90))
 		jobs[i].Deadline = jobs[i].Deadline.Add(time.Duration(i*61%400) * 100 * time.Millisecond)
 	}
-	result := testing.Benchmark(func(b *testing.B) {
-		for b.Loop() {
-			Decide(jobs, 100, start)
-		}
-	})
-	if limit := 5 * time.Millisecond; time.Duration(result.NsPerOp()) > limit {
-		t.Errorf("a decision takes %s, want at most %s", time.Duration(result.NsPerOp()), limit)
+	// The fastest of many decisions tells what the code costs, whatever else runs on
+	// the machine.
+	fastest := time.Hour
+	for range 200 {
+		began := time.Now()
+		Decide(jobs, 100, start)
+		fastest = min(fastest, time.Since(began))
+	}
+	if limit := time.Millisecond; fastest > limit {
+		t.Errorf("a decision takes %s, want at most %s", fastest, limit)
 	}
-	t.Logf("%s for a decision", time.Duration(result.NsPerOp()))
+	t.Logf("%s for a decision", fastest)
 }
 
 // A job that is left out itself makes no room by leaving out others.
