wire: what agents tell of a worker crash, and what a task record keeps of it

An agent knows when its worker's process ended and which runs began last; the leader needs both, and the count must outlive a change of the leader. This adds the types only; no logic reads or writes them yet.

--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -75,6 +75,16 @@
 	VM string `json:"vm" cbor:"vm" yaml:"vm"`
 }
 
+// Worker processes that ended while they ran a task.
+type CrashHistory struct {
+	// The last one crashed shortly after it started the task, and no run since has
+	// shown that the task is not the cause.
+	Suspect bool `json:"suspect" cbor:"suspect" yaml:"suspect"`
+
+	// Number of worker processes that crashed while they ran the task.
+	Workers int `json:"workers" cbor:"workers" yaml:"workers"`
+}
+
 // The failure domains that the operators want to get no new work, as one process
 // knows them.
 type Evacuation struct {
@@ -256,6 +266,18 @@
 	Kinds []LearnedDuration `json:"kinds" cbor:"kinds" yaml:"kinds"`
 }
 
+// A run that had begun, or may have, shortly before its worker process crashed.
+type LostRun struct {
+	// Time from the start call to the crash.
+	RanFor time.Duration `json:"ran" cbor:"ran" yaml:"ran"`
+
+	// Run corresponds to the JSON schema field "run".
+	Run int `json:"run" cbor:"run" yaml:"run"`
+
+	// Task corresponds to the JSON schema field "task".
+	Task string `json:"task" cbor:"task" yaml:"task"`
+}
+
 // An entry that has announced itself.
 type Member struct {
 	// Address for agents and entries.
@@ -367,6 +389,12 @@
 	// Runs that are executing.
 	ActiveRuns []RunStatus `json:"active" cbor:"active" yaml:"active"`
 
+	// Crash corresponds to the JSON schema field "crash".
+	Crash *WorkerCrash `json:"crash,omitempty,omitzero" cbor:"crash,omitempty" yaml:"crash,omitempty"`
+
+	// The worker process refuses connections.
+	WorkerDown bool `json:"down" cbor:"down" yaml:"down"`
+
 	// Runs that have ended and are not known to be recorded in the log.
 	Ends []RunEnd `json:"ends" cbor:"ends" yaml:"ends"`
 
@@ -618,6 +646,9 @@
 
 // State of a task.
 type Task struct {
+	// Crashes corresponds to the JSON schema field "crashes".
+	Crashes *CrashHistory `json:"crashes,omitempty,omitzero" cbor:"crashes,omitempty" yaml:"crashes,omitempty"`
+
 	// Done corresponds to the JSON schema field "done".
 	Done bool `json:"done" cbor:"done" yaml:"done"`
 
@@ -721,6 +752,21 @@
 	Term *Term `json:"term,omitempty,omitzero" cbor:"term,omitempty" yaml:"term,omitempty"`
 }
 
+// A worker process that ended without having announced it.
+type WorkerCrash struct {
+	// Time since the crash.
+	Ago time.Duration `json:"ago" cbor:"ago" yaml:"ago"`
+
+	// Incarnation of the process.
+	WorkerIncarnation int64 `json:"born" cbor:"born" yaml:"born"`
+
+	// Its runs that began last. All others had begun earlier.
+	Runs []LostRun `json:"runs" cbor:"runs" yaml:"runs"`
+
+	// Name of the VM under which the process ran.
+	VM string `json:"vm" cbor:"vm" yaml:"vm"`
+}
+
 // What a worker reports about itself.
 type WorkerStatus struct {
 	// Incarnation of the worker: its start time in Unix milliseconds.
