leader: tests in virtual time for tasks that crash their workers

The simulated worker can now crash: calls in flight end with a connection reset, later ones are refused, and the next process starts 3.3 s later under a new name.

--- a/internal/job/leader/runchecker_test.go
+++ b/internal/job/leader/runchecker_test.go
@@ -23,6 +23,8 @@
 	// beside another run of their task.
 	speculative map[string]bool
 	copies      int
+	// crashed counts the runs that were lost in a crash of their worker.
+	crashed int
 	// evacuatedAt is when the log took the request to evacuate a failure domain.
 	evacuatedAt map[string]time.Time
 	events      []string
@@ -126,6 +128,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.note("worker %s: %s run %d ends, %s", r.vm, r.task, r.run, outcome)
+	if outcome == "crashed" {
+		c.crashed++
+	}
 	for i, other := range c.active[r.task] {
 		if other == r {
 			c.active[r.task] = append(c.active[r.task][:i:i], c.active[r.task][i+1:]...)
@@ -164,3 +169,13 @@
 	}
 	return len(c.done)
 }
+
+// dump logs all events if the test has failed for another reason than a violation,
+// which report logs.
+func (c *runChecker) dump(t *testing.T) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.Failed() && len(c.violations) == 0 {
+		t.Log(strings.Join(c.events, "\n"))
+	}
+}
--- a/internal/job/leader/runs_test.go
+++ b/internal/job/leader/runs_test.go
@@ -29,6 +29,9 @@
 		now := time.Now()
 		for _, v := range c.vms {
 			v.tick(now)
+			if v.restartDue(now) {
+				c.startWorker(v)
+			}
 		}
 		c.sendHeartbeats(now)
 	}
@@ -261,7 +264,11 @@
 			next = now.Add(time.Duration(c.random.Int64N(int64(2 * time.Second))))
 			f := c.drawFault(kinds)
 			c.checker.logf("FAULT %s on %s, %s for %s", f.kind, f.vm.name, f.entry.name, f.duration)
-			if end := faults[f.kind](c, f, now.Add(f.duration)); end != nil {
+			begin := faults[f.kind]
+			if begin == nil {
+				begin = crashFaults[f.kind]
+			}
+			if end := begin(c, f, now.Add(f.duration)); end != nil {
 				ends = append(ends, pending{now.Add(f.duration), end})
 			}
 		}
--- a/internal/job/leader/simulatedworker_test.go
+++ b/internal/job/leader/simulatedworker_test.go
@@ -35,6 +35,8 @@
 	stopped       map[string]int
 	heartbeats    int64
 	lastHeartbeat time.Time
+	// crashed is closed when the process crashes.
+	crashed chan struct{}
 }
 
 func (w *simulatedWorker) clock(now time.Time) time.Duration {
@@ -56,6 +58,11 @@
 	// taskTime is the longest time that a task takes.
 	taskTime time.Duration
 	domain   string
+	// refuses is set from a crash of the worker to the start of the next, at restartAt.
+	refuses   bool
+	restartAt time.Time
+	// onStart is called when a run starts, under the host's lock.
+	onStart func(h *simulatedHost, w *simulatedWorker, r *simulatedRun)
 }
 
 // startWorker starts a worker process. The runs of the process before are gone.
@@ -64,11 +71,13 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.checker.logf("worker %s starts", vm)
+	h.refuses = false
 	h.worker = &simulatedWorker{
 		status: work.WorkerStatus{
 			VM: vm, Incarnation: now.UnixMilli(), Pool: "pool", Zone: h.domain, Capacity: work.Size{Millicores: 4000, Memory: 100_000},
 		},
 		startedAt: now.Add(-time.Millisecond), slowness: 0.02 * h.random.Float64(), active: map[string]*simulatedRun{}, stopped: map[string]int{},
+		crashed: make(chan struct{}),
 	}
 }
 
@@ -145,10 +154,18 @@
 	executionDelay, answerDelay, lost := time.Millisecond, time.Millisecond, false
 	h.mu.Lock()
 	target := h.worker
+	var crashed chan struct{}
+	if target != nil {
+		crashed = target.crashed
+	}
 	switch chance := h.random.IntN(100); {
 	case c.dead:
 		h.mu.Unlock()
 		return answer{}.value, errNoAnswer
+	case h.refuses && !time.Now().Before(h.muteUntil):
+		h.mu.Unlock()
+		time.Sleep(executionDelay)
+		return answer{}.value, errRefused
 	case time.Now().Before(h.lateUntil) && chance < 50:
 		executionDelay, lost = 2*time.Second+time.Duration(h.random.Int64N(int64(10*time.Second))), true
 	case chance < 2:
@@ -168,7 +185,8 @@
 		h.mu.Lock()
 		var result answer
 		delayed := executionDelay > time.Second
-		if delayed && h.worker != target && !*lateCallsReachNextProcess {
+		reset := target != nil && h.worker != target && isClosed(target.crashed)
+		if reset || delayed && h.worker != target && !*lateCallsReachNextProcess {
 			h.mu.Unlock()
 			return
 		}
@@ -188,6 +206,12 @@
 	select {
 	case result := <-answers:
 		return result.value, result.err
+	case <-crashed:
+		if !h.isMute() {
+			return answer{}.value, errReset
+		}
+		<-ctx.Done()
+		return answer{}.value, errNoAnswer
 	case <-ctx.Done():
 		return answer{}.value, errNoAnswer
 	}
@@ -244,6 +268,9 @@
 		}
 		w.active[task] = r
 		h.checker.started(r)
+		if h.onStart != nil {
+			h.onStart(h, w, r)
+		}
 	}
 	w.extendLease(call.LeaseEnd, now)
 	return workercontroller.Accepted
