supervisor: a start whose connection was refused is void at once

Stops are retried as before, and runs whose start was sent earlier wait for the lease or the next worker process as before, since a partition may refuse connections to a worker that runs on.

--- /dev/null
+++ b/internal/sidecar/supervisor/crash_test.go
@@ -0,0 +1,151 @@
+package supervisor
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedspur/internal/sidecar/workercontroller"
+	"knapweedspur/internal/wire/work"
+)
+
+// crashingWorker is a worker whose calls can be made to fail as they do once its
+// process has ended. A call that waits fails when that happens.
+type crashingWorker struct {
+	*fakeWorker
+	mu sync.Mutex
+	// failure is the error of all calls, nil while they are carried out.
+	failure error
+	// failed is closed when the failure changes.
+	failed chan struct{}
+	// startCalls counts the starts that were sent.
+	startCalls int
+	changes    int
+}
+
+// fail makes all calls fail, or none if err is nil. Calls that wait fail at once.
+func (w *crashingWorker) fail(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failure = err
+	close(w.failed)
+	w.failed = make(chan struct{})
+}
+
+// check returns the error of a call after it has waited, nil if it is carried out.
+func (w *crashingWorker) check(wait time.Duration) error {
+	w.mu.Lock()
+	err, failed := w.failure, w.failed
+	w.mu.Unlock()
+	if err != nil || wait == 0 {
+		return err
+	}
+	select {
+	case <-time.After(wait):
+		return nil
+	case <-failed:
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.failure
+	}
+}
+
+func (w *crashingWorker) Start(ctx context.Context, c workercontroller.StartCall) (workercontroller.StartResult, error) {
+	w.mu.Lock()
+	w.startCalls++
+	w.mu.Unlock()
+	if err := w.check(0); err != nil {
+		return "", err
+	}
+	return w.fakeWorker.Start(ctx, c)
+}
+
+func (w *crashingWorker) Stop(ctx context.Context, c workercontroller.Call, run work.RunRef) error {
+	if err := w.check(0); err != nil {
+		return err
+	}
+	return w.fakeWorker.Stop(ctx, c, run)
+}
+
+func (w *crashingWorker) Hold(ctx context.Context, c workercontroller.HoldCall) (workercontroller.State, error) {
+	if err := w.check(c.Wait); err != nil {
+		return workercontroller.State{}, err
+	}
+	c.Wait = 0
+	return w.fakeWorker.Hold(ctx, c)
+}
+
+// runWithCrashingWorker runs a test in virtual time against a supervisor whose session
+// the worker has accepted and an entry confirmed.
+func runWithCrashingWorker(t *testing.T, test func(t *testing.T, s *Supervisor, w *crashingWorker)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &crashingWorker{fakeWorker: &fakeWorker{startedAt: time.Now(), stopped: map[work.RunRef]bool{}}, failed: make(chan struct{})}
+		s := newSupervisor(w.fakeWorker)
+		s.Worker = w
+		s.OnChange = func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.changes++
+		}
+		runUntilTestEnds(t, s)
+		acceptSession(s)
+		confirmSession(s)
+		time.Sleep(500 * time.Millisecond)
+		test(t, s, w)
+	})
+}
+
+func TestStartToUnreachableWorkerIsVoidAtOnce(t *testing.T) {
+	runWithCrashingWorker(t, func(t *testing.T, s *Supervisor, w *crashingWorker) {
+		w.fail(workercontroller.ErrUnreachable)
+		sendCommands(s, t, &work.Commands{Number: 1, Starts: []work.Start{{Task: "t", Run: 1}}})
+		time.Sleep(10 * time.Millisecond)
+		report := s.Report(1)
+		if diff := cmp.Diff([]work.VoidRun{{Task: "t", Run: 1, Reason: "unreachable"}}, report.Voids); diff != "" {
+			t.Errorf("voids (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff([]work.RunRef(nil), report.PendingStarts); diff != "" {
+			t.Errorf("pending starts (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A partition may refuse connections to a worker that runs on, so a refused call says
+// nothing about runs whose start was sent before.
+func TestRunsBeforeTheRefusedStartAreNotVoid(t *testing.T) {
+	runWithCrashingWorker(t, func(t *testing.T, s *Supervisor, w *crashingWorker) {
+		sendCommands(s, t, &work.Commands{Number: 1, Starts: []work.Start{{Task: "active", Run: 1}}})
+		time.Sleep(500 * time.Millisecond)
+		w.fail(errNoAnswer)
+		sendCommands(s, t, &work.Commands{Number: 2, Starts: []work.Start{{Task: "unanswered", Run: 1}}})
+		time.Sleep(10 * time.Millisecond)
+		w.fail(workercontroller.ErrUnreachable)
+		sendCommands(s, t, &work.Commands{Number: 3, Starts: []work.Start{{Task: "refused", Run: 1}}, Stops: []work.RunRef{{Task: "active", Run: 1}}})
+		time.Sleep(time.Second)
+		report := s.Report(1)
+		if diff := cmp.Diff([]work.VoidRun{{Task: "refused", Run: 1, Reason: "unreachable"}}, report.Voids); diff != "" {
+			t.Errorf("voids (-want +got):\n%s", diff)
+		}
+		want := map[work.RunRef]bool{{Task: "active", Run: 1}: true, {Task: "unanswered", Run: 1}: true}
+		if diff := cmp.Diff(want, reportedRuns(report)); diff != "" {
+			t.Errorf("runs in the report (-want +got):\n%s", diff)
+		}
+		w.fail(nil)
+		time.Sleep(time.Second)
+		for run := range want {
+			if !w.hasStopped(run) {
+				t.Errorf("%v was not stopped after the worker was reachable again", run)
+			}
+		}
+	})
+}
+
+func (w *crashingWorker) hasStopped(run work.RunRef) bool {
+	w.fakeWorker.mu.Lock()
+	defer w.fakeWorker.mu.Unlock()
+	return w.stopped[run]
+}
--- a/internal/sidecar/supervisor/order.go
+++ b/internal/sidecar/supervisor/order.go
@@ -192,8 +192,13 @@
 	return s.evacuationRefusal()
 }
 
+// voidReasonUnreachable is the reason of a run whose start was not sent, since the
+// worker refused the connection.
+const voidReasonUnreachable = "unreachable"
+
 // executeStart sends a start to the worker and handles the result. If the call
-// fails, the worker may still start the run later, so the run is stopped first.
+// fails after it may have been sent, the worker may still start the run later, so the
+// run is stopped first.
 func (s *Supervisor) executeStart(ctx context.Context, call workercontroller.StartCall, run work.RunRef) {
 	s.startSlots <- struct{}{}
 	defer func() { <-s.startSlots }()
@@ -211,6 +216,9 @@
 		return
 	case errors.Is(err, workercontroller.ErrMisdirected):
 		s.voidRun(call.Call, run, "reborn")
+	case errors.Is(err, workercontroller.ErrUnreachable):
+		s.Logger.Info("start not sent; the worker refuses connections", "task", run.Task, "run", run.Run, "vm", call.VM, "born", call.WorkerIncarnation)
+		s.voidRun(call.Call, run, voidReasonUnreachable)
 	case errors.Is(err, workercontroller.ErrWorkerRestarted):
 		// The process that answered may have started the run. The run stays
 		// pending until that process has accepted a session and lists its runs.
--- a/internal/sidecar/workercontroller/workercontroller.go
+++ b/internal/sidecar/workercontroller/workercontroller.go
@@ -19,6 +19,11 @@
 // rejected the call.
 var ErrMisdirected = fmt.Errorf("%w and rejected the call", ErrWorkerRestarted)
 
+// ErrUnreachable means that the worker's address refused the connection: no process
+// accepts calls there, and this call was not sent. It says nothing about calls that
+// were sent before.
+var ErrUnreachable = errors.New("the worker refuses connections")
+
 // StartResult is the answer of a worker to a start call. All values except
 // Accepted are the reasons for which a worker rejects a start.
 type StartResult string
@@ -87,8 +92,8 @@
 	UnreadableRows int
 }
 
-// Worker runs tasks. After an error other than ErrMisdirected the call may still
-// take effect, now or later.
+// Worker runs tasks. After an error other than ErrMisdirected and ErrUnreachable the
+// call may still take effect, now or later.
 type Worker interface {
 	// Start starts a run.
 	Start(ctx context.Context, call StartCall) (StartResult, error)
