planner: tasks that may crash their worker run in quarantine, and culprits end their job

Change: the planner takes the agents' evidence of crashes, internal/job/quarantiner judges the runs that were lost, suspects run on VMs that are kept for them, and the job of a culprit fails. Why this works: a culprit crashes the worker again where nothing else has begun; whatever the circumstances it is named at the fifth crash, so it starts at most twice after the third.

--- a/internal/diagnostic/explainer/causes.go
+++ b/internal/diagnostic/explainer/causes.go
@@ -10,7 +10,7 @@
 // the order in which their causes are listed.
 func causes(t *Timeline) []string {
 	var found []string
-	for _, rule := range []func(*Timeline) string{refusedForRoom, refusedSubmission, unansweredSubmission, attemptsExhausted, hopeless, failedRuns, slowVMs, copies, unknownRuns, lostRuns, movedRuns, yieldedRuns, promisedWait, longPlacementWait, putBehind, loadDuringWait, leaderChange, logUnavailable, foldedLines} {
+	for _, rule := range []func(*Timeline) string{refusedForRoom, refusedSubmission, unansweredSubmission, attemptsExhausted, hopeless, crashesWorkers, quarantined, failedRuns, slowVMs, copies, unknownRuns, lostRuns, movedRuns, yieldedRuns, promisedWait, longPlacementWait, putBehind, loadDuringWait, leaderChange, logUnavailable, foldedLines} {
 		if cause := rule(t); cause != "" {
 			found = append(found, cause)
 		}
@@ -79,9 +79,47 @@
 			cause = "Given up: a task failed as often as its queue allows."
 		}
 	})
+	if crashesWorkers(t) != "" {
+		return ""
+	}
+	return cause
+}
+
+// crashesWorkers names the task that crashes its workers, for which a job failed.
+func crashesWorkers(t *Timeline) string {
+	cause := ""
+	t.forEach("crashes its workers", func(e *Event) {
+		cause = fmt.Sprintf("Given up: %s crashes its workers, %v of them, %v at once.", stringField(e, "task"), e.Fields["workers"], e.Fields["early"])
+	})
 	return cause
 }
 
+// quarantined tells of tasks that were lost with their worker and might have been the
+// cause.
+func quarantined(t *Timeline) string {
+	suspects, runs, cleared := 0, 0, ""
+	t.forEach("crash suspect", func(e *Event) {
+		if stringField(e, "verdict") == "suspect" {
+			suspects++
+		}
+	})
+	t.forEach("quarantine", func(*Event) { runs++ })
+	t.forEach("suspect cleared", func(e *Event) { cleared = stringField(e, "reason") })
+	switch {
+	case suspects == 0:
+		return ""
+	case cleared == "":
+		return fmt.Sprintf("Lost with a worker that crashed soon after the start, %d times, and run %d times in quarantine.", suspects, runs)
+	}
+	return fmt.Sprintf("Lost with a worker that crashed soon after the start, %d times, and run %d times in quarantine; cleared, since %s.", suspects, runs, clearedReasons[cleared])
+}
+
+// clearedReasons completes the sentence about a suspect that was cleared.
+var clearedReasons = map[string]string{
+	"outlasted the quarantine": "its run outlasted the quarantine",
+	"the culprit is known":     "another task was found to crash its workers",
+}
+
 // hopeless names the task for which a job failed.
 func hopeless(t *Timeline) string {
 	cause := ""
--- a/internal/diagnostic/explainer/explainer_test.go
+++ b/internal/diagnostic/explainer/explainer_test.go
@@ -26,6 +26,10 @@
 			"Waited 5.8s until " + id + ".0.1.5 was placed. Meanwhile 60 fillers and 1 other tasks waited; of 400 cores 332 were reserved, 186 in use by others than fillers and 171 by fillers; 22 of 68 fillers were slowed for serving tasks. 17 of 50 VMs were in evacuated failure domains."},
 		{"put behind", logLine("01.0", "e", "sequence", `"job":"`+id+`","class":"late","work":120,"shortest":"4s","left":"3s","of":31,"cores":200`), "Put behind: cannot be in time (late). It needed 120 core-seconds and at least 4s, with 3s left to its objective; 31 jobs shared 200 cores."},
 		{"attempts exhausted", logLine("01.0", "e", "end", `"task":"`+id+`.0.0.1","vm":"v1","how":"failed"`) + logLine("02.0", "e", "finish", `"job":"`+id+`","state":"failed"`), "Given up"},
+		{"task that crashes its workers", logLine("02.0", "e", "crashes its workers", `"job":"`+id+`","task":"`+id+`.0.0.1","workers":2,"early":2`) +
+			logLine("02.1", "e", "finish", `"job":"`+id+`","state":"failed"`), id + ".0.0.1 crashes its workers, 2 of them, 2 at once"},
+		{"lost beside it", logLine("02.0", "e", "crash suspect", `"task":"`+id+`.0.0.1","verdict":"suspect"`) + logLine("02.1", "e", "quarantine", `"task":"`+id+`.0.0.1"`) +
+			logLine("02.2", "e", "suspect cleared", `"task":"`+id+`.0.0.1","reason":"the culprit is known"`), "run 1 times in quarantine; cleared, since another task"},
 		{"can't be done", logLine("02.0", "e", "can't be done", `"job":"`+id+`","task":"`+id+`.0.0.1","failures":3,"blamed":1,"vms":["v1","v2"],"started":9,"tasks":12`), id + ".0.0.1 failed 3 times, on [v1 v2]; 1 of these"},
 		{"slow VM", logLine("01.0", "e", "place", `"task":"`+id+`.0.0.1","vm":"v1"`) + logLine("01.2", "e", "slow VM", `"vm":"v1","cause":"slow"`) + logLine("01.2", "e", "slow VM", `"vm":"v8","cause":"slow"`), "Slow VM avoided: map[v1:slow]"},
 		{"copy", logLine("01.0", "e", "copy", `"task":"`+id+`.0.0.1","vm":"v1","cause":"slow VM"`), "Copy started, by cause: map[slow VM:1]"},
--- a/internal/frontend/jobacceptor/jobacceptor.go
+++ b/internal/frontend/jobacceptor/jobacceptor.go
@@ -147,7 +147,7 @@
 	for i := range job.Steps {
 		// All tasks of a gang are placed together, so their records must fit in one
 		// append; the largest record is well below that.
-		if limit := a.MaxRecordBytes / jobreducer.MaxTaskBytes; job.Steps[i].Tasks > limit {
+		if limit := a.MaxRecordBytes / jobreducer.MaxSoundTaskBytes; job.Steps[i].Tasks > limit {
 			return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Invalid, Reason: fmt.Sprintf("step %d has %d tasks, the limit is %d", i, job.Steps[i].Tasks, limit)}
 		}
 	}
--- a/internal/job/jobreducer/jobreducer.go
+++ b/internal/job/jobreducer/jobreducer.go
@@ -41,7 +41,9 @@
 
 const (
 	// MaxTaskBytes is the limit for the encoded state of one task.
-	MaxTaskBytes = 256
+	MaxTaskBytes = 300
+	// MaxSoundTaskBytes is that of a task under which no worker has crashed.
+	MaxSoundTaskBytes = 256
 	// MaxExcludedVMs limits the VMs that the state of a task lists as
 	// excluded.
 	MaxExcludedVMs = 4
--- a/internal/job/planner/copy.go
+++ b/internal/job/planner/copy.go
@@ -100,7 +100,7 @@
 // VM is heard, and both may fail without the task having failed too often.
 func (pl *Planner) copyable(p *placement, now time.Time) bool {
 	t, j := &p.step.tasks[p.index], p.step.job
-	return j.outcome == nil && !t.Done && len(t.Runs) == 1 && t.Runs[0].Run == p.run && t.Runs[0].StopReason == "" &&
+	return j.outcome == nil && !t.Done && !isSuspect(t) && len(t.Runs) == 1 && t.Runs[0].Run == p.run && t.Runs[0].StopReason == "" &&
 		t.Failures+2 <= j.record.Queue.MaxFailures && p.active && p.vm.heard(now)
 }
 
--- /dev/null
+++ b/internal/job/planner/crash.go
@@ -0,0 +1,279 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/job/quarantiner"
+	"knapweedspur/internal/wire/work"
+)
+
+// Crashes of workers: agents report which runs were lost with a worker process, and the
+// quarantiner judges them (docs/design/crashes.md).
+
+// crashMemory is how long a crash is kept: agents report it for 10 s.
+const crashMemory = 30 * time.Second
+
+// crash is the end of a worker process that had not announced it.
+type crash struct {
+	vm                string
+	workerIncarnation int64
+	at                time.Time
+	// ranFor holds how long the runs that began last had run.
+	ranFor map[runKey]time.Duration
+	judged bool
+	// inQuarantine is set if the worker ran a suspect in quarantine, explained once the
+	// culprit is known.
+	inQuarantine, explained bool
+	// suspects are the tasks that became suspects by it.
+	suspects []taskRef
+}
+
+// taskRef identifies a task of a step.
+type taskRef struct {
+	step  *step
+	index int
+}
+
+func (r taskRef) task() *work.Task { return &r.step.tasks[r.index] }
+
+// suspicion is what is known of a suspect beyond its history in the log.
+type suspicion struct {
+	// crash is the one that made the task a suspect, nil if an earlier leader judged it.
+	crash *crash
+	// ranFor is how long its run had run then. The less, the more likely is the task
+	// the cause.
+	ranFor time.Duration
+}
+
+// crashes holds the crashes of workers and the tasks that may have caused them.
+type crashes struct {
+	list     []*crash
+	suspects map[taskRef]suspicion
+}
+
+// noteCrash records a crash that an agent reports. Agents repeat it.
+func (pl *Planner) noteCrash(c *work.WorkerCrash, now time.Time) {
+	known := c == nil || pl.vms[c.VM] == nil || slices.ContainsFunc(pl.crashes.list, func(o *crash) bool { return o.vm == c.VM && o.workerIncarnation == c.WorkerIncarnation })
+	if known {
+		return
+	}
+	noted := &crash{vm: c.VM, workerIncarnation: c.WorkerIncarnation, at: now.Add(-c.Ago), ranFor: map[runKey]time.Duration{}}
+	for _, r := range c.Runs {
+		noted.ranFor[runKey{r.Task, r.Run}] = r.RanFor
+	}
+	pl.crashes.list = append(pl.crashes.list, noted)
+	for key, p := range pl.vms[c.VM].runs {
+		_, began := noted.ranFor[key]
+		noted.inQuarantine = noted.inQuarantine || began && p.quarantined
+	}
+	pl.counters.Crashes++
+	pl.logDecision("worker crashed", "vm", c.VM, "born", c.WorkerIncarnation, "ago", c.Ago, "began_last", len(c.Runs), "runs", len(pl.vms[c.VM].runs), "in_quarantine", noted.inQuarantine)
+}
+
+// withdrawCrash forgets a crash whose worker process answers its agent again.
+func (pl *Planner) withdrawCrash(v *vm, r *work.Report) {
+	if r.Crash != nil || r.WorkerDown || r.WorkerSilence > 0 {
+		return
+	}
+	pl.crashes.list = slices.DeleteFunc(pl.crashes.list, func(c *crash) bool {
+		return !c.judged && c.vm == v.name && c.workerIncarnation == r.WorkerStatus.Incarnation
+	})
+}
+
+// judgeCrashes judges the crashes that have settled.
+func (pl *Planner) judgeCrashes(now time.Time) {
+	for _, c := range pl.crashes.list {
+		if now.Sub(c.at) >= quarantiner.SettleTime {
+			pl.judgeCrash(c, now)
+		}
+	}
+	pl.crashes.list = slices.DeleteFunc(pl.crashes.list, func(c *crash) bool { return now.Sub(c.at) > crashMemory })
+}
+
+// judgeCrashOf judges the crashes of a VM before its runs are discarded.
+func (pl *Planner) judgeCrashOf(v *vm, now time.Time) {
+	for _, c := range pl.crashes.list {
+		if c.vm == v.name {
+			pl.judgeCrash(c, now)
+		}
+	}
+}
+
+// judgeCrash judges the runs that were lost in a crash.
+func (pl *Planner) judgeCrash(c *crash, now time.Time) {
+	if c.judged {
+		return
+	}
+	c.judged = true
+	pl.restoreSuspicions(c)
+	mass, alone, crashedBefore := quarantiner.IsMass(pl.crashesAround(c)), c.countEarlyJobs() == 1, pl.hostCrashed(pl.vms[c.vm], c)
+	var culprits []taskRef
+	counts := map[quarantiner.Verdict]int{}
+	for _, p := range pl.lostRuns(c) {
+		t := &p.step.tasks[p.index]
+		loss := quarantiner.Loss{Run: p.run, RanFor: c.ranForOf(p), Mass: mass}
+		loss.Quarantined = p.quarantined && alone && !crashedBefore && pl.crashes.suspects[taskRef{p.step, p.index}].resembles(loss.RanFor)
+		h, verdict := quarantiner.Judge(historyOf(t), &loss)
+		counts[verdict]++
+		if verdict == quarantiner.Unaffected {
+			continue
+		}
+		t.Crashes = &h
+		pl.markDirty(p.step, p.index)
+		ref := taskRef{p.step, p.index}
+		switch verdict {
+		case quarantiner.Suspect:
+			c.suspects = append(c.suspects, ref)
+			pl.crashes.suspects[ref] = suspicion{c, loss.RanFor}
+			pl.counters.Suspects++
+			fallthrough
+		case quarantiner.Culprit:
+			pl.logDecision("crash suspect", "task", p.step.taskName(p.index), "run", p.run, "vm", c.vm, "verdict", string(verdict), "ran", loss.RanFor,
+				"quarantined", p.quarantined, "mass", mass, "workers", h.Workers, "early", h.Early)
+		}
+		if verdict == quarantiner.Culprit {
+			culprits = append(culprits, ref)
+		}
+	}
+	pl.logDecision("crash judged", "vm", c.vm, "ago", now.Sub(c.at), "mass", mass, "alone", alone, "crashed_before", crashedBefore,
+		"unaffected", counts[quarantiner.Unaffected], "counted", counts[quarantiner.Counted], "suspects", counts[quarantiner.Suspect], "culprits", counts[quarantiner.Culprit])
+	for _, ref := range culprits {
+		c.explained = true
+		pl.giveUpCulprit(ref, now)
+	}
+}
+
+// hostCrashed reports whether a worker process on the host of a VM has crashed lately,
+// other than in crash c, and the culprit is not known: the host may be the cause.
+func (pl *Planner) hostCrashed(v *vm, c *crash) bool {
+	return slices.ContainsFunc(pl.crashes.list, func(o *crash) bool {
+		return o != c && !o.explained && (o.vm == v.name || v.host != "" && pl.vms[o.vm].host == v.host)
+	})
+}
+
+// resembles reports whether a crash came about as soon after the start of the task as the
+// one that made it a suspect. It did not if that is not known.
+func (s suspicion) resembles(ranFor time.Duration) bool {
+	return s.crash != nil && ranFor <= 2*s.ranFor+quarantiner.SimilarTime
+}
+
+// restoreSuspicions takes over what an earlier leader found about a crash that an agent
+// still reports: which tasks became suspects by it, and whether the culprit is known.
+func (pl *Planner) restoreSuspicions(c *crash) {
+	for key, ranFor := range c.ranFor {
+		s, index := pl.findTask(key.task)
+		if j := pl.jobs[jobOf(key.task)]; j != nil && j.outcome != nil && j.outcome.State == jobreducer.Failed && ranFor <= quarantiner.EarlyTime {
+			c.explained = true
+		}
+		if s == nil || !isSuspect(&s.tasks[index]) || s.tasks[index].Crashes.Run != key.run {
+			continue
+		}
+		ref := taskRef{s, index}
+		c.suspects = append(c.suspects, ref)
+		pl.crashes.suspects[ref] = suspicion{c, ranFor}
+	}
+}
+
+// crashesAround counts the workers that crashed at the same time, without those that ran
+// a suspect in quarantine.
+func (pl *Planner) crashesAround(c *crash) int {
+	count := 1
+	for _, o := range pl.crashes.list {
+		if o != c && !o.inQuarantine && o.at.Sub(c.at).Abs() <= quarantiner.MassWindow {
+			count++
+		}
+	}
+	return count
+}
+
+// lostRuns returns the runs of a VM that its worker process had begun when it crashed, in
+// a fixed order.
+func (pl *Planner) lostRuns(c *crash) []*placement {
+	var lost []*placement
+	for key, p := range pl.vms[c.vm].runs {
+		t := &p.step.tasks[p.index]
+		i := runIndex(t, p.run)
+		if _, began := c.ranFor[key]; i >= 0 && t.Runs[i].WorkerIncarnation == c.workerIncarnation && (began || p.active) && p.step.job.outcome == nil && !t.Done {
+			lost = append(lost, p)
+		}
+	}
+	slices.SortFunc(lost, func(p, o *placement) int {
+		return cmp.Or(cmp.Compare(p.step.job.number, o.step.job.number), cmp.Compare(p.step.key.Occurrence, o.step.key.Occurrence), cmp.Compare(p.step.key.Step, o.step.key.Step),
+			cmp.Compare(p.index, o.index), cmp.Compare(p.run, o.run))
+	})
+	return lost
+}
+
+// countEarlyJobs counts the jobs with runs that had just begun at the crash.
+func (c *crash) countEarlyJobs() int {
+	jobs := map[string]bool{}
+	for key, ranFor := range c.ranFor {
+		if ranFor <= quarantiner.EarlyTime {
+			jobs[jobOf(key.task)] = true
+		}
+	}
+	return len(jobs)
+}
+
+// ranForOf returns how long a run had run at the crash. Runs that the agent does not name
+// began earlier; this leader may not know when.
+func (c *crash) ranForOf(p *placement) time.Duration {
+	if ranFor, ok := c.ranFor[runKey{p.step.taskName(p.index), p.run}]; ok {
+		return ranFor
+	}
+	return max(c.at.Sub(p.placedAt), 2*quarantiner.EarlyTime)
+}
+
+func historyOf(t *work.Task) work.CrashHistory {
+	if t.Crashes == nil {
+		return work.CrashHistory{}
+	}
+	return *t.Crashes
+}
+
+func isSuspect(t *work.Task) bool { return t.Crashes != nil && t.Crashes.Suspect }
+
+// giveUpCulprit ends the job of a task that crashes its workers, and clears the tasks that
+// ran beside it.
+func (pl *Planner) giveUpCulprit(ref taskRef, now time.Time) {
+	s := ref.step
+	if s.job.outcome != nil {
+		return
+	}
+	pl.counters.Culprits++
+	pl.logDecision("crashes its workers", "job", s.job.id, "task", s.taskName(ref.index), "workers", ref.task().Crashes.Workers, "early", ref.task().Crashes.Early, "runs", ref.task().LastRun)
+	if known, ok := pl.crashes.suspects[ref]; ok && known.crash != nil {
+		known.crash.explained = true
+		for _, other := range known.crash.suspects {
+			if other != ref && pl.crashes.suspects[other].crash == known.crash {
+				pl.clearSuspect(other, "the culprit is known")
+			}
+		}
+	}
+	pl.finishJob(s.job, jobreducer.Failed, now)
+}
+
+// clearSuspect ends the suspicion against a task.
+func (pl *Planner) clearSuspect(ref taskRef, reason string) {
+	delete(pl.crashes.suspects, ref)
+	t := ref.task()
+	if !isSuspect(t) {
+		return
+	}
+	h := quarantiner.Clear(*t.Crashes)
+	t.Crashes = &h
+	pl.markDirty(ref.step, ref.index)
+	pl.logDecision("suspect cleared", "task", ref.step.taskName(ref.index), "reason", reason, "workers", h.Workers)
+}
+
+// forgetCrashes forgets the crashes under a task once a run of it has outlasted them.
+func (pl *Planner) forgetCrashes(p *placement, now time.Time) {
+	t := &p.step.tasks[p.index]
+	if t.Crashes != nil && !t.Crashes.Suspect && !p.vm.workerDown && p.vm.workerSilence == 0 && now.Sub(p.firstSeen) > quarantiner.LateTime {
+		t.Crashes = nil
+		pl.markDirty(p.step, p.index)
+	}
+}
--- a/internal/job/planner/harness_test.go
+++ b/internal/job/planner/harness_test.go
@@ -58,6 +58,7 @@
 	agentRestarts int
 	mute          muteWorker
 	lease         workerLease
+	crash         crashedWorker
 }
 
 func newSimulation(t *testing.T) *simulation {
@@ -115,6 +116,7 @@
 		ActiveRuns: append([]work.RunStatus(nil), v.active...), Ends: append([]work.RunEnd(nil), v.ends...), Voids: append([]work.VoidRun(nil), v.voids...),
 	}
 	v.muteReport(report, s.now)
+	v.crashReport(report, s.now)
 	s.planner.HandleReport(name, report, s.now)
 	s.runPass()
 }
@@ -161,6 +163,10 @@
 		}
 	}
 	for _, start := range commands.Starts {
+		if v.crash.down {
+			v.voids = append(v.voids, work.VoidRun{Task: start.Task, Run: start.Run, Reason: "unreachable"})
+			continue
+		}
 		if !v.loseStarts && !v.hasRun(start.Task, start.Run) {
 			s.starts = append(s.starts, start)
 			s.runs.start(s, v, start)
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -17,6 +17,7 @@
 	pl.evacuateLeavingWorkers(now)
 	pl.learnInterference(now)
 	pl.judgeVMs(now)
+	pl.judgeCrashes(now)
 	pl.saveDurations(now)
 	pl.sendWeights(now)
 	for _, j := range pl.jobs {
@@ -26,6 +27,7 @@
 	}
 	pl.moveSlowFillers(now)
 	pl.expireOutcomes(now)
+	pl.placeSuspects(now)
 	pl.plan(now)
 	pl.startCopies(now)
 }
@@ -82,7 +84,7 @@
 			break
 		}
 		t := &s.tasks[i]
-		if t.Done || len(t.Runs) > 0 || pl.heldBack(s, t, now) {
+		if t.Done || len(t.Runs) > 0 || isSuspect(t) || pl.heldBack(s, t, now) {
 			continue
 		}
 		v := pl.chooseVM(s, t, now)
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -88,6 +88,7 @@
 	shortWork    map[string]*shortWork
 	crowdedPools map[string]bool
 	promises     promises
+	crashes      crashes
 
 	// declaredRates are the rates of runs relative to the declared durations.
 	declaredRates healthtracker.Rates
@@ -187,6 +188,8 @@
 	promised bool
 	// active is set once the agent reported the run as active.
 	active bool
+	// quarantined is set if the task was a suspect when the run was placed.
+	quarantined bool
 	// pace is the share at which the agent lets a filler run, in percent;
 	// paceChangedAt is when it last changed.
 	pace          int
@@ -238,6 +241,7 @@
 		speeds:    estimator.NewSpeeds(),
 		shortWork: map[string]*shortWork{}, fillerShares: map[string]*fillerShare{}, outlook: newOutlook(),
 		promises: promises{byPool: map[string]*reserver.Reserver{}, heldBack: map[*step]heldBack{}},
+		crashes:  crashes{suspects: map[taskRef]suspicion{}},
 	}
 	if state.Estimates != nil {
 		pl.interference.Restore(state.Estimates.Pairs)
@@ -278,8 +282,13 @@
 		}
 		s := j.ensureStep(key.StepKey)
 		s.tasks[key.Index] = copyTask(t)
+		if isSuspect(t) {
+			pl.crashes.suspects[taskRef{s, key.Index}] = suspicion{}
+		}
 		for _, r := range t.Runs {
 			pl.addPlacement(s, key.Index, r, now)
+			// A suspect starts only in quarantine, but for the run that made it one.
+			pl.vms[r.VM].runs[runKey{s.taskName(key.Index), r.Run}].quarantined = isSuspect(t) && r.Run > t.Crashes.Run
 		}
 		s.recount()
 		j.startedOccurrences = max(j.startedOccurrences, key.Occurrence+1)
@@ -295,6 +304,10 @@
 	c := *t
 	c.Runs = append([]work.Run(nil), t.Runs...)
 	c.ExcludedVMs = append([]string(nil), t.ExcludedVMs...)
+	if t.Crashes != nil {
+		crashes := *t.Crashes
+		c.Crashes = &crashes
+	}
 	return c
 }
 
--- a/internal/job/planner/reason.go
+++ b/internal/job/planner/reason.go
@@ -19,6 +19,7 @@
 	UnknownRuns        Reason = "busy with unknown runs"
 	Silent             Reason = "silent"
 	Suspect            Reason = "suspect after failures"
+	Quarantined        Reason = "kept for tasks that may crash their worker"
 	NoMemory           Reason = "without memory for it"
 	NoAccelerators     Reason = "without accelerators for it"
 	NoProcessors       Reason = "without processors for it"
@@ -32,12 +33,23 @@
 	TooSlowForFillers  Reason = "too busy for fillers"
 )
 
-// whyUnusable returns why the VM may get no work at all.
+// whyUnusable returns why the VM may get no work, but for suspects.
 func (v *vm) whyUnusable(now time.Time) Reason {
+	if reason := v.whyOutOfUse(now); reason != "" {
+		return reason
+	}
+	if !v.keptSince.IsZero() {
+		return Quarantined
+	}
+	return ""
+}
+
+// whyOutOfUse returns why the VM may get no work at all.
+func (v *vm) whyOutOfUse(now time.Time) Reason {
 	switch {
 	case !v.workerGoneAt.IsZero():
 		return WorkerGone
-	case !v.connected || v.workerSilence >= maxWorkerSilence || now.Sub(v.lastContact) >= agentTimeout/2:
+	case !v.connected || v.workerDown || v.workerSilence >= maxWorkerSilence || now.Sub(v.lastContact) >= agentTimeout/2:
 		return Silent
 	case !v.synced || !v.sessionConfirmed || v.session.Revoked:
 		return NoSession
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -19,6 +19,7 @@
 	if v == nil || !v.connected {
 		return
 	}
+	pl.noteCrash(r.Crash, now)
 	if r.Fence != v.session.Fence || r.WorkerStatus.Incarnation != v.session.WorkerIncarnation || v.session.Revoked {
 		pl.refreshSession(v, r, now)
 		return
@@ -27,7 +28,8 @@
 	v.noteSilence(r, now)
 	v.unacceptedSessions = 0
 	v.lastContact, v.synced, v.workerStatus, v.workerSilence, v.sessionConfirmed = now, v.synced || !r.MoreEnds, r.WorkerStatus, r.WorkerSilence, r.SessionConfirmed
-	v.mayLeaveAt, v.hasUnknownRuns = time.Time{}, false
+	v.mayLeaveAt, v.hasUnknownRuns, v.workerDown = time.Time{}, false, r.WorkerDown
+	pl.withdrawCrash(v, r)
 	if r.WorkerStatus.Draining {
 		v.mayLeaveAt = now.Add(r.WorkerStatus.DrainRemaining)
 	}
@@ -56,7 +58,7 @@
 	}
 	if r.LeaseExpired {
 		pl.revokeSession(v, "the worker does not answer and its lease is over", now)
-		pl.discardAllRuns(v, "lapsed")
+		pl.discardAllRuns(v, "lapsed", now)
 	}
 	if r.Deregistered && v.workerGoneAt.IsZero() {
 		v.workerGoneAt = now
@@ -81,6 +83,7 @@
 	if first || a.ProgressPercent < p.firstPercent {
 		p.firstSeen, p.firstPercent, p.firstSpeedTime = now, a.ProgressPercent, p.fullSpeedTime
 	}
+	pl.forgetCrashes(p, now)
 	if !p.step.spec.LongRunning {
 		p.observeProgress()
 	}
@@ -269,6 +272,7 @@
 		switch {
 		case p.fence != v.session.Fence && firstReport:
 			// The worker confirmed the new fence and does not list the run.
+			pl.judgeCrashOf(v, now)
 			pl.logDecision("void", "task", key.task, "run", key.run, "vm", v.name, "reason", "not there under the new fence")
 			pl.discardRun(p)
 		case p.startCommandsNumber == 0 || p.startCommandsNumber <= handled:
--- a/internal/job/planner/speed.go
+++ b/internal/job/planner/speed.go
@@ -182,6 +182,10 @@
 // Counters count decisions about uneven VMs and tasks in this term.
 type Counters struct {
 	SlowVMs, SoundAgain int
+	// Crashes is the number of workers that crashed, Suspects that of tasks that were put
+	// in quarantine after one, Culprits that of jobs that failed since a task crashes its
+	// workers.
+	Crashes, Suspects, Culprits int
 	// Hopeless jobs failed since a task failed as often as its queue allows.
 	Hopeless int
 	// Copies is the number of copies that were started, CopiesWon of those that
--- a/internal/job/planner/summary.go
+++ b/internal/job/planner/summary.go
@@ -57,6 +57,7 @@
 	pl.logDecision("load", "vms", usable, "evacuated", evacuated, "without_serving", withoutServing, "millis", millicores, "reserved", reserved, "busy", busy,
 		"memory", memory, "held", reservedMemory, "fillers", fillers, "slowed", slowed, "filled", int(fillerUse),
 		"waiting", waiting, "waiting_fillers", waitingFillers, "in_time", classes[sequencer.InTime], "late", classes[sequencer.Late], "rest", classes[sequencer.Rest],
-		"promised", pl.promises.count.given, "promises_kept", pl.promises.count.kept, "held_back", pl.promises.count.heldBack, "gave_way", pl.yields)
+		"promised", pl.promises.count.given, "promises_kept", pl.promises.count.kept, "held_back", pl.promises.count.heldBack, "gave_way", pl.yields,
+		"suspects", len(pl.crashes.suspects), "kept", pl.countKeptVMs())
 	pl.promises.count, pl.yields = promiseCount{}, 0
 }
--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -68,8 +68,12 @@
 	// the worker does not drain.
 	mayLeaveAt time.Time
 	// workerSilence is how long the worker has not answered its agent, 0 if it
-	// does.
+	// does. workerDown is set while it refuses connections.
 	workerSilence time.Duration
+	workerDown    bool
+	// keptSince is since when the VM is kept for suspects, zero if it is not. keptUntil is
+	// when it was last released.
+	keptSince, keptUntil time.Time
 
 	runs map[runKey]*placement
 	// reserved is what the runs reserve, and fillerMillicores the processor size
@@ -202,7 +206,7 @@
 // answers again. A session that the worker does not accept is revoked if runs
 // depend on it: its agent knows no lease whose end it could report.
 func (pl *Planner) refreshSession(v *vm, r *work.Report, now time.Time) {
-	v.lastContact, v.workerSilence = now, r.WorkerSilence
+	v.lastContact, v.workerSilence, v.workerDown = now, r.WorkerSilence, r.WorkerDown
 	if len(v.runs) > 0 && v.workerSilence > agentTimeout {
 		pl.revokeSession(v, "the worker does not accept the session", now)
 	}
@@ -232,7 +236,7 @@
 		if other == v || v.session.Host == "" || other.session.Host != v.session.Host || other.session.WorkerIncarnation >= v.session.WorkerIncarnation {
 			continue
 		}
-		pl.discardAllRuns(other, "replaced")
+		pl.discardAllRuns(other, "replaced", now)
 		if other.workerGoneAt.IsZero() {
 			other.workerGoneAt = now
 		}
@@ -283,7 +287,8 @@
 }
 
 // discardAllRuns discards all runs on a VM.
-func (pl *Planner) discardAllRuns(v *vm, reason string) {
+func (pl *Planner) discardAllRuns(v *vm, reason string, now time.Time) {
+	pl.judgeCrashOf(v, now)
 	for key, p := range v.runs {
 		pl.logDecision("void", "task", key.task, "run", key.run, "vm", v.name, "reason", reason, "fence", p.fence, "session", v.session.Fence, "seen", p.active)
 		pl.discardRun(p)
@@ -355,10 +360,10 @@
 			pl.revokeSession(v, "the agent is not heard", now)
 		}
 		if v.session.Revoked && !v.revokedAt.IsZero() && len(v.runs) > 0 && now.Sub(v.revokedAt) > pl.leaseExpiryDelay() {
-			pl.discardAllRuns(v, "lapsed")
+			pl.discardAllRuns(v, "lapsed", now)
 		}
 		if !v.workerGoneAt.IsZero() && now.Sub(v.workerGoneAt) > pl.leaseExpiryDelay() {
-			pl.discardAllRuns(v, "gone")
+			pl.discardAllRuns(v, "gone", now)
 		}
 	}
 }
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -75,13 +75,20 @@
 	VM string `json:"vm" cbor:"vm" yaml:"vm"`
 }
 
-// Worker processes that ended while they ran a task.
+// Worker processes that crashed while they ran a task.
 type CrashHistory struct {
-	// The last one crashed shortly after it started the task, and no run since has
-	// shown that the task is not the cause.
+	// How many of them crashed at once, since a run last showed that the task need
+	// not be the cause.
+	Early int `json:"early" cbor:"early" yaml:"early"`
+
+	// Number of the last run that is counted.
+	Run int `json:"run" cbor:"run" yaml:"run"`
+
+	// The task runs next in quarantine.
 	Suspect bool `json:"suspect" cbor:"suspect" yaml:"suspect"`
 
-	// Number of worker processes that crashed while they ran the task.
+	// Number of worker processes that crashed within a while after they had started
+	// the task.
 	Workers int `json:"workers" cbor:"workers" yaml:"workers"`
 }
 
