--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -27,6 +27,10 @@
 	// sequenced is the last decision about the order of the job.
 	sequenced map[classKey]sequencer.Result
 	outcome   *work.Outcome
+	// idleSince is since when the job has been idle, zero if it is not; idleLogged is set
+	// once that was logged.
+	idleSince  time.Time
+	idleLogged bool
 	// dropped is set once the description was removed from the log.
 	dropped bool
 }
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -38,11 +38,13 @@
 		if j.outcome != nil || j.record == nil {
 			continue
 		}
+		before := len(candidates)
 		for _, s := range j.steps {
 			if s.waiting > 0 && s.dependenciesDone() && (!delayServing || !s.newServing()) {
 				candidates = append(candidates, pl.rank(s, now))
 			}
 		}
+		j.noteIdle(len(candidates) > before, now)
 	}
 	pl.logLoad(candidates, now)
 	if len(candidates) == 0 {
--- a/internal/job/planner/summary.go
+++ b/internal/job/planner/summary.go
@@ -59,4 +59,5 @@
 		"waiting", waiting, "waiting_fillers", waitingFillers, "in_time", classes[sequencer.InTime], "late", classes[sequencer.Late], "rest", classes[sequencer.Rest],
 		"promised", pl.promises.count.given, "promises_kept", pl.promises.count.kept, "held_back", pl.promises.count.heldBack, "gave_way", pl.yields)
 	pl.promises.count, pl.yields = promiseCount{}, 0
+	pl.logIdle(candidates, now)
 }
