--- a/internal/job/planner/idle_test.go
+++ b/internal/job/planner/idle_test.go
@@ -66,3 +66,91 @@
 		t.Errorf("reasons in the lines about the idle job (-want +got):\n%s", diff)
 	}
 }
+
+// maxIdle is how long an accepted job may have nothing running while a task's turn has
+// come, there is room for it, and under half of the room is in use.
+const maxIdle = 3 * time.Second
+
+// wantBusy lets time pass and fails the test if the job has nothing running for maxIdle.
+// before is called ahead of each step.
+func (s *simulation) wantBusy(id string, d time.Duration, before func()) {
+	s.t.Helper()
+	idle := time.Duration(0)
+	for pass := 100 * time.Millisecond; d > 0; d -= pass {
+		if before != nil {
+			before()
+		}
+		s.advance(pass)
+		if idle += pass; len(s.placements(id)) > 0 {
+			idle = 0
+		}
+		if idle >= maxIdle {
+			s.t.Fatalf("the job has had nothing running for %s beside free room", idle)
+		}
+	}
+}
+
+func TestFillerStartsBesideServingTasksThatSlowIt(t *testing.T) {
+	s := newSimulation(t)
+	s.addServing(7000, "a", "b")
+	s.setServingLoad(0.75)
+	s.advance(time.Second)
+	s.submitJob(jobID(1), fillerStep(9, 4000))
+	s.wantBusy(jobID(1), 6*time.Second, nil)
+}
+
+func TestFillerOfLateJobStartsBesideOtherFillers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// perVM is how many fillers of 5 cores are on each VM of 16.
+		perVM int
+	}{{"that leave it slower", 2}, {"that ask for all processors", 3}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSimulation(t)
+			s.addVM("a", 16_000, 10_000)
+			s.addVM("b", 16_000, 10_000)
+			others := fillerStep(40, 5000)
+			others.MaxPerVM, others.EstimatedDuration = c.perVM, time.Minute
+			s.submitJob(jobID(1), others)
+			s.advance(time.Second)
+			late := fillerStep(9, 7000)
+			late.EstimatedDuration = 20 * time.Second
+			s.acceptJob(&work.Job{ID: jobID(2), AcceptedAt: s.now, Steps: []work.Step{late}, Queue: work.Queue{
+				Name: "queue", Pool: "pool", MaxFailures: 2, Stretch: 0.2, Target: time.Second,
+			}})
+			s.wantBusy(jobID(2), 6*time.Second, nil)
+		})
+	}
+}
+
+func TestFillerStoppedAtLowPaceStartsAgain(t *testing.T) {
+	s := newSimulation(t)
+	s.addServing(7000, "a", "b")
+	s.submitJob(jobID(1), fillerStep(1, 4000))
+	s.advance(time.Second)
+	s.setServingLoad(0.75)
+	s.wantBusy(jobID(1), 20*time.Second, func() {
+		for _, v := range s.vms {
+			for i := range v.active {
+				v.active[i].Pace = stopPace
+			}
+		}
+	})
+	if len(s.starts) < 4 {
+		t.Errorf("%d starts, want the filler to be stopped and started again", len(s.starts))
+	}
+}
+
+func TestFillerThatWaitsStartsUnderNewLeader(t *testing.T) {
+	s := newSimulation(t)
+	s.addServing(7000, "a", "b")
+	s.setServingLoad(0.75)
+	s.advance(time.Second)
+	s.submitJob(jobID(1), fillerStep(9, 4000))
+	restarts := 0
+	s.wantBusy(jobID(1), 6*time.Second, func() {
+		if restarts++; restarts == 9 {
+			s.restart()
+		}
+	})
+}
