--- a/internal/job/planner/summary.go
+++ b/internal/job/planner/summary.go
@@ -60,4 +60,5 @@
 		"promised", pl.promises.count.given, "promises_kept", pl.promises.count.kept, "held_back", pl.promises.count.heldBack, "gave_way", pl.yields,
 		"suspects", len(pl.crashes.suspects), "kept", pl.countKeptVMs())
 	pl.promises.count, pl.yields = promiseCount{}, 0
+	pl.logIdle(candidates, now)
 }
