supervisor: refuse a start beyond the worker's newest capacity

Cause: a start rests on the capacity that the leader last heard of. A leader that handles reports seconds after they arrive, or a start that waits in the agent for others to be sent, puts a worker that has shrunk over its capacity; the agent knew the newest capacity and did not look at it.

Change: before it sends a start the agent adds up what the active and the pending runs reserve, those that stop included, and refuses with the reason "room" if that exceeds the capacity in the newest heartbeat in any dimension. The processors of fillers do not count. Starts and descriptions of runs carry memory and accelerators for it.

TestNewAgentReceivesKindsOfRuns expects the memory as well.

--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -296,7 +296,7 @@
 
 // submitStep adds a job of one step to the log.
 func (c *cluster) submitStep(id string, step work.Step) {
-	step.Size, step.EstimatedDuration = work.Size{Millicores: 1000, Memory: 100}, time.Second
+	step.Size, step.EstimatedDuration = simulatedTaskSize, time.Second
 	job := &work.Job{
 		ID: id, Spec: "spec", AcceptedAt: time.Now(), Queue: work.Queue{Name: "queue", Pool: "pool", MaxFailures: 100, Stretch: 2, Target: time.Second},
 		Steps: []work.Step{step},
--- a/internal/job/leader/memorynetwork_test.go
+++ b/internal/job/leader/memorynetwork_test.go
@@ -14,16 +14,19 @@
 const linkLatency = 2 * time.Millisecond
 
 // memoryNetwork connects hosts in memory. Data between two hosts waits while they
-// are cut off from each other, and takes longer while their link is slow.
+// are cut off from each other, and takes longer while their link is slow or the host that
+// receives it has a backlog.
 type memoryNetwork struct {
 	mu        sync.Mutex
 	listeners map[netip.Addr]*memoryListener
 	cutUntil  map[[2]netip.Addr]time.Time
 	slowUntil map[[2]netip.Addr]time.Time
+	// backlogs holds how long after its arrival a host handles data.
+	backlogs map[netip.Addr]time.Duration
 }
 
 func newMemoryNetwork() *memoryNetwork {
-	return &memoryNetwork{listeners: map[netip.Addr]*memoryListener{}, cutUntil: map[[2]netip.Addr]time.Time{}, slowUntil: map[[2]netip.Addr]time.Time{}}
+	return &memoryNetwork{listeners: map[netip.Addr]*memoryListener{}, cutUntil: map[[2]netip.Addr]time.Time{}, slowUntil: map[[2]netip.Addr]time.Time{}, backlogs: map[netip.Addr]time.Duration{}}
 }
 
 func linkBetween(a, b netip.Addr) [2]netip.Addr {
@@ -47,13 +50,20 @@
 	n.slowUntil[linkBetween(a, b)] = until
 }
 
-func (n *memoryNetwork) latency(a, b netip.Addr) time.Duration {
+// setBacklog sets how long after its arrival a host handles data.
+func (n *memoryNetwork) setBacklog(host netip.Addr, backlog time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if time.Now().Before(n.slowUntil[linkBetween(a, b)]) {
-		return 500 * time.Millisecond
+	n.backlogs[host] = backlog
+}
+
+func (n *memoryNetwork) latency(from, to netip.Addr) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if time.Now().Before(n.slowUntil[linkBetween(from, to)]) {
+		return 500*time.Millisecond + n.backlogs[to]
 	}
-	return linkLatency
+	return linkLatency + n.backlogs[to]
 }
 
 func (n *memoryNetwork) waitWhileCut(a, b netip.Addr) {
--- a/internal/job/leader/simulatedworker_test.go
+++ b/internal/job/leader/simulatedworker_test.go
@@ -35,6 +35,8 @@
 	stopped       map[string]int
 	heartbeats    int64
 	lastHeartbeat time.Time
+	// capacities holds the capacities that the process has had, the newest last.
+	capacities []capacityChange
 }
 
 func (w *simulatedWorker) clock(now time.Time) time.Duration {
@@ -66,9 +68,10 @@
 	h.checker.logf("worker %s starts", vm)
 	h.worker = &simulatedWorker{
 		status: work.WorkerStatus{
-			VM: vm, Incarnation: now.UnixMilli(), Pool: "pool", Zone: h.domain, Capacity: work.Size{Millicores: 4000, Memory: 100_000},
+			VM: vm, Incarnation: now.UnixMilli(), Pool: "pool", Zone: h.domain, Capacity: simulatedCapacity,
 		},
-		startedAt: now.Add(-time.Millisecond), slowness: 0.02 * h.random.Float64(), active: map[string]*simulatedRun{}, stopped: map[string]int{},
+		capacities: []capacityChange{{now, simulatedCapacity}},
+		startedAt:  now.Add(-time.Millisecond), slowness: 0.02 * h.random.Float64(), active: map[string]*simulatedRun{}, stopped: map[string]int{},
 	}
 }
 
@@ -244,6 +247,7 @@
 		}
 		w.active[task] = r
 		h.checker.started(r)
+		h.checkCapacity(r, now)
 	}
 	w.extendLease(call.LeaseEnd, now)
 	return workercontroller.Accepted
--- a/internal/job/planner/agentrestart_test.go
+++ b/internal/job/planner/agentrestart_test.go
@@ -30,7 +30,7 @@
 	s.submitJob(jobID(1), step)
 	s.advance(time.Second)
 	s.restartAgent("a")
-	want := []work.Start{{Task: jobID(1) + ".0.0.0", Run: 1, Serving: true, LatencyTarget: 20 * time.Millisecond, Image: "feed", Millicores: 1000}}
+	want := []work.Start{{Task: jobID(1) + ".0.0.0", Run: 1, Serving: true, LatencyTarget: 20 * time.Millisecond, Image: "feed", Millicores: 1000, Memory: 100}}
 	if diff := cmp.Diff(want, v.adoptedRuns); diff != "" {
 		t.Errorf("kinds sent to the new agent (-want +got):\n%s", diff)
 	}
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -286,6 +286,7 @@
 	return work.Start{
 		Task: p.step.taskName(p.index), Run: p.run,
 		Serving: spec.LatencyTarget > 0, Filler: spec.Filler, LatencyTarget: spec.LatencyTarget, Image: spec.Image, Millicores: spec.Size.Millicores,
+		Memory: spec.Size.Memory, Accelerators: spec.Size.Accelerators,
 	}
 }
 
--- a/internal/sidecar/supervisor/order.go
+++ b/internal/sidecar/supervisor/order.go
@@ -199,6 +199,9 @@
 	defer func() { <-s.startSlots }()
 	s.mu.Lock()
 	refusal := s.checkStart(run)
+	if refusal == "" {
+		refusal = s.checkRoom(run)
+	}
 	s.mu.Unlock()
 	if refusal != "" {
 		s.voidRun(call.Call, run, refusal)
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -562,12 +562,18 @@
 
 // Command to start a run.
 type Start struct {
+	// Reserved accelerators.
+	Accelerators int `json:"accelerators" cbor:"accelerators" yaml:"accelerators"`
+
 	// Filler task: it runs on processor capacity that other tasks leave unused.
 	Filler bool `json:"fills" cbor:"fills" yaml:"fills"`
 
 	// Image that the task runs.
 	Image string `json:"image" cbor:"image" yaml:"image"`
 
+	// Reserved memory in MiB.
+	Memory int `json:"memory" cbor:"memory" yaml:"memory"`
+
 	// Requested processor share in thousandths of a core.
 	Millicores int `json:"millis" cbor:"millis" yaml:"millis"`
 
