leader: test of many tasks that crash their workers, refused calls as the agent sees them

The crash tests had few such tasks, and their simulated worker returned a plain connection error where the adapter now returns ErrUnreachable. The new test has the load of a busy minute: 11 VMs, 80 jobs in 8 s, one in ten with a task that crashes its workers.

--- a/internal/job/leader/crash_test.go
+++ b/internal/job/leader/crash_test.go
@@ -148,6 +148,18 @@
 	})
 }
 
+// Many such tasks at once may cost the others all workers again and again.
+func TestManyTasksThatCrashWorkersAreGivenUp(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		p := newCrashPlay(3, 11, seed)
+		for n := range 80 {
+			p.submitNext(1+p.random.IntN(4), p.random.IntN(10) == 0 || n == 0)
+			p.run(100 * time.Millisecond)
+		}
+		p.finish(t, func() {})
+	})
+}
+
 // The leader that a crash was reported to may end before the next one.
 func TestCrashCountOutlivesLeader(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
--- a/internal/job/leader/workercrash_test.go
+++ b/internal/job/leader/workercrash_test.go
@@ -1,12 +1,15 @@
 package leader_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
 	"syscall"
 	"time"
+
+	"knapweedspur/internal/sidecar/workercontroller"
 )
 
 const (
@@ -26,7 +29,7 @@
 // those that follow.
 var (
 	errReset   = &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ECONNRESET)}
-	errRefused = &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	errRefused = fmt.Errorf("%w: %w", workercontroller.ErrUnreachable, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)})
 )
 
 // crash ends a worker process with an error, if it still runs. The host refuses
