leader: the bound of starts after crashes beside random faults

Cause: the crash tests had tasks that crash their workers or workers that crash by themselves, but not both, and let a job be given up after any number of crashes.

TestCrashBoundHoldsBesideFaults has one such job in ten beside all kinds of faults. A job that is failed before two crashes under its task now fails the tests.

--- a/internal/job/leader/crash_test.go
+++ b/internal/job/leader/crash_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,7 +101,7 @@
 // check checks the outcomes and the bound, and logs what the crashes have cost.
 func (p *crashPlay) check(t *testing.T) {
 	var waits, longest time.Duration
-	completed, crashes := 0, 0
+	completed := 0
 	for id, at := range p.submittedAt {
 		outcome, task := p.outcomes.of(t, id), p.culpritOf[id]
 		switch {
@@ -107,6 +109,8 @@
 			t.Errorf("job %s has not ended", id)
 		case task != "" && outcome.State != jobreducer.Failed:
 			t.Errorf("job %s is %s, though one of its tasks crashes its workers", id, outcome.State)
+		case task != "" && p.culprits.lost[task] < minLossesUntilGivenUp:
+			t.Errorf("job %s is failed after %d crashes under its task", id, p.culprits.lost[task])
 		case task == "" && outcome.State != jobreducer.Completed:
 			t.Errorf("job %s is %s, none of its tasks crashes its workers", id, outcome.State)
 		case task == "":
@@ -116,15 +120,27 @@
 			longest = max(longest, wait)
 		}
 	}
-	for task, n := range p.culprits.crashes {
+	crashes := p.culprits.check(t)
+	t.Logf("%d crashes, %d runs lost, %d of %d other jobs completed, %s after their submission on average, %s at most",
+		crashes, p.checker.crashed, completed, len(p.submittedAt)-len(p.culpritOf), (waits / time.Duration(max(completed, 1))).Round(time.Millisecond), longest.Round(time.Millisecond))
+}
+
+// check checks the bound and returns how many workers were crashed by tasks.
+func (p *culprits) check(t *testing.T) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	crashes := 0
+	for task, n := range p.crashes {
 		crashes += n
-		t.Logf("%s crashed %d workers, %d starts after %d of them", task, n, p.culprits.late[task], crashesUntilLimit)
-		if late := p.culprits.late[task]; late > maxStartsAfterCrashes {
+		if n == 0 {
+			continue
+		}
+		t.Logf("%s crashed %d workers, %d starts after %d of them", task, n, p.late[task], crashesUntilLimit)
+		if late := p.late[task]; late > maxStartsAfterCrashes {
 			t.Errorf("%s was started %d times after %d workers had crashed under it, want at most %d", task, late, crashesUntilLimit, maxStartsAfterCrashes)
 		}
 	}
-	t.Logf("%d crashes, %d runs lost, %d of %d other jobs completed, %s after their submission on average, %s at most",
-		crashes, p.checker.crashed, completed, len(p.submittedAt)-len(p.culpritOf), (waits / time.Duration(max(completed, 1))).Round(time.Millisecond), longest.Round(time.Millisecond))
+	return crashes
 }
 
 // eachSeed runs a test in virtual time for each seed.
@@ -207,29 +223,58 @@
 // Workers end for many reasons that are no fault of their tasks.
 func TestOwnCrashesOfWorkersFailNoJob(t *testing.T) {
 	kinds := []string{"agent-killed", "agents-killed", "entry-killed", "worker-leaves", "worker-mute", "worker-reborn", "worker-replaced", "worker-stays"}
-	for range 2 {
-		kinds = append(kinds, "vm-crashes", "worker-crashes", "worker-crashes-again", "workers-crash", "worker-cut-and-reborn")
-	}
+	kinds = append(kinds, append(crashKinds(), crashKinds()...)...)
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		var c *cluster
 		playFaults(t, seed, kinds, false, func(played *cluster) { c = played })
-		ended := newOutcomes(c)
-		ended.of(t, "")
-		states := map[string]int{}
-		for id, j := range ended.state.Jobs {
-			state := "not ended"
-			if j.Outcome != nil {
-				state = j.Outcome.State
+		checkNoneFailed(t, c, nil)
+	})
+}
+
+// The evidence of a crash may be lost in another fault, and a fault may look like one.
+func TestCrashBoundHoldsBesideFaults(t *testing.T) {
+	kinds := append(enabledKinds(), crashKinds()...)
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		var c *cluster
+		var p *culprits
+		playFaults(t, seed, kinds, false, func(played *cluster) {
+			if c != nil {
+				return
 			}
-			states[state]++
-			if state == jobreducer.Failed {
-				t.Errorf("job %s is failed", id)
+			c, p = played, newCulprits(played, seed)
+			for n := 5; n < 200; n += 10 {
+				p.add(fmt.Sprintf("%016x.0.0.0", n))
 			}
+		})
+		t.Logf("%d crashes by tasks", p.check(t))
+		checkNoneFailed(t, c, p)
+	})
+}
+
+func crashKinds() []string { return slices.Sorted(maps.Keys(crashFaults)) }
+
+// checkNoneFailed checks that no job has failed without a task that crashes its workers.
+func checkNoneFailed(t *testing.T, c *cluster, p *culprits) {
+	ended := newOutcomes(c)
+	ended.of(t, "")
+	states := map[string]int{}
+	for id, j := range ended.state.Jobs {
+		state := "not ended"
+		if j.Outcome != nil {
+			state = j.Outcome.State
 		}
-		t.Logf("%d runs lost in crashes, jobs by state: %v", c.checker.crashed, states)
-		if c.checker.crashed == 0 {
-			t.Error("no run was lost in a crash, so the test shows nothing")
+		if p != nil && p.has(id+".0.0.0") {
+			states["crashing "+state]++
+			continue
 		}
-		c.checker.dump(t)
-	})
+		states[state]++
+		if state == jobreducer.Failed {
+			t.Errorf("job %s is failed", id)
+		}
+	}
+	t.Logf("%d runs lost in crashes, jobs by state: %v", c.checker.crashed, states)
+	if c.checker.crashed == 0 {
+		t.Error("no run was lost in a crash, so the test shows nothing")
+	}
+	c.checker.dump(t)
 }
--- a/internal/job/leader/simulatedworker_test.go
+++ b/internal/job/leader/simulatedworker_test.go
@@ -61,8 +61,8 @@
 	// refuses is set from a crash of the worker to the start of the next, at restartAt.
 	refuses   bool
 	restartAt time.Time
-	// onStart is called when a run starts, under the host's lock.
-	onStart func(h *simulatedHost, w *simulatedWorker, r *simulatedRun)
+	// onStart are called when a run starts, under the host's lock.
+	onStart []func(h *simulatedHost, w *simulatedWorker, r *simulatedRun)
 }
 
 // startWorker starts a worker process. The runs of the process before are gone.
@@ -268,8 +268,8 @@
 		}
 		w.active[task] = r
 		h.checker.started(r)
-		if h.onStart != nil {
-			h.onStart(h, w, r)
+		for _, started := range h.onStart {
+			started(h, w, r)
 		}
 	}
 	w.extendLease(call.LeaseEnd, now)
--- a/internal/job/leader/workercrash_test.go
+++ b/internal/job/leader/workercrash_test.go
@@ -23,6 +23,9 @@
 	// as any other, maxStartsAfterCrashes how often it may be started then.
 	crashesUntilLimit     = 3
 	maxStartsAfterCrashes = 2
+	// minLossesUntilGivenUp is how many runs a task has lost in crashes before its job
+	// may fail.
+	minLossesUntilGivenUp = 2
 )
 
 // The errors of calls to a worker process that has crashed: of those in flight, and of
@@ -33,20 +36,23 @@
 )
 
 // crash ends a worker process with an error, if it still runs. The host refuses
-// connections until the next process starts. It reports whether the process ended.
-func (h *simulatedHost) crash(w *simulatedWorker, cause string) bool {
+// connections until the next process starts. It returns the tasks of the runs that are
+// lost.
+func (h *simulatedHost) crash(w *simulatedWorker, cause string) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if w == nil || h.worker != w {
-		return false
+		return nil
 	}
 	h.checker.logf("worker %s crashes: %s", w.status.VM, cause)
-	for _, r := range w.active {
+	var lost []string
+	for task, r := range w.active {
 		h.checker.ended(r, nil, "crashed")
+		lost = append(lost, task)
 	}
 	close(w.crashed)
 	h.worker, h.refuses, h.restartAt = nil, true, time.Now().Add(crashRestartDelay)
-	return true
+	return lost
 }
 
 // restartDue reports whether the next worker process has to start after a crash.
@@ -74,18 +80,19 @@
 type culprits struct {
 	mu     sync.Mutex
 	random *rand.Rand
-	// crashes is under how many workers that crashed each of them was the cause, late
-	// how often it was started once these were crashesUntilLimit.
-	crashes, late map[string]int
+	// crashes is how many workers each of them has crashed, late how often it was
+	// started once these were crashesUntilLimit. lost counts its runs that were lost in
+	// crashes of any cause.
+	crashes, late, lost map[string]int
 	// onCrash is called after each crash, from a goroutine of its own.
 	onCrash func()
 }
 
 // newCulprits makes tasks of a cluster crash their workers.
 func newCulprits(c *cluster, seed uint64) *culprits {
-	p := &culprits{random: rand.New(rand.NewPCG(seed, 7)), crashes: map[string]int{}, late: map[string]int{}}
+	p := &culprits{random: rand.New(rand.NewPCG(seed, 7)), crashes: map[string]int{}, late: map[string]int{}, lost: map[string]int{}}
 	for _, v := range c.vms {
-		v.onStart = p.started
+		v.onStart = append(v.onStart, p.started)
 	}
 	return p
 }
@@ -97,6 +104,13 @@
 	p.crashes[task] = 0
 }
 
+func (p *culprits) has(task string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, found := p.crashes[task]
+	return found
+}
+
 // started lets the task crash the worker that has started it.
 func (p *culprits) started(h *simulatedHost, w *simulatedWorker, r *simulatedRun) {
 	p.mu.Lock()
@@ -110,11 +124,15 @@
 	}
 	delay := minCrashDelay + time.Duration(p.random.Int64N(int64(maxCrashDelay-minCrashDelay)))
 	time.AfterFunc(delay, func() {
-		if !h.crash(w, r.task) {
+		lost := h.crash(w, r.task)
+		if lost == nil {
 			return
 		}
 		p.mu.Lock()
 		p.crashes[r.task]++
+		for _, task := range lost {
+			p.lost[task]++
+		}
 		onCrash := p.onCrash
 		p.mu.Unlock()
 		if onCrash != nil {
@@ -162,7 +180,7 @@
 		f.vm.mu.Unlock()
 		for _, v := range c.vms {
 			v.mu.Lock()
-			v.onStart = repeat.started
+			v.onStart = append(v.onStart, repeat.started)
 			v.mu.Unlock()
 		}
 		f.vm.crash(w, "by itself")
