soak: tasks that crash their workers

Cause: the soak had no worker that crashes, and so could not show that a task which crashes its workers is started without limit (docs/incidents/2026-12-04-deadly.md).

The checker reports a third start after three workers crashed under a task, a job that fails without such a task or after fewer than two crashes, and one with such a task that does not fail.

--- a/internal/standin/soaktester/checker.go
+++ b/internal/standin/soaktester/checker.go
@@ -40,8 +40,10 @@
 	lastState       map[string]string
 	// completedAt is when a job was first reported as completed.
 	completedAt map[string]time.Time
-	violations  []string
-	startedAt   time.Time
+	// crashing are the tasks that crash their workers, crashingJobs their jobs.
+	crashing, crashingJobs map[string]*crashHistory
+	violations             []string
+	startedAt              time.Time
 }
 
 // size is an amount of processors, in millicores, and memory. Violations print the
@@ -68,6 +70,7 @@
 		lastStartedAt: map[string]time.Time{}, doneAt: map[completion]time.Time{}, completedAt: map[string]time.Time{}, acknowledgedRun: map[string]int{},
 		jobSizes: map[string]size{}, workerUsage: map[string]size{}, workerCapacity: map[string]size{}, workerDomain: map[string]string{}, evacuatedAt: map[string]time.Time{},
 		acceptedAt: map[string]time.Time{}, canceledAt: map[string]time.Time{}, refused: map[string]bool{}, cancelRequested: map[string]bool{}, lastState: map[string]string{}, startedAt: now,
+		crashing: map[string]*crashHistory{}, crashingJobs: map[string]*crashHistory{},
 	}
 }
 
@@ -110,6 +113,7 @@
 	if _, ok := c.jobSizes[jobOf(task)]; !ok {
 		c.addViolation(now, "unknown job started: %s on %s", task, worker)
 	}
+	c.checkCrashBound(worker, task, run, now)
 	if c.running[task] == nil {
 		c.running[task] = map[string]int{}
 	}
@@ -137,6 +141,9 @@
 	if how == "done" {
 		c.doneAt[completion{worker, task, run}] = now
 	}
+	if how == "crashed" {
+		c.noteLoss(task, now)
+	}
 	if _, ok := c.running[task][worker]; !ok {
 		return
 	}
@@ -207,6 +214,9 @@
 		c.addViolation(now, "terminal state changed: %s from %s to %s", job, previous, state)
 	}
 	c.lastState[job] = state
+	if state == platformemulator.StateFailed && previous != state {
+		c.checkFailure(job, now)
+	}
 	if state != platformemulator.StateCompleted {
 		return
 	}
@@ -227,6 +237,9 @@
 	for job := range c.acceptedAt {
 		state := c.lastState[job]
 		switch {
+		case state == platformemulator.StateCompleted && c.crashingJobs[job] != nil:
+			c.addViolation(now, "completed though a task crashes its workers: %s", job)
+		case state == platformemulator.StateFailed && c.crashingJobs[job] != nil:
 		case state == platformemulator.StateCompleted, state == platformemulator.StateCanceled && c.cancelRequested[job]:
 		case state == platformemulator.StateCanceled:
 			c.addViolation(now, "canceled without a request: %s", job)
--- a/internal/standin/soaktester/client.go
+++ b/internal/standin/soaktester/client.go
@@ -42,6 +42,9 @@
 	c.soak.checker.mu.Lock()
 	c.soak.checker.jobSizes[c.job] = need
 	c.soak.checker.mu.Unlock()
+	if c.soak.config.Crashes && c.random.IntN(jobsPerCrashingOne) == 0 {
+		c.soak.checker.addCrashing(c.tasks[c.random.IntN(taskCount)])
+	}
 	body := platformemulator.JobBody(taskCount, need.millis, need.memory, declaredDuration)
 	if !c.submit(ctx, body) {
 		return
--- a/internal/standin/soaktester/soaktester.go
+++ b/internal/standin/soaktester/soaktester.go
@@ -42,6 +42,8 @@
 	// SingleFaults and Pairs enable the faults drawn one by one and those that come
 	// in pairs.
 	SingleFaults, Pairs bool
+	// Crashes enables tasks that crash their workers, and crashes of other causes.
+	Crashes bool
 	// LogDir is the directory for the logs and settings of the processes.
 	LogDir string
 }
@@ -139,8 +141,11 @@
 	go s.evacuateDomains(evacuationsDone)
 	pairsDone := make(chan struct{})
 	go s.injectPairs(pairsDone)
+	crashesDone := make(chan struct{})
+	go s.injectCrashes(crashesDone)
 	s.injectFaults()
 	<-pairsDone
+	<-crashesDone
 	<-evacuationsDone
 	if s.config.Seed%2 == 0 {
 		s.losePower()
@@ -183,7 +188,7 @@
 		s.agents = append(s.agents, p)
 		w := &platformemulator.Worker{
 			Name: fmt.Sprintf("w%d", i), Domain: domainOf(i), AgentAddress: fmt.Sprintf("%s:%d", p.ip, basePort+platformemulator.ControlPortOffset), Millicores: workerMillicores, MemoryMB: workerMemory,
-			Observer: s.checker, TaskDuration: s.taskDuration,
+			Observer: s.checker, TaskDuration: s.taskDuration, CrashDelay: s.checker.crashesWorker,
 		}
 		if s.config.Pairs {
 			w.ClockDrift = maxClockDrift * rand.New(rand.NewPCG(s.config.Seed, uint64(firstDriftStream+i))).Float64()
@@ -191,9 +196,7 @@
 		w.StartInstance(time.Now())
 		s.checker.workerCapacity[w.Name], s.checker.workerDomain[w.Name] = size{workerMillicores, workerMemory}, w.Domain
 		s.workers = append(s.workers, w)
-		if err := s.startServer(fmt.Sprintf("%s:%d", s.address(3, i), basePort), w); err != nil {
-			return err
-		}
+		w.Listen(fmt.Sprintf("%s:%d", s.address(3, i), basePort), s.stopped)
 		s.group.Go(func() { w.Run(s.stopped) })
 	}
 	for i, p := range s.processes() {
