--- a/internal/job/leader/simulatedworker_test.go
+++ b/internal/job/leader/simulatedworker_test.go
@@ -37,6 +37,8 @@
 	lastHeartbeat time.Time
 	// crashed is closed when the process crashes.
 	crashed chan struct{}
+	// capacities holds the capacities that the process has had, the newest last.
+	capacities []capacityChange
 }
 
 func (w *simulatedWorker) clock(now time.Time) time.Duration {
@@ -74,10 +76,10 @@
 	h.refuses = false
 	h.worker = &simulatedWorker{
 		status: work.WorkerStatus{
-			VM: vm, Incarnation: now.UnixMilli(), Pool: "pool", Zone: h.domain, Capacity: work.Size{Millicores: 4000, Memory: 100_000},
+			VM: vm, Incarnation: now.UnixMilli(), Pool: "pool", Zone: h.domain, Capacity: simulatedCapacity,
 		},
+		capacities: []capacityChange{{now, simulatedCapacity}}, crashed: make(chan struct{}),
 		startedAt: now.Add(-time.Millisecond), slowness: 0.02 * h.random.Float64(), active: map[string]*simulatedRun{}, stopped: map[string]int{},
-		crashed: make(chan struct{}),
 	}
 }
 
@@ -268,6 +270,7 @@
 		}
 		w.active[task] = r
 		h.checker.started(r)
+		h.checkCapacity(r, now)
 		for _, started := range h.onStart {
 			started(h, w, r)
 		}
