leader: a task beside one culprit after another must not make its job fail

Cause: the losses of a task beside known culprits stay in its count, and the fifth names it the culprit.

The new test has three long tasks on one VM and up to six culprits, one after another.

--- a/internal/job/leader/crash_test.go
+++ b/internal/job/leader/crash_test.go
@@ -220,6 +220,26 @@
 	})
 }
 
+// A task may be lost beside one culprit after another, each time long after its start.
+func TestTasksBesideOneCulpritAfterAnotherComplete(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		p := newCrashPlay(2, 1, seed)
+		p.vms[0].taskTime = 10 * time.Second
+		p.submitNext(3, false)
+		var calmSince time.Time
+		p.finish(t, func() {
+			now := time.Now()
+			if len(p.culpritOf) == 6 || len(p.vms[0].runs()) == 0 {
+				calmSince = now
+			}
+			if now.Sub(calmSince) > time.Second {
+				p.submitNext(1, true)
+				calmSince = now.Add(crashRestartDelay)
+			}
+		})
+	})
+}
+
 // Workers end for many reasons that are no fault of their tasks.
 func TestOwnCrashesOfWorkersFailNoJob(t *testing.T) {
 	kinds := []string{"agent-killed", "agents-killed", "entry-killed", "worker-leaves", "worker-mute", "worker-reborn", "worker-replaced", "worker-stays"}
--- a/internal/job/leader/workercrash_test.go
+++ b/internal/job/leader/workercrash_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -76,6 +78,16 @@
 	return h.worker
 }
 
+// runs returns the tasks that the worker runs.
+func (h *simulatedHost) runs() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.worker == nil {
+		return nil
+	}
+	return slices.Collect(maps.Keys(h.worker.active))
+}
+
 // culprits are the tasks that crash the workers that start them.
 type culprits struct {
 	mu     sync.Mutex
