planner: place no filler on a VM that has less than its tasks reserve

Cause: fillers are placed by the use that is expected of serving tasks, not by what those reserve. On a VM that has shrunk below the reservations a filler was still started, beside runs that are over the capacity already.

Change: such a VM lacks processors for every task.

TestFillerDoesNotStartOnProcessorsThatAreGone failed before (two starts instead of one) and passes, as do the other tests of planner.

--- a/internal/job/planner/capacity_test.go
+++ b/internal/job/planner/capacity_test.go
@@ -246,3 +246,25 @@
 		t.Error("a job is refused although the room is back")
 	}
 }
+
+// Fillers run beside serving tasks that use less than they reserve. A worker that has less
+// than they reserve has nothing to fill.
+func TestFillerDoesNotStartOnProcessorsThatAreGone(t *testing.T) {
+	s := newSimulation(t)
+	v := s.addVM("a", 8000, 10_000)
+	serving := stepSpec(1, 8000)
+	serving.LongRunning, serving.LatencyTarget, serving.Image = true, 20*time.Millisecond, "serve"
+	s.submitJob(jobID(1), serving)
+	s.advance(time.Second)
+	v.active[0].Measurement = 1
+	s.advance(3 * time.Second)
+	s.resize("a", work.Size{Millicores: 7900, Memory: 10_000})
+	filler := stepSpec(1, 100)
+	filler.Filler, filler.Image = true, "fill"
+	s.submitJob(jobID(2), filler)
+	s.advance(2 * time.Second)
+	s.wantStarts(1, "while the serving task reserves more than there is")
+	s.resize("a", work.Size{Millicores: 8000, Memory: 10_000})
+	s.advance(time.Second)
+	s.wantStarts(2, "with all processors back")
+}
--- a/internal/job/planner/reason.go
+++ b/internal/job/planner/reason.go
@@ -59,7 +59,8 @@
 		return NoMemory
 	case v.reserved.Accelerators+spec.Size.Accelerators > capacity.Accelerators:
 		return NoAccelerators
-	case spec.Filler && float64(v.expectedUse()+v.fillerUse()+spec.Size.Millicores) > maxOvercommit*float64(capacity.Millicores),
+	case v.reserved.Millicores > capacity.Millicores,
+		spec.Filler && float64(v.expectedUse()+v.fillerUse()+spec.Size.Millicores) > maxOvercommit*float64(capacity.Millicores),
 		!spec.Filler && v.reserved.Millicores+spec.Size.Millicores > capacity.Millicores:
 		return NoProcessors
 	}
