planner: count a VM that shrank below its long-running tasks as one without room

Cause: what a pool leaves to jobs that end was summed over VMs as the capacity less what long-running tasks reserve. A VM that has shrunk below that was counted with less than nothing, so it took away cores that others have: with 7 missing on one VM and 4 free on the other, jobs were sequenced by -3 cores (which decides nothing), jobs with three times the time that they need counted as short of time, and long-running tasks waited for short jobs.

Change: the share of a VM is at least 0, in sequenceCapacity, markOverload and leavesRoom.

TestShrunkVMTakesNoCapacityFromOthers failed before in all three parts and passes.

--- a/internal/job/planner/capacity_test.go
+++ b/internal/job/planner/capacity_test.go
@@ -268,3 +268,27 @@
 	s.advance(time.Second)
 	s.wantStarts(2, "with all processors back")
 }
+
+// A VM that has less than its long-running tasks reserve takes nothing from the others.
+func TestShrunkVMTakesNoCapacityFromOthers(t *testing.T) {
+	s := newSimulation(t)
+	s.addVM("a", 8000, 10_000)
+	long := stepSpec(1, 8000)
+	long.LongRunning = true
+	s.submitJob(jobID(1), long)
+	s.advance(300 * time.Millisecond)
+	s.addVM("b", 4000, 10_000)
+	s.resize("a", work.Size{Millicores: 1000, Memory: 10_000})
+	if diff := cmp.Diff(4.0, s.planner.sequenceCapacity(sequenceKind{"pool", false}, s.now)); diff != "" {
+		t.Errorf("cores on which jobs can count (-want +got):\n%s", diff)
+	}
+	if !s.planner.leavesRoom("pool", 1000, s.now) {
+		t.Error("a long-running task must wait for short jobs although most of the other VM is free")
+	}
+	// Three seconds of work on four cores, and ten seconds of time.
+	candidates := []candidate{{step: &step{spec: &work.Step{}}, remainingWork: 12, deadline: s.now.Add(10 * time.Second)}}
+	s.planner.markOverload(candidates, s.now)
+	if candidates[0].shortOfTime {
+		t.Error("a job with three times the time that it needs counts as short of time")
+	}
+}
--- a/internal/job/planner/order.go
+++ b/internal/job/planner/order.go
@@ -259,7 +259,7 @@
 		if v.workerStatus.Pool != kind.pool || !v.usable(now) || pl.evacuated(v) {
 			continue
 		}
-		free += v.workerStatus.Capacity.Millicores - v.longRunningMillicores
+		free += max(v.workerStatus.Capacity.Millicores-v.longRunningMillicores, 0)
 		unused += max(v.workerStatus.Capacity.Millicores-v.expectedUse(), 0)
 		for _, p := range v.runs {
 			if p.step.spec.Filler {
--- a/internal/job/planner/rank.go
+++ b/internal/job/planner/rank.go
@@ -170,7 +170,7 @@
 	capacity, totalWork, totalWait, count := 0.0, 0.0, 0.0, 0.0
 	for _, v := range pl.sortedVMs {
 		if v.usable(now) && !pl.evacuated(v) {
-			capacity += float64(v.workerStatus.Capacity.Millicores-v.longRunningMillicores) / 1000
+			capacity += float64(max(v.workerStatus.Capacity.Millicores-v.longRunningMillicores, 0)) / 1000
 		}
 	}
 	for i := range candidates {
--- a/internal/job/planner/room.go
+++ b/internal/job/planner/room.go
@@ -120,7 +120,7 @@
 	for _, v := range pl.sortedVMs {
 		if v.workerStatus.Pool == pool && v.usable(now) && !pl.evacuated(v) {
 			capacity += v.workerStatus.Capacity.Millicores
-			reserved += v.longRunningMillicores
+			reserved += min(v.longRunningMillicores, v.workerStatus.Capacity.Millicores)
 		}
 	}
 	share := pl.poolShortWork(pool).keptShare(capacity, now)
