planner: a crash whose culprit is known counts for nobody else; two like chance need a third

Cause: crashes counted for all that ran for a while, also once the culprit was known; and two crashes within 0.3 s of a start were enough although workers crashed by themselves at that time, or on that host, which a new leader did not know. Change: the crashes of a culprit are taken back from those beside it; the second crash names a culprit only if it came about as soon as the first, and no crash of the last 30 s has lost all its suspects. The host of a VM comes from its session.

--- a/internal/job/planner/crash.go
+++ b/internal/job/planner/crash.go
@@ -27,8 +27,9 @@
 	// inQuarantine is set if the worker ran a suspect in quarantine, explained once the
 	// culprit is known.
 	inQuarantine, explained bool
-	// suspects are the tasks that became suspects by it.
-	suspects []taskRef
+	// suspects are the tasks that became suspects by it, beside those for which it only
+	// counts.
+	suspects, beside []taskRef
 }
 
 // taskRef identifies a task of a step.
@@ -109,13 +110,14 @@
 	}
 	c.judged = true
 	pl.restoreSuspicions(c)
-	mass, alone, crashedBefore := quarantiner.IsMass(pl.crashesAround(c)), c.countEarlyJobs() == 1, pl.hostCrashed(pl.vms[c.vm], c)
+	mass, alone, unexplained := quarantiner.IsMass(pl.crashesAround(c)), c.countEarlyJobs() == 1, pl.crashedUnexplained(c)
 	var culprits []taskRef
 	counts := map[quarantiner.Verdict]int{}
 	for _, p := range pl.lostRuns(c) {
 		t := &p.step.tasks[p.index]
 		loss := quarantiner.Loss{Run: p.run, RanFor: c.ranForOf(p), Mass: mass}
-		loss.Quarantined = p.quarantined && alone && !crashedBefore && pl.crashes.suspects[taskRef{p.step, p.index}].resembles(loss.RanFor)
+		ref := taskRef{p.step, p.index}
+		loss.Quarantined = p.quarantined && alone && !unexplained && !pl.hostCrashed(p.vm, ref) && pl.crashes.suspects[ref].resembles(loss.RanFor)
 		h, verdict := quarantiner.Judge(historyOf(t), &loss)
 		counts[verdict]++
 		if verdict == quarantiner.Unaffected {
@@ -123,8 +125,9 @@
 		}
 		t.Crashes = &h
 		pl.markDirty(p.step, p.index)
-		ref := taskRef{p.step, p.index}
 		switch verdict {
+		case quarantiner.Counted:
+			c.beside = append(c.beside, ref)
 		case quarantiner.Suspect:
 			c.suspects = append(c.suspects, ref)
 			pl.crashes.suspects[ref] = suspicion{c, loss.RanFor}
@@ -138,26 +141,38 @@
 			culprits = append(culprits, ref)
 		}
 	}
-	pl.logDecision("crash judged", "vm", c.vm, "ago", now.Sub(c.at), "mass", mass, "alone", alone, "crashed_before", crashedBefore,
+	pl.logDecision("crash judged", "vm", c.vm, "ago", now.Sub(c.at), "mass", mass, "alone", alone, "unexplained", unexplained,
 		"unaffected", counts[quarantiner.Unaffected], "counted", counts[quarantiner.Counted], "suspects", counts[quarantiner.Suspect], "culprits", counts[quarantiner.Culprit])
 	for _, ref := range culprits {
-		c.explained = true
 		pl.giveUpCulprit(ref, now)
 	}
 }
 
-// hostCrashed reports whether a worker process on the host of a VM has crashed lately,
-// other than in crash c, and the culprit is not known: the host may be the cause.
-func (pl *Planner) hostCrashed(v *vm, c *crash) bool {
+// hostCrashed reports whether a worker process on the host of a VM has crashed lately and
+// the culprit is not known: the host may be the cause. The crashes that would be explained
+// if a suspect were the culprit are left out.
+func (pl *Planner) hostCrashed(v *vm, suspect taskRef) bool {
+	return slices.ContainsFunc(pl.crashes.list, func(c *crash) bool {
+		return !c.explained && !c.beganLast(suspect) && (c.vm == v.name || v.session.Host != "" && pl.vms[c.vm].session.Host == v.session.Host)
+	})
+}
+
+// crashedUnexplained reports whether a worker has crashed lately, other than in crash c,
+// and none of its tasks is a suspect any more: workers crash by themselves, and may do so
+// while a suspect runs.
+func (pl *Planner) crashedUnexplained(c *crash) bool {
 	return slices.ContainsFunc(pl.crashes.list, func(o *crash) bool {
-		return o != c && !o.explained && (o.vm == v.name || v.host != "" && pl.vms[o.vm].host == v.host)
+		return o != c && o.judged && !o.explained && !slices.ContainsFunc(o.suspects, func(ref taskRef) bool {
+			_, suspect := pl.crashes.suspects[ref]
+			return suspect
+		})
 	})
 }
 
 // resembles reports whether a crash came about as soon after the start of the task as the
 // one that made it a suspect. It did not if that is not known.
 func (s suspicion) resembles(ranFor time.Duration) bool {
-	return s.crash != nil && ranFor <= 2*s.ranFor+quarantiner.SimilarTime
+	return s.crash != nil && (ranFor-s.ranFor).Abs() <= quarantiner.SimilarTime
 }
 
 // restoreSuspicions takes over what an earlier leader found about a crash that an agent
@@ -166,12 +181,16 @@
 	for key, ranFor := range c.ranFor {
 		s, index := pl.findTask(key.task)
 		if j := pl.jobs[jobOf(key.task)]; j != nil && j.outcome != nil && j.outcome.State == jobreducer.Failed && ranFor <= quarantiner.EarlyTime {
-			c.explained = true
+			c.explained = true // An earlier leader has named the culprit.
 		}
-		if s == nil || !isSuspect(&s.tasks[index]) || s.tasks[index].Crashes.Run != key.run {
+		if s == nil || historyOf(&s.tasks[index]).Run != key.run {
 			continue
 		}
 		ref := taskRef{s, index}
+		if !isSuspect(&s.tasks[index]) {
+			c.beside = append(c.beside, ref)
+			continue
+		}
 		c.suspects = append(c.suspects, ref)
 		pl.crashes.suspects[ref] = suspicion{c, ranFor}
 	}
@@ -207,6 +226,20 @@
 	return lost
 }
 
+// beganLast reports whether a run of a task had just begun at the crash.
+func (c *crash) beganLast(ref taskRef) bool {
+	if ref.step == nil {
+		return false
+	}
+	name := ref.step.taskName(ref.index)
+	for key, ranFor := range c.ranFor {
+		if key.task == name && ranFor <= quarantiner.EarlyTime {
+			return true
+		}
+	}
+	return false
+}
+
 // countEarlyJobs counts the jobs with runs that had just begun at the crash.
 func (c *crash) countEarlyJobs() int {
 	jobs := map[string]bool{}
@@ -245,17 +278,35 @@
 	}
 	pl.counters.Culprits++
 	pl.logDecision("crashes its workers", "job", s.job.id, "task", s.taskName(ref.index), "workers", ref.task().Crashes.Workers, "early", ref.task().Crashes.Early, "runs", ref.task().LastRun)
-	if known, ok := pl.crashes.suspects[ref]; ok && known.crash != nil {
-		known.crash.explained = true
-		for _, other := range known.crash.suspects {
-			if other != ref && pl.crashes.suspects[other].crash == known.crash {
-				pl.clearSuspect(other, "the culprit is known")
-			}
+	for _, c := range pl.crashes.list {
+		if c.beganLast(ref) {
+			pl.explain(c, ref)
 		}
 	}
 	pl.finishJob(s.job, jobreducer.Failed, now)
 }
 
+// explain clears the tasks that ran beside the culprit of a crash. For those that had
+// run for a while the crash no longer counts. It does for those that had just begun, of
+// which another may crash its workers too.
+func (pl *Planner) explain(c *crash, culprit taskRef) {
+	if c.explained {
+		return
+	}
+	c.explained = true
+	for _, other := range c.suspects {
+		if other != culprit && pl.crashes.suspects[other].crash == c {
+			pl.clearSuspect(other, "the culprit is known")
+		}
+	}
+	for _, other := range c.beside {
+		if t := other.task(); t.Crashes != nil && t.Crashes.Workers > 0 {
+			t.Crashes.Workers--
+			pl.markDirty(other.step, other.index)
+		}
+	}
+}
+
 // clearSuspect ends the suspicion against a task.
 func (pl *Planner) clearSuspect(ref taskRef, reason string) {
 	delete(pl.crashes.suspects, ref)
--- a/internal/job/planner/quarantine.go
+++ b/internal/job/planner/quarantine.go
@@ -123,7 +123,7 @@
 	// The last resorts are hosts that crash, and VMs that were just kept in vain.
 	resort := func(v *vm) int {
 		switch {
-		case pl.hostCrashed(v, nil):
+		case pl.hostCrashed(v, taskRef{}):
 			return 2
 		case now.Sub(v.keptUntil) < maxQuarantineWait:
 			return 1
--- a/internal/job/quarantiner/quarantiner.go
+++ b/internal/job/quarantiner/quarantiner.go
@@ -17,9 +17,9 @@
 	// EarlyTime is how long after the start of a run a crash of its worker counts as
 	// early, and how long a suspect stays in quarantine.
 	EarlyTime = 300 * time.Millisecond
-	// SimilarTime is by how much the times from start to crash of one culprit differ:
-	// calls to its worker and connections that break.
-	SimilarTime = 50 * time.Millisecond
+	// SimilarTime is by how much the times from start to crash of one culprit differ at
+	// most: an agent with no call in flight notices a crash by the next, 60 ms later.
+	SimilarTime = 100 * time.Millisecond
 	// SettleTime is how long after a crash it is judged. By then the agents have
 	// reported the crashes at the same time.
 	SettleTime = 400 * time.Millisecond
@@ -55,8 +55,8 @@
 	Run    int
 	RanFor time.Duration
 	// Quarantined is set if the crash has no other likely cause: nothing else had begun on
-	// the worker for a while, its host has not crashed lately, and the task was lost as
-	// soon after its start as before.
+	// the worker for a while, workers have not crashed by themselves lately, and the task
+	// was lost as soon after its start as before.
 	Quarantined bool
 	// Mass is set if several workers crashed at the same time.
 	Mass bool
