planner: a job with nothing running waits for a better VM for a second

Cause: a filler waits until some VM would run it at no more than twice its time, or its job is ten times over its objective; one of a late or hopeless job waits for less than 1.3 where other fillers run and half of the processors are used, theirs counted. Nothing bounds these waits in time for a job that has nothing running, and a filler stopped at a low pace begins the wait anew.

Change: in a pool with under 0.6 of the processors (those of fillers not counted) and of the memory reserved, the next filler of a job that has been idle for a second starts at any cost, one at a time. VMs whose processors fillers use in full are left out until no job has come for 10 s, then up to twice the processors are given out. The policy service is asked about such VMs too. A new leader takes the last arrival from the log.

The case of other fillers that ask for all processors asked for a start within 3 s of the job's arrival. It is a test of its own now: from 14 s on, again and again as the job's tasks end. New: one filler at a time, no start in a full pool or, on full processors, while jobs come (these three passed before), the ticket for a busy VM, the same under a new leader (these failed before). TestRefusalsInBurstCostNoUsefulResult ran any number of fillers on a VM at full speed, so that overcommitting it cost nothing. They share its processors now; all its checks are as they were.

--- a/internal/job/planner/admission_test.go
+++ b/internal/job/planner/admission_test.go
@@ -42,7 +42,8 @@
 	entries   []*admittingEntry
 	forecasts []*work.RoomForecast
 	clients   []*client
-	started   map[string]time.Time
+	// ran is the time of work that each task has got, at full speed.
+	ran map[string]time.Duration
 	// refusals counts all refusals, refusedWithRoom those while a VM had room.
 	refusals, refusedWithRoom int
 }
@@ -61,7 +62,7 @@
 )
 
 func playBurst(t *testing.T, filler bool, entries ...*admittingEntry) *burst {
-	b := &burst{simulation: newSimulation(t), random: rand.New(rand.NewPCG(3, 4)), filler: filler, entries: entries, started: map[string]time.Time{}}
+	b := &burst{simulation: newSimulation(t), random: rand.New(rand.NewPCG(3, 4)), filler: filler, entries: entries, ran: map[string]time.Duration{}}
 	b.addVM("a", 1000*burstCores/2, 8000)
 	b.addVM("b", 1000*burstCores/2, 8000)
 	start, owed := b.now, 0.0
@@ -94,8 +95,9 @@
 	b.now = b.now.Add(burstStep)
 	for _, name := range []string{"a", "b"} {
 		v := b.vms[name]
+		share := min(1, burstCores/2/float64(max(len(v.active), 1)))
 		for i := len(v.active) - 1; i >= 0; i-- {
-			b.runTask(v, &v.active[i])
+			b.runTask(v, &v.active[i], share)
 		}
 		b.sendReport(name)
 	}
@@ -120,15 +122,14 @@
 	return time.Duration(float64(time.Second) * (0.5 + 1.5*random.Float64()*random.Float64()))
 }
 
-// runTask moves a task on and ends it after its time.
-func (b *burst) runTask(v *simulatedVM, run *work.RunStatus) {
-	if b.started[run.Task].IsZero() {
-		b.started[run.Task] = b.now
-	}
+// runTask moves a task on that gets a share of the core that it asks for, and ends it
+// after its time.
+func (b *burst) runTask(v *simulatedVM, run *work.RunStatus, share float64) {
 	if b.filler {
-		run.Measurement = 1000
+		run.Measurement = 1000 * share
 	}
-	ran, takes := b.now.Sub(b.started[run.Task]), taskTime(run.Task)
+	ran, takes := b.ran[run.Task], taskTime(run.Task)
+	b.ran[run.Task] += time.Duration(share * float64(burstStep))
 	run.ProgressPercent = int(100 * ran / takes)
 	if ran >= takes {
 		b.endRun(v, run.Task, "done")
--- a/internal/job/planner/advice.go
+++ b/internal/job/planner/advice.go
@@ -64,7 +64,7 @@
 func (s *step) countApprovedVMs(pl *Planner, now time.Time) int {
 	count := 0
 	for _, v := range pl.sortedVMs {
-		if v.usable(now) && v.fits(s.spec) && s.mayRunOn(v, now) {
+		if v.usable(now) && v.whyNoRoom(s) == "" && s.mayRunOn(v, now) {
 			count++
 		}
 	}
@@ -89,7 +89,7 @@
 		name := v.name
 		t, asked := s.tickets[name]
 		known := asked && t.workerIncarnation == v.session.WorkerIncarnation && now.Before(t.expires)
-		if !known && v.workerStatus.Pool == s.job.record.Queue.Pool && v.usable(now) && v.fits(s.spec) {
+		if !known && v.workerStatus.Pool == s.job.record.Queue.Pool && v.usable(now) && v.whyNoRoom(s) == "" {
 			names = append(names, name)
 		}
 	}
--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -75,8 +75,9 @@
 	}
 	avoidsSince := s.avoidsSince
 	held, isHeld := pl.promises.heldBack[s]
+	takesAnyRoom := s.job.takesAnyRoom
 	defer func() {
-		s.avoidsSince = avoidsSince
+		s.avoidsSince, s.job.takesAnyRoom = avoidsSince, takesAnyRoom
 		delete(pl.promises.heldBack, s)
 		if isHeld {
 			pl.promises.heldBack[s] = held
--- a/internal/job/planner/idle.go
+++ b/internal/job/planner/idle.go
@@ -2,21 +2,34 @@
 
 import (
 	"time"
+
+	"knapweedspur/internal/wire/work"
 )
 
-// A job is idle while a task's turn has come and none of its tasks has a run.
+// A job is idle while a task's turn has come and none of its tasks has a run. While the
+// pool is roomy, it does not wait for good conditions for long.
 
 const (
 	// maxIdleWait is how long an idle job may wait for better conditions. It is a third
 	// of the time for which a job may be idle beside free room, because other waits may
 	// come before and after.
 	maxIdleWait = time.Second
+	// roomyShare is the share of a pool's processors and memory below which it is roomy. It
+	// is more than the half from which a job may be idle, because runs end and VMs leave
+	// before the planner learns of it.
+	roomyShare = 0.6
+	// maxIdleOvercommit is maxOvercommit for the first filler of an idle job, once no job
+	// has come for maxArrivalGap. While jobs come, the processors that fillers use count
+	// as taken: those that can be in time would be slowed by all that cannot.
+	maxIdleOvercommit = 2.0
+	maxArrivalGap     = 10 * time.Second
 	// maxIdleLines bounds the lines about idle jobs between two lines about the load.
 	maxIdleLines = 5
 )
 
 // noteIdle keeps since when a job has been idle. waits says that a task's turn has come.
 func (j *job) noteIdle(waits bool, now time.Time) {
+	j.takesAnyRoom, j.overcommits = false, false
 	switch {
 	case !waits || j.hasRunning():
 		j.idleSince, j.idleLogged = time.Time{}, false
@@ -40,6 +53,61 @@
 	return !j.idleSince.IsZero() && now.Sub(j.idleSince) >= maxIdleWait && !j.hasRunning()
 }
 
+// markIdle finds the jobs whose first filler starts at any cost: those that are idle for
+// too long in a roomy pool.
+func (pl *Planner) markIdle(candidates []candidate, now time.Time) {
+	roomy := map[string]bool{}
+	for i := range candidates {
+		s := candidates[i].step
+		if !s.spec.Filler || !s.job.idleTooLong(now) {
+			continue
+		}
+		pool := s.job.record.Queue.Pool
+		if _, known := roomy[pool]; !known {
+			roomy[pool] = pl.roomy(pool, now)
+		}
+		s.job.takesAnyRoom = roomy[pool]
+		s.job.overcommits = roomy[pool] && now.Sub(pl.lastArrivals[pool]) >= maxArrivalGap
+	}
+}
+
+// noteArrival notes when the last job of a pool was added. A new leader knows that of the
+// jobs that are left.
+func (pl *Planner) noteArrival(pool string, at time.Time) {
+	if at.After(pl.lastArrivals[pool]) {
+		pl.lastArrivals[pool] = at
+	}
+}
+
+// roomy reports whether little of a pool is reserved. The processors of fillers are not.
+func (pl *Planner) roomy(pool string, now time.Time) bool {
+	var reserved, capacity work.Size
+	for _, v := range pl.sortedVMs {
+		if v.workerStatus.Pool == pool && v.usable(now) {
+			reserved.Millicores += v.reserved.Millicores
+			reserved.Memory += v.reserved.Memory
+			capacity.Millicores += v.workerStatus.Capacity.Millicores
+			capacity.Memory += v.workerStatus.Capacity.Memory
+		}
+	}
+	return float64(reserved.Millicores) < roomyShare*float64(capacity.Millicores) && float64(reserved.Memory) < roomyShare*float64(capacity.Memory)
+}
+
+// whyNoRoom returns what the VM lacks for a task of a step now.
+func (v *vm) whyNoRoom(s *step) Reason {
+	reason := v.whyTooSmall(s.spec)
+	if reason == NoProcessors && s.spec.Filler && s.job.overcommits && v.useWith(s.spec) <= maxIdleOvercommit {
+		return ""
+	}
+	return reason
+}
+
+// useWith returns the processor use expected with one more filler, as a multiple of the
+// VM's capacity.
+func (v *vm) useWith(spec *work.Step) float64 {
+	return float64(v.expectedUse()+v.fillerUse()+spec.Size.Millicores) / float64(max(v.workerStatus.Capacity.Millicores, 1))
+}
+
 // logIdle logs, once for each time that a job is idle too long, why its task starts on
 // none of the VMs.
 func (pl *Planner) logIdle(candidates []candidate, now time.Time) {
--- a/internal/job/planner/idle_test.go
+++ b/internal/job/planner/idle_test.go
@@ -49,7 +49,7 @@
 // An operator must see why a filler waits although VMs have memory for it.
 func TestIdleJobIsExplainedOnce(t *testing.T) {
 	s := newSimulation(t)
-	s.addServing(9000, "a", "b")
+	s.addServing(10_000, "a", "b")
 	s.setServingLoad(0.75)
 	s.advance(time.Second)
 	var against []map[Reason]int
@@ -99,27 +99,47 @@
 	s.wantBusy(jobID(1), 6*time.Second, nil)
 }
 
+// crowdWithFillers adds VMs of 16 cores with perVM fillers of 5 cores on each, and submits
+// a job of larger fillers that will be late.
+func (s *simulation) crowdWithFillers(perVM int) {
+	s.addVM("a", 16_000, 10_000)
+	s.addVM("b", 16_000, 10_000)
+	others := fillerStep(40, 5000)
+	others.MaxPerVM, others.EstimatedDuration = perVM, time.Minute
+	s.submitJob(jobID(1), others)
+	s.advance(time.Second)
+	late := fillerStep(9, 7000)
+	late.EstimatedDuration = 20 * time.Second
+	s.acceptJob(&work.Job{ID: jobID(2), AcceptedAt: s.now, Steps: []work.Step{late}, Queue: work.Queue{
+		Name: "queue", Pool: "pool", MaxFailures: 2, Stretch: 0.2, Target: time.Second,
+	}})
+}
+
 func TestFillerOfLateJobStartsBesideOtherFillers(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		// perVM is how many fillers of 5 cores are on each VM of 16.
-		perVM int
-	}{{"that leave it slower", 2}, {"that ask for all processors", 3}} {
-		t.Run(c.name, func(t *testing.T) {
-			s := newSimulation(t)
-			s.addVM("a", 16_000, 10_000)
-			s.addVM("b", 16_000, 10_000)
-			others := fillerStep(40, 5000)
-			others.MaxPerVM, others.EstimatedDuration = c.perVM, time.Minute
-			s.submitJob(jobID(1), others)
-			s.advance(time.Second)
-			late := fillerStep(9, 7000)
-			late.EstimatedDuration = 20 * time.Second
-			s.acceptJob(&work.Job{ID: jobID(2), AcceptedAt: s.now, Steps: []work.Step{late}, Queue: work.Queue{
-				Name: "queue", Pool: "pool", MaxFailures: 2, Stretch: 0.2, Target: time.Second,
-			}})
-			s.wantBusy(jobID(2), 6*time.Second, nil)
-		})
+	s := newSimulation(t)
+	s.crowdWithFillers(2)
+	s.wantBusy(jobID(2), 6*time.Second, nil)
+}
+
+// trafficEnds is how long after the last job was accepted no job may be idle any more
+// because others use the processors as fillers.
+const trafficEnds = 14 * time.Second
+
+// Other fillers have all processors, and the tasks of the job end one by one.
+func TestFillerStartsWhereOthersAskForAllProcessors(t *testing.T) {
+	s := newSimulation(t)
+	s.crowdWithFillers(3)
+	s.advance(trafficEnds)
+	passes := 0
+	s.wantBusy(jobID(2), 12*time.Second, func() {
+		if passes++; passes%15 == 0 {
+			for task, name := range s.placements(jobID(2)) {
+				s.endRun(s.vms[name], task, endDone)
+			}
+		}
+	})
+	if got := len(s.starts) - 6; got < 4 {
+		t.Errorf("%d starts of the job in 12 s, want one after the other", got)
 	}
 }
 
@@ -154,3 +174,79 @@
 		}
 	})
 }
+
+// Beside busy serving tasks fillers make little progress: one keeps the job going, more
+// would only hold memory.
+func TestIdleJobStartsOneFillerAtAnyCost(t *testing.T) {
+	s := newSimulation(t)
+	s.addServing(7000, "a", "b")
+	s.setServingLoad(0.75)
+	s.advance(time.Second)
+	s.submitJob(jobID(1), fillerStep(9, 4000))
+	for range 60 {
+		s.advance(100 * time.Millisecond)
+		if got := len(s.placements(jobID(1))); got > 1 {
+			t.Fatalf("%d fillers run beside busy serving tasks, want one", got)
+		}
+	}
+}
+
+// In a pool with little room, a filler that would make no progress must not take memory
+// that others need.
+func TestFillerWaitsForBetterVMInFullPool(t *testing.T) {
+	s := newSimulation(t)
+	s.addServing(10_000, "a", "b")
+	s.setServingLoad(0.75)
+	s.advance(time.Second)
+	s.submitJob(jobID(1), fillerStep(9, 4000))
+	s.advance(5 * time.Second)
+	if got := s.placements(jobID(1)); len(got) > 0 {
+		t.Errorf("placements %v beside busy serving tasks that reserve most processors", got)
+	}
+}
+
+// The policy service is not asked about VMs without room, but an idle job may take one.
+func TestIdleJobGetsTicketForBusyVM(t *testing.T) {
+	s := newSimulation(t)
+	s.addVM("a", 16_000, 10_000)
+	others := fillerStep(40, 5000)
+	others.MaxPerVM, others.EstimatedDuration = 3, time.Minute
+	s.submitJob(jobID(1), others)
+	s.advance(time.Second)
+	s.acceptJob(&work.Job{ID: jobID(2), AcceptedAt: s.now, Steps: []work.Step{fillerStep(9, 7000)}, Queue: work.Queue{
+		Name: "queue", Pool: "pool", MaxFailures: 2, Stretch: 2, Target: time.Minute, Approval: &work.ApprovalPolicy{TicketLifetime: 3 * time.Second},
+	}})
+	s.advance(trafficEnds)
+	s.wantBusy(jobID(2), 6*time.Second, func() {
+		if q, ok := s.planner.NextPolicyQuery(s.now); ok {
+			s.planner.HandlePolicyAnswer(q, map[string]string{"a": "ticket"}, 3*time.Second, s.now)
+		}
+	})
+}
+
+// While jobs come, fillers that cannot be in time must not slow those that can on VMs whose
+// processors fillers use in full.
+func TestIdleJobLeavesProcessorsToOthersWhileJobsCome(t *testing.T) {
+	s := newSimulation(t)
+	s.crowdWithFillers(3)
+	for n := range 40 {
+		s.submitJob(jobID(10+n), stepSpec(1, 100))
+		s.advance(500 * time.Millisecond)
+		if got := s.placements(jobID(2)); len(got) > 0 {
+			t.Fatalf("placements %v after %s, though all processors are in use", got, s.now.Sub(s.planner.jobs[jobID(2)].record.AcceptedAt))
+		}
+	}
+}
+
+// A new leader knows from the log when the last job came.
+func TestNewLeaderKnowsThatNoJobsCome(t *testing.T) {
+	s := newSimulation(t)
+	s.crowdWithFillers(3)
+	s.advance(trafficEnds)
+	for task, name := range s.placements(jobID(2)) {
+		s.endRun(s.vms[name], task, endDone)
+	}
+	s.sendReport("a")
+	s.restart()
+	s.wantBusy(jobID(2), 4*time.Second, nil)
+}
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -31,6 +31,9 @@
 	// once that was logged.
 	idleSince  time.Time
 	idleLogged bool
+	// takesAnyRoom is set while the next filler of the job starts at any cost, overcommits
+	// while it may do so on a VM whose processors fillers use in full.
+	takesAnyRoom, overcommits bool
 	// dropped is set once the description was removed from the log.
 	dropped bool
 }
@@ -158,6 +161,7 @@
 	}
 	j := pl.newJob(record.ID, record)
 	pl.observeShortWork(record, now)
+	pl.noteArrival(record.Queue.Pool, now)
 	pl.startDueOccurrences(j, now)
 }
 
--- a/internal/job/planner/order.go
+++ b/internal/job/planner/order.go
@@ -294,12 +294,13 @@
 }
 
 // acceptsCost reports whether a filler takes memory on a VM at the given cost, rather
-// than wait. It always does after the longest wait. While there is too little for all, one
-// of a job that cannot be in time does not slow the other fillers of a VM, unless it is the
-// first of its step and less than half of the pool is used.
+// than wait. It always does after the longest wait, and while its job takes any room.
+// While there is too little for all, one of a job that cannot be in time does not slow the
+// other fillers of a VM, unless it is the first of its step and less than half of the pool
+// is used.
 func (pl *Planner) acceptsCost(s *step, v *vm, cost float64, now time.Time) bool {
 	switch q := pl.sequences[sequenceKind{s.job.record.Queue.Pool, true}]; {
-	case cost <= maxLateFillerCost:
+	case cost <= maxLateFillerCost, s.job.takesAnyRoom:
 		return true
 	case q != nil && q.overloaded && v.fillerMillicores > 0 && (s.running > 0 || q.halfUsed) && s.job.sequenced[s.classKey()].Class != sequencer.InTime:
 		return pl.waitedTooLong(s, now)
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -53,6 +53,7 @@
 		return
 	}
 	pl.markCrowdedPools(candidates, now)
+	pl.markIdle(candidates, now)
 	pl.order(candidates, now)
 	remaining := maxPlacements
 	for i := range candidates {
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -87,6 +87,8 @@
 	// which long-running tasks ask for the room that is kept for short jobs.
 	shortWork    map[string]*shortWork
 	crowdedPools map[string]bool
+	// lastArrivals is when the last job of each pool was added.
+	lastArrivals map[string]time.Time
 	promises     promises
 
 	// declaredRates are the rates of runs relative to the declared durations.
@@ -232,7 +234,7 @@
 // New returns a planner with the state that the log holds.
 func New(settings Settings, state *jobreducer.State, now time.Time, log func(string, ...any)) *Planner {
 	pl := &Planner{
-		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, termStart: now, logDecision: log,
+		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, lastArrivals: map[string]time.Time{}, termStart: now, logDecision: log,
 		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
 		copyBudget: copier.Budget{MaxWaste: settings.MaxWaste}, interference: estimator.NewInterference(), durations: durationestimator.New(),
 		speeds:    estimator.NewSpeeds(),
@@ -270,6 +272,7 @@
 		return
 	}
 	j := pl.newJob(id, stored.Description)
+	pl.noteArrival(stored.Description.Queue.Pool, stored.Description.AcceptedAt)
 	j.outcome = stored.Outcome
 	j.canceled = stored.Cancel != nil
 	for key, t := range stored.Tasks {
--- a/internal/job/planner/reason.go
+++ b/internal/job/planner/reason.go
@@ -59,7 +59,7 @@
 		return NoMemory
 	case v.reserved.Accelerators+spec.Size.Accelerators > capacity.Accelerators:
 		return NoAccelerators
-	case spec.Filler && float64(v.expectedUse()+v.fillerUse()+spec.Size.Millicores) > maxOvercommit*float64(capacity.Millicores),
+	case spec.Filler && v.useWith(spec) > maxOvercommit,
 		!spec.Filler && v.reserved.Millicores+spec.Size.Millicores > capacity.Millicores:
 		return NoProcessors
 	}
@@ -74,7 +74,7 @@
 	if reason := v.whyUnusable(now); reason != "" {
 		return reason
 	}
-	if reason := v.whyTooSmall(s.spec); reason != "" {
+	if reason := v.whyNoRoom(s); reason != "" {
 		return reason
 	}
 	switch {
--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -135,6 +135,7 @@
 		// may not: none of them may be away for long.
 		s.avoidsSince = time.Time{}
 	}
+	s.job.takesAnyRoom, s.job.overcommits = false, false
 	v.runs[runKey{s.taskName(index), r.Run}] = p
 	v.adjustReserved(s.spec, 1)
 }
