planner: a VM that may host no further task does not count as approved

Cause: the policy service is asked about VMs for a step while fewer VMs with room and a valid ticket are known than tasks wait. A VM at the spread limit of the step, without its label, or in an evacuated domain counted, so a task waited for the end of that VM's ticket, however long that is valid, while a VM that came later or whose worker started again was free. Change: only VMs that may host a further task count. TestTicketIsRequestedBesideVMAtSpreadLimit failed before: with tickets valid for a minute the second of two tasks did not start within 3 s of the second VM.

--- a/internal/job/planner/advice.go
+++ b/internal/job/planner/advice.go
@@ -60,11 +60,11 @@
 	return PolicyQuery{Step: best.step.policyName(), VMs: vms[:min(len(vms), maxVMsPerQuery)]}, true
 }
 
-// countApprovedVMs counts the VMs that have room and may run the step.
+// countApprovedVMs counts the VMs that have room and may run a further task of the step.
 func (s *step) countApprovedVMs(pl *Planner, now time.Time) int {
 	count := 0
 	for _, v := range pl.sortedVMs {
-		if v.usable(now) && v.whyNoRoom(s) == "" && s.mayRunOn(v, now) {
+		if v.usable(now) && v.whyNoRoom(s) == "" && pl.mayHost(v, s, now) && s.mayRunOn(v, now) {
 			count++
 		}
 	}
