planner: a long try on a suspect VM does not keep other jobs from starting

Cause: a VM on which several jobs have failed in a row gets one run until one has ended well, or a long-running one has been at work for 2 s. A run that ends shows nothing before its end, so a task of a minute, or a slowed filler, blocks the VM for as long. Where all VMs are suspect, as while a share of all requests fails, jobs wait beside free room without bound. Change: a job that has been idle for a second in a roomy pool gets its next task on such a VM, if there is no other, once the run that is tried there has not ended within a second: at most one more run a second. The test that a VM which fails what is tried there gets one run at a time is as it was.

--- a/internal/job/planner/cost.go
+++ b/internal/job/planner/cost.go
@@ -11,8 +11,8 @@
 // The components of the cost of placing a task on a VM. A cost of 1 is the time
 // that the task would take on an empty VM.
 const (
-	// excludedVMCost keeps a task off a VM where it failed, unless there is no
-	// other.
+	// excludedVMCost keeps a task off a VM where it failed, or that is suspect, unless
+	// there is no other.
 	excludedVMCost = 10.0
 	// loadCost spreads tasks over VMs that are equally fast.
 	loadCost = 0.3
@@ -58,7 +58,7 @@
 		// The cost of a serving task may be negative.
 		cost = max(cost, minSlowCost) / speed
 	}
-	if slices.Contains(t.ExcludedVMs, v.name) {
+	if slices.Contains(t.ExcludedVMs, v.name) || v.suspect(now) {
 		cost += excludedVMCost
 	}
 	return cost
--- a/internal/job/planner/idle.go
+++ b/internal/job/planner/idle.go
@@ -53,13 +53,13 @@
 	return !j.idleSince.IsZero() && now.Sub(j.idleSince) >= maxIdleWait && !j.hasRunning()
 }
 
-// markIdle finds the jobs whose first filler starts at any cost: those that are idle for
-// too long in a roomy pool.
+// markIdle finds the jobs whose next task starts as a last resort, a filler at any cost:
+// those that are idle for too long in a roomy pool.
 func (pl *Planner) markIdle(candidates []candidate, now time.Time) {
 	roomy := map[string]bool{}
 	for i := range candidates {
 		s := candidates[i].step
-		if !s.spec.Filler || !s.job.idleTooLong(now) {
+		if !s.job.idleTooLong(now) {
 			continue
 		}
 		pool := s.job.record.Queue.Pool
@@ -83,7 +83,7 @@
 func (pl *Planner) roomy(pool string, now time.Time) bool {
 	var reserved, capacity work.Size
 	for _, v := range pl.sortedVMs {
-		if v.workerStatus.Pool == pool && v.usable(now) {
+		if reason := v.whyUnusable(now); v.workerStatus.Pool == pool && (reason == "" || reason == Suspect) {
 			reserved.Millicores += v.reserved.Millicores
 			reserved.Memory += v.reserved.Memory
 			capacity.Millicores += v.workerStatus.Capacity.Millicores
@@ -108,6 +108,20 @@
 	return float64(v.expectedUse()+v.fillerUse()+spec.Size.Millicores) / float64(max(v.workerStatus.Capacity.Millicores, 1))
 }
 
+// mayTryAnyway reports whether a suspect VM gets a further task as a last resort, although
+// the run that is to show whether it works has not ended: that may take long.
+func (v *vm) mayTryAnyway(s *step, now time.Time) bool {
+	if !s.job.takesAnyRoom || v.health.Paused(now) {
+		return false
+	}
+	for _, p := range v.runs {
+		if v.probes(p) && now.Sub(p.placedAt) < maxIdleWait {
+			return false
+		}
+	}
+	return true
+}
+
 // logIdle logs, once for each time that a job is idle too long, why its task starts on
 // none of the VMs.
 func (pl *Planner) logIdle(candidates []candidate, now time.Time) {
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -31,8 +31,8 @@
 	// once that was logged.
 	idleSince  time.Time
 	idleLogged bool
-	// takesAnyRoom is set while the next filler of the job starts at any cost, overcommits
-	// while it may do so on a VM whose processors fillers use in full.
+	// takesAnyRoom is set while the next task of the job starts as a last resort, overcommits
+	// while a filler may do so on a VM whose processors fillers use in full.
 	takesAnyRoom, overcommits bool
 	// dropped is set once the description was removed from the log.
 	dropped bool
--- a/internal/job/planner/reason.go
+++ b/internal/job/planner/reason.go
@@ -71,7 +71,7 @@
 	if v.workerStatus.Pool != s.job.record.Queue.Pool {
 		return OtherPool
 	}
-	if reason := v.whyUnusable(now); reason != "" {
+	if reason := v.whyUnusable(now); reason != "" && (reason != Suspect || !v.mayTryAnyway(s, now)) {
 		return reason
 	}
 	if reason := v.whyNoRoom(s); reason != "" {
