planner: suspects do not wait for full VMs beside free room

What callers saw: a job whose tasks were lost with a crashed worker had tasks that never ran again, although VMs were empty. Cause: the VMs kept for suspects were those with the fewest runs, whether or not they had room. One that a single large run fills comes first; after 1.5 s in vain the next such VM was kept, then the first one again. Change: VMs without room for any waiting suspect come last. The order is computed once a pass, and only if another VM is to be kept. Why this works: a VM with room takes a suspect as soon as it has settled.

--- a/internal/job/planner/crash_test.go
+++ b/internal/job/planner/crash_test.go
@@ -44,6 +44,8 @@
 	crashAfter time.Duration
 	// keepEvidence is unset if the agents end with their workers.
 	keepEvidence bool
+	// duration returns how long a task runs; nil for a second.
+	duration func(task string) time.Duration
 	// leaderDies is set if the leader is replaced after each crash.
 	leaderDies bool
 	began      map[string]time.Time
@@ -99,6 +101,9 @@
 // runWorker lets the runs of a VM begin, end and crash their worker.
 func (p *crashPlay) runWorker(name string) {
 	v := p.vms[name]
+	if v == nil {
+		return // Another worker process came back under another name meanwhile.
+	}
 	if v.crash.down {
 		if p.now.Sub(v.crash.at) > 3300*time.Millisecond {
 			p.returnWorker(name)
@@ -119,12 +124,19 @@
 		case p.deadly(a.Task) && age >= p.crashAfter:
 			p.crashWorker(name)
 			return
-		case age >= time.Second && !longRunning(p, a.Task):
+		case age >= p.durationOf(a.Task) && !longRunning(p, a.Task):
 			p.endRun(v, a.Task, endDone)
 		}
 	}
 }
 
+func (p *crashPlay) durationOf(task string) time.Duration {
+	if p.duration == nil {
+		return time.Second
+	}
+	return p.duration(task)
+}
+
 func longRunning(p *crashPlay, task string) bool {
 	s, _ := p.planner.findTask(task)
 	return s != nil && s.spec.LongRunning
--- a/internal/job/planner/quarantine.go
+++ b/internal/job/planner/quarantine.go
@@ -120,23 +120,29 @@
 			}
 		}
 	}
-	// The last resorts are hosts that crash, and VMs that were just kept in vain.
-	resort := func(v *vm) int {
+	wanted := min(len(free), quarantiner.VMs(countJobs(waiting), usable)-kept)
+	if wanted <= 0 {
+		return
+	}
+	// The last resorts are hosts that crash, VMs that were just kept in vain, and those
+	// without room now, since it may not come.
+	resorts := map[*vm]int{}
+	for _, v := range free {
 		switch {
+		case !slices.ContainsFunc(waiting, func(r taskRef) bool { return v.fits(r.step.spec) && pl.mayKeep(v, r.step, now) }):
+			resorts[v] = 3
 		case pl.hostCrashed(v, nil):
-			return 2
+			resorts[v] = 2
 		case now.Sub(v.keptUntil) < maxQuarantineWait:
-			return 1
+			resorts[v] = 1
 		}
-		return 0
 	}
 	loss := func(v *vm) int { return len(v.runs) + servingLoss*v.servingRuns }
 	slices.SortStableFunc(free, func(a, b *vm) int {
-		return cmp.Or(cmp.Compare(resort(a), resort(b)), cmp.Compare(loss(a), loss(b)))
+		return cmp.Or(cmp.Compare(resorts[a], resorts[b]), cmp.Compare(loss(a), loss(b)))
 	})
-	for range min(len(free), quarantiner.VMs(countJobs(waiting), usable)-kept) {
-		free[0].keptSince = now
-		free = free[1:]
+	for _, v := range free[:wanted] {
+		v.keptSince = now
 	}
 }
 
