planner: members of a gang are cleared once they outlast their start

Cause: only runs placed in quarantine could clear a suspect. Members of a gang start together, never in quarantine, so they stayed suspects, their early crashes added up, and their history was never forgotten. Why this works: a task that crashes its worker at once does not outlast it, in quarantine or not.

--- a/internal/job/planner/quarantine.go
+++ b/internal/job/planner/quarantine.go
@@ -60,7 +60,7 @@
 			continue // It is lost.
 		}
 		p := pl.ensureVM(r.VM).runs[runKey{ref.step.taskName(ref.index), r.Run}]
-		if p != nil && p.quarantined && p.active && !p.vm.workerDown && now.Sub(p.sentAt) >= quarantiner.EarlyTime {
+		if p != nil && p.active && !p.vm.workerDown && now.Sub(p.sentAt) >= quarantiner.EarlyTime {
 			return true
 		}
 	}
--- a/internal/job/planner/quarantine_test.go
+++ b/internal/job/planner/quarantine_test.go
@@ -26,3 +26,31 @@
 	p.play(7 * time.Second)
 	p.wantOutcomes()
 }
+
+// The members of a gang start together, so never in quarantine.
+func TestGangThatWasLongAtWorkBetweenCrashesIsNotGivenUp(t *testing.T) {
+	p := newCrashPlay(t, 4)
+	p.duration = func(string) time.Duration { return time.Hour }
+	gang := stepSpec(2, 9000)
+	gang.Gang = true
+	p.submitJob(jobID(99), gang)
+	for crash := range 4 {
+		p.play(100 * time.Millisecond)
+		if got := p.outcome(jobID(99)); got != "" {
+			t.Fatalf("the gang is %s after %d crashes", got, crash)
+		}
+		p.crashWorker(p.placements(jobID(99))[jobID(99)+".0.0.0"])
+		for _, v := range p.vms {
+			p.endRun(v, jobID(99)+".0.0.1", "alone")
+		}
+		p.play(10 * time.Second)
+		// The next run of the gang begins a while before the next crash.
+		for _, v := range p.vms {
+			p.endRun(v, jobID(99)+".0.0.0", "alone")
+			p.endRun(v, jobID(99)+".0.0.1", "alone")
+		}
+		for i := 0; i < 100 && len(p.placements(jobID(99))) < 2; i++ {
+			p.play(crashStep)
+		}
+	}
+}
