planner: a lasting task that is away does not wait for a long try on a suspect VM

Change: it is tried there once it has been away for a second and the run tried last there is a second old. TestLastingTaskComesBackBesideLongTryOnSuspectVM failed before.

--- a/internal/job/planner/idle.go
+++ b/internal/job/planner/idle.go
@@ -59,6 +59,7 @@
 	roomy := map[string]bool{}
 	for i := range candidates {
 		s := candidates[i].step
+		s.noteAway(now)
 		if !s.job.idleTooLong(now) {
 			continue
 		}
@@ -71,6 +72,17 @@
 	}
 }
 
+// noteAway keeps since when a task that lasts has been away. Each of them must come back
+// soon, whether others of its step run or not.
+func (s *step) noteAway(now time.Time) {
+	switch {
+	case !s.spec.LongRunning || s.waitingAgain() == 0:
+		s.awaySince = time.Time{}
+	case s.awaySince.IsZero():
+		s.awaySince = now
+	}
+}
+
 // noteArrival notes when the last job of a pool was added. A new leader knows that of the
 // jobs that are left.
 func (pl *Planner) noteArrival(pool string, at time.Time) {
@@ -111,7 +123,8 @@
 // mayTryAnyway reports whether a suspect VM gets a further task as a last resort, although
 // the run that is to show whether it works has not ended: that may take long.
 func (v *vm) mayTryAnyway(s *step, now time.Time) bool {
-	if !s.job.takesAnyRoom || v.health.Paused(now) {
+	away := !s.awaySince.IsZero() && now.Sub(s.awaySince) >= maxIdleWait
+	if !s.job.takesAnyRoom && !away || v.health.Paused(now) {
 		return false
 	}
 	for _, p := range v.runs {
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -79,6 +79,8 @@
 	// leastProgress is the least progress of its running tasks, in percent, as of the
 	// last decision about the order.
 	leastProgress int
+	// awaySince is since when a task that lasts and has run waits, zero if none does.
+	awaySince time.Time
 	// noRoomSince is since when the tasks of the step fit on no VM, zero if they do.
 	noRoomSince time.Time
 	// tickets are the answers of the policy service by VM.
@@ -121,7 +123,7 @@
 		}
 	}
 	if s.waiting == 0 {
-		s.avoidsSince, s.noRoomSince = time.Time{}, time.Time{}
+		s.avoidsSince, s.noRoomSince, s.awaySince = time.Time{}, time.Time{}, time.Time{}
 	}
 }
 
--- a/internal/job/planner/suspect_test.go
+++ b/internal/job/planner/suspect_test.go
@@ -29,3 +29,33 @@
 		t.Errorf("placements %v on VMs that have not shown that they work, want one", got)
 	}
 }
+
+// Each task that lasts must come back soon, whether others of its step run or not. The only
+// VM that may host it is suspect, and the run that is tried there takes long.
+func TestLastingTaskComesBackBesideLongTryOnSuspectVM(t *testing.T) {
+	s := newSimulation(t)
+	a := s.addVM("a", 16_000, 10_000)
+	s.addVM("b", 16_000, 10_000)
+	lasting := longRunningSpec(2)
+	lasting.MaxPerVM = 1
+	s.submitJob(jobID(1), lasting)
+	s.advance(time.Second)
+	for n := range 2 {
+		s.planner.vms["a"].health.RecordFailure(jobID(50+n), s.now)
+		s.planner.vms["b"].health.RecordFailure(jobID(50+n), s.now)
+	}
+	s.advance(2 * time.Second)
+	long := taskStep(2, 500, 100, time.Minute)
+	long.MaxPerVM = 1
+	s.submitJob(jobID(2), long)
+	s.advance(200 * time.Millisecond)
+	for task, name := range s.placements(jobID(1)) {
+		if name == "a" {
+			s.endRun(a, task, "stopped")
+		}
+	}
+	s.advance(maxIdle)
+	if got := s.placements(jobID(1)); len(got) != 2 {
+		t.Errorf("placements %v of the lasting tasks after %s, want both", got, maxIdle)
+	}
+}
