supervisor: the crash of a worker while its agent stands still is no evidence

Cause: an agent that was frozen while its worker crashed notices the crash when it wakes, 1.5 s late, and takes an answer and a heartbeat from before for news. The steady clock goes on while a process is frozen, so comparing it with the boot clock does not show it.

Change: the supervisor looks at the clock every 50 ms and with each outcome of a call. After a gap of more than 150 ms a failure is not counted until a call that was sent afterwards has been answered, or a second has passed. This replaces the check for calls that took longer than a second.

--- a/internal/sidecar/supervisor/crash.go
+++ b/internal/sidecar/supervisor/crash.go
@@ -20,8 +20,7 @@
 	// leader has received reports by then.
 	crashReportTime = 10 * time.Second
 	// maxSilenceBeforeCrash is how long before its calls fail a worker process must
-	// have shown a sign of life for the time of its crash to be known, and how long a
-	// call takes at most if the agent itself is not slowed.
+	// have shown a sign of life for the time of its crash to be known.
 	maxSilenceBeforeCrash = time.Second
 	// maxJudgmentDelay is how long after the first failed call the outcomes of start
 	// calls are awaited at most: those that were refused are no part of the evidence.
@@ -146,8 +145,10 @@
 		return "never answered"
 	case (s.Clock()-s.Steady())-r.suspended > time.Millisecond:
 		return "agent suspended"
-	case r.failedAt-r.failedCall > maxSilenceBeforeCrash:
-		return "agent slowed"
+	case s.stalls.endedAt > r.answeredCall && r.failedAt-s.stalls.endedAt < maxSilenceBeforeCrash:
+		// No call that was sent after the stall has been answered, so this may be news
+		// from before its end.
+		return "agent stalled"
 	case silent > maxSilenceBeforeCrash:
 		return "silent before"
 	}
--- a/internal/sidecar/supervisor/crash_test.go
+++ b/internal/sidecar/supervisor/crash_test.go
@@ -263,10 +263,15 @@
 			time.Sleep(retryPause)
 			w.crash()
 		},
-		"agent slowed": func(s *Supervisor, w *crashingWorker) {
-			w.fail(errNoAnswer)
-			s.recordOutcome(s.currentCall(), s.Steady()-2*time.Second, workercontroller.ErrConnectionLost)
-			w.fail(workercontroller.ErrUnreachable)
+		"agent frozen": func(_ *Supervisor, w *crashingWorker) {
+			w.frozen.Store(int64(200 * time.Millisecond))
+			w.crash()
+		},
+		"agent frozen, then an answer and a heartbeat from before": func(s *Supervisor, w *crashingWorker) {
+			w.frozen.Store(int64(2 * time.Second))
+			s.HandleHeartbeat(work.WorkerStatus{VM: "vm", Incarnation: 1, Pool: "pool"}, 2, time.Now())
+			s.recordOutcome(s.currentCall(), s.Steady()-2*time.Second, nil)
+			w.crash()
 		},
 		"agent suspended": func(_ *Supervisor, w *crashingWorker) {
 			w.suspended.Store(int64(20 * time.Millisecond))
@@ -286,6 +291,23 @@
 	}
 }
 
+// The time of a crash is known again once a call was answered that was sent after the
+// agent was frozen.
+func TestCrashAfterAFreezeIsReported(t *testing.T) {
+	runWithCrashingWorker(t, func(t *testing.T, s *Supervisor, w *crashingWorker) {
+		w.frozen.Store(int64(2 * time.Second))
+		time.Sleep(2*pollTimeout + pollTimeout/4)
+		startRuns(s, t, 1, "deadly")
+		time.Sleep(10 * time.Millisecond)
+		w.crash()
+		time.Sleep(time.Second)
+		want := &work.WorkerCrash{VM: "vm", WorkerIncarnation: 1, Ago: time.Second, Runs: []work.LostRun{{Task: "deadly", Run: 1, RanFor: 10 * time.Millisecond}}}
+		if diff := cmp.Diff(want, s.Report(1).Crash); diff != "" {
+			t.Errorf("crash (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // An agent that has just started does not know since when its worker has been gone.
 func TestNewAgentHasNoEvidence(t *testing.T) {
 	runWithCrashingWorker(t, func(t *testing.T, s *Supervisor, w *crashingWorker) {
--- a/internal/sidecar/supervisor/crashingworker_test.go
+++ b/internal/sidecar/supervisor/crashingworker_test.go
@@ -29,8 +29,9 @@
 	// startCalls counts the starts that were sent.
 	startCalls int
 	changes    int
-	// suspended is how long the VM has been suspended.
-	suspended atomic.Int64
+	// suspended is how long the VM has been suspended, frozen how long the agent process
+	// has not been running.
+	suspended, frozen atomic.Int64
 }
 
 // fail makes all calls fail, or none if err is nil. Calls that wait fail at once.
@@ -106,7 +107,8 @@
 		w := &crashingWorker{fakeWorker: &fakeWorker{startedAt: time.Now(), stopped: map[work.RunRef]bool{}}, failed: make(chan struct{})}
 		s := newSupervisor(w.fakeWorker)
 		s.Worker = w
-		s.Steady = func() time.Duration { return virtualClock() - time.Duration(w.suspended.Load()) }
+		s.Steady = func() time.Duration { return virtualClock() + time.Duration(w.frozen.Load()) }
+		s.Clock = func() time.Duration { return s.Steady() + time.Duration(w.suspended.Load()) }
 		s.OnChange = func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/internal/sidecar/supervisor/poll.go
+++ b/internal/sidecar/supervisor/poll.go
@@ -12,6 +12,7 @@
 // Run polls the worker with hold calls until the context ends.
 func (s *Supervisor) Run(ctx context.Context) {
 	defer close(s.Done)
+	s.group.Go(func() { s.watchForStalls(ctx) })
 	for ctx.Err() == nil {
 		call, firstHold, ok := s.nextHold()
 		if !ok {
--- a/internal/sidecar/supervisor/reachability.go
+++ b/internal/sidecar/supervisor/reachability.go
@@ -18,9 +18,8 @@
 	// answeredAt is when the process last answered, suspended how long the VM had been
 	// suspended since boot at that time.
 	answeredAt, suspended time.Duration
-	// failedAt is when the first call since then failed with a connection error, and
-	// failedCall when that call was sent.
-	failedAt, failedCall time.Duration
+	// failedAt is when the first call since then failed with a connection error.
+	failedAt time.Duration
 	// judged is set once it has been decided whether that is a crash.
 	judged bool
 }
@@ -37,14 +36,15 @@
 	if call.VM != s.session.vm || call.WorkerIncarnation != s.session.workerIncarnation {
 		return
 	}
+	s.stalls.look(s.Clock(), s.Steady())
 	r := &s.reachability
 	wasDown := r.down()
 	switch {
 	case errors.Is(err, workercontroller.ErrUnreachable):
 		r.refusedCall = max(r.refusedCall, sent)
-		r.recordFailure(sent, now)
+		r.recordFailure(now)
 	case errors.Is(err, workercontroller.ErrConnectionLost):
-		if r.recordFailure(sent, now) {
+		if r.recordFailure(now) {
 			// The next poll tells whether the process still accepts connections.
 			s.wake()
 		}
@@ -73,10 +73,10 @@
 
 // recordFailure records a connection error of a call. It returns true for the first one
 // since the last answer.
-func (r *reachability) recordFailure(sent, now time.Duration) bool {
+func (r *reachability) recordFailure(now time.Duration) bool {
 	if r.failedAt != 0 {
 		return false
 	}
-	r.failedAt, r.failedCall = now, sent
+	r.failedAt = now
 	return true
 }
--- a/internal/sidecar/supervisor/supervisor.go
+++ b/internal/sidecar/supervisor/supervisor.go
@@ -116,6 +116,7 @@
 	reachability          reachability
 	// sentStarts holds the start calls of the last seconds, the newest last.
 	sentStarts []sentStart
+	stalls     stallDetector
 	// crash is the last crash of a worker process, nil for none.
 	crash *crash
 
