--- a/internal/job/leader/workercrash_test.go
+++ b/internal/job/leader/workercrash_test.go
@@ -33,7 +33,7 @@
 // The errors of calls to a worker process that has crashed: of those in flight, and of
 // those that follow.
 var (
-	errReset   = &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ECONNRESET)}
+	errReset   = fmt.Errorf("%w: %w", workercontroller.ErrConnectionLost, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ECONNRESET)})
 	errRefused = fmt.Errorf("%w: %w", workercontroller.ErrUnreachable, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)})
 )
 
