quarantiner: the times from start to crash of one culprit differ by at most 40 ms

What callers would see: the job of a task that a worker's own crashes hit twice, 84 or 53 ms apart in its age, fails (TestOwnCrashesOfWorkersFailNoJob, TestCrashBoundHoldsBesideFaults, KNOWN-RED). Cause: two such crashes counted as alike if they differed by up to 100 ms. Agents now notice a broken connection within milliseconds; a start waits up to 30 ms for others to be sent. Change: 40 ms. A culprit that takes different times costs a third worker. Both stay in KNOWN-RED: the order of goroutines is not seeded, and a chance of that kind remains.

--- a/internal/job/quarantiner/quarantiner.go
+++ b/internal/job/quarantiner/quarantiner.go
@@ -18,8 +18,9 @@
 	// early, and how long a suspect stays in quarantine.
 	EarlyTime = 300 * time.Millisecond
 	// SimilarTime is by how much the times from start to crash of one culprit differ at
-	// most: an agent with no call in flight notices a crash by the next, 60 ms later.
-	SimilarTime = 100 * time.Millisecond
+	// most: agents notice a broken connection within milliseconds, and a start waits for
+	// others to be sent.
+	SimilarTime = 40 * time.Millisecond
 	// SettleTime is how long after a crash it is judged. By then the agents have
 	// reported the crashes at the same time.
 	SettleTime = 400 * time.Millisecond
