planner: a new leader hears all agents before it judges crashes

What callers saw: nothing yet; in virtual time, tasks of four workers that crashed together became suspects if a leader began its term after the crash. Cause: a crash is judged 0.4 s after it happened. A new leader hears of older ones, from one agent after the other, and judged the first two before it knew of the others. Measurement: TestCrashOfSeveralWorkersIsOneEventToANewLeader, which failed before with 30 suspects.

--- a/internal/job/planner/crash.go
+++ b/internal/job/planner/crash.go
@@ -83,10 +83,11 @@
 	})
 }
 
-// judgeCrashes judges the crashes that have settled.
+// judgeCrashes judges the crashes that have settled. Agents reach a new leader one after the
+// other.
 func (pl *Planner) judgeCrashes(now time.Time) {
 	for _, c := range pl.crashes.list {
-		if now.Sub(c.at) >= quarantiner.SettleTime {
+		if now.Sub(c.at) >= quarantiner.SettleTime && now.Sub(pl.termStart) >= quarantiner.SettleTime {
 			pl.judgeCrash(c, now)
 		}
 	}
--- a/internal/job/planner/quarantine_test.go
+++ b/internal/job/planner/quarantine_test.go
@@ -54,3 +54,28 @@
 		}
 	}
 }
+
+// Agents reach a new leader one after the other.
+func TestCrashOfSeveralWorkersIsOneEventToANewLeader(t *testing.T) {
+	p := newCrashPlay(t, 8)
+	p.submit(20)
+	p.play(100 * time.Millisecond)
+	for _, name := range p.vmNames()[:4] {
+		p.crashWorker(name)
+	}
+	p.now = p.now.Add(time.Second)
+	p.planner = New(Settings{MaxLease: 6 * time.Second, FarFactor: 2}, p.state, p.now, func(string, ...any) {})
+	p.planner.Resume(p.state, p.now)
+	for _, name := range p.vmNames() {
+		p.sendHello(name)
+		p.runPass()
+		p.now = p.now.Add(40 * time.Millisecond)
+		p.sendReport(name)
+	}
+	p.play(time.Second)
+	if suspects := len(p.planner.crashes.suspects); suspects > 0 {
+		t.Errorf("%d suspects of a crash of 4 workers", suspects)
+	}
+	p.play(15 * time.Second)
+	p.wantOutcomes()
+}
