--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -31,6 +31,9 @@
 	// once that was logged.
 	idleSince  time.Time
 	idleLogged bool
+	// takesAnyRoom is set while the next task of the job starts as a last resort, overcommits
+	// while a filler may do so on a VM whose processors fillers use in full.
+	takesAnyRoom, overcommits bool
 	// dropped is set once the description was removed from the log.
 	dropped bool
 }
@@ -76,6 +79,8 @@
 	// leastProgress is the least progress of its running tasks, in percent, as of the
 	// last decision about the order.
 	leastProgress int
+	// awaySince is since when a task that lasts and has run waits, zero if none does.
+	awaySince time.Time
 	// noRoomSince is since when the tasks of the step fit on no VM, zero if they do.
 	noRoomSince time.Time
 	// tickets are the answers of the policy service by VM.
@@ -118,7 +123,7 @@
 		}
 	}
 	if s.waiting == 0 {
-		s.avoidsSince, s.noRoomSince = time.Time{}, time.Time{}
+		s.avoidsSince, s.noRoomSince, s.awaySince = time.Time{}, time.Time{}, time.Time{}
 	}
 }
 
@@ -158,6 +163,7 @@
 	}
 	j := pl.newJob(record.ID, record)
 	pl.observeShortWork(record, now)
+	pl.noteArrival(record.Queue.Pool, now)
 	pl.startDueOccurrences(j, now)
 }
 
--- a/internal/job/planner/quarantine.go
+++ b/internal/job/planner/quarantine.go
@@ -131,7 +131,7 @@
 		switch {
 		case !slices.ContainsFunc(waiting, func(r taskRef) bool { return v.fits(r.step.spec) && pl.mayKeep(v, r.step, now) }):
 			resorts[v] = 3
-		case pl.hostCrashed(v, nil):
+		case pl.hostCrashed(v, taskRef{}):
 			resorts[v] = 2
 		case now.Sub(v.keptUntil) < maxQuarantineWait:
 			resorts[v] = 1
--- a/internal/sidecar/supervisor/poll.go
+++ b/internal/sidecar/supervisor/poll.go
@@ -12,6 +12,7 @@
 // Run polls the worker with hold calls until the context ends.
 func (s *Supervisor) Run(ctx context.Context) {
 	defer close(s.Done)
+	s.group.Go(func() { s.watchForStalls(ctx) })
 	for ctx.Err() == nil {
 		call, firstHold, ok := s.nextHold()
 		if !ok {
@@ -204,6 +205,7 @@
 	if call.Fence != s.session.granted || call.WorkerIncarnation != s.session.workerIncarnation || call.VM != s.session.vm {
 		return false
 	}
+	s.disproveCrash(call.Call, sent)
 	if firstHold {
 		s.startSession(call.Fence, state.Clock)
 	}
@@ -229,6 +231,7 @@
 		}
 	}
 	s.clearListedPending(state)
+	s.dropEndedStarts(state.Ends)
 	if changed {
 		s.OnChange()
 	}
