planner: failing test of tasks beside those that crash their workers late

In virtual time, a task that crashes its worker 0.4 s after the start is never the one that had just begun.

--- a/internal/job/planner/quarantine_test.go
+++ b/internal/job/planner/quarantine_test.go
@@ -79,3 +79,16 @@
 	p.play(15 * time.Second)
 	p.wantOutcomes()
 }
+
+// Tasks that were lost with a worker are placed again beside the one that crashed it.
+func TestTasksBesideThoseThatCrashWorkersLateAreNotGivenUp(t *testing.T) {
+	p := newCrashPlay(t, 3, jobID(2)+".0.0.1", jobID(10)+".0.0.3", jobID(15)+".0.0.5")
+	p.crashAfter = 400 * time.Millisecond
+	p.duration = func(string) time.Duration { return 4 * time.Second }
+	for range 20 {
+		p.submit(1)
+		p.play(500 * time.Millisecond)
+	}
+	p.play(50 * time.Second)
+	p.wantOutcomes()
+}
