--- a/internal/job/planner/quarantine_test.go
+++ b/internal/job/planner/quarantine_test.go
@@ -54,3 +54,41 @@
 		}
 	}
 }
+
+// Agents reach a new leader one after the other.
+func TestCrashOfSeveralWorkersIsOneEventToANewLeader(t *testing.T) {
+	p := newCrashPlay(t, 8)
+	p.submit(20)
+	p.play(100 * time.Millisecond)
+	for _, name := range p.vmNames()[:4] {
+		p.crashWorker(name)
+	}
+	p.now = p.now.Add(time.Second)
+	p.planner = New(Settings{MaxLease: 6 * time.Second, FarFactor: 2}, p.state, p.now, func(string, ...any) {})
+	p.planner.Resume(p.state, p.now)
+	for _, name := range p.vmNames() {
+		p.sendHello(name)
+		p.runPass()
+		p.now = p.now.Add(40 * time.Millisecond)
+		p.sendReport(name)
+	}
+	p.play(time.Second)
+	if suspects := len(p.planner.crashes.suspects); suspects > 0 {
+		t.Errorf("%d suspects of a crash of 4 workers", suspects)
+	}
+	p.play(15 * time.Second)
+	p.wantOutcomes()
+}
+
+// Tasks that were lost with a worker are placed again beside the one that crashed it.
+func TestTasksBesideThoseThatCrashWorkersLateAreNotGivenUp(t *testing.T) {
+	p := newCrashPlay(t, 3, jobID(2)+".0.0.1", jobID(10)+".0.0.3", jobID(15)+".0.0.5")
+	p.crashAfter = 400 * time.Millisecond
+	p.duration = func(string) time.Duration { return 4 * time.Second }
+	for range 20 {
+		p.submit(1)
+		p.play(500 * time.Millisecond)
+	}
+	p.play(50 * time.Second)
+	p.wantOutcomes()
+}
