--- a/internal/job/planner/reason.go
+++ b/internal/job/planner/reason.go
@@ -72,7 +72,7 @@
 	case v.reserved.Accelerators+spec.Size.Accelerators > capacity.Accelerators:
 		return NoAccelerators
 	case v.reserved.Millicores > capacity.Millicores,
-		spec.Filler && float64(v.expectedUse()+v.fillerUse()+spec.Size.Millicores) > maxOvercommit*float64(capacity.Millicores),
+		spec.Filler && v.useWith(spec) > maxOvercommit,
 		!spec.Filler && v.reserved.Millicores+spec.Size.Millicores > capacity.Millicores:
 		return NoProcessors
 	}
@@ -84,10 +84,10 @@
 	if v.workerStatus.Pool != s.job.record.Queue.Pool {
 		return OtherPool
 	}
-	if reason := v.whyUnusable(now); reason != "" {
+	if reason := v.whyUnusable(now); reason != "" && (reason != Suspect || !v.mayTryAnyway(s, now)) {
 		return reason
 	}
-	if reason := v.whyTooSmall(s.spec); reason != "" {
+	if reason := v.whyNoRoom(s); reason != "" {
 		return reason
 	}
 	switch {
--- a/internal/standin/soaktester/crash_test.go
+++ b/internal/standin/soaktester/crash_test.go
@@ -57,7 +57,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := newChecker(now)
 			c.jobSizes["j"] = size{100, 100}
-			c.workerCapacity["a"] = size{150, 150}
+			c.workerCapacity["a"] = []capacityChange{{now, size{150, 150}}}
 			c.addCrashing("j.0.0.0")
 			test.apply(c)
 			got := strings.Join(c.violations, "\n")
