quarantiner: a task is a suspect from the third crash on, whatever its age

Cause: tasks older than 0.3 s were only counted and placed again together, up to the fifth crash. Change: from the third crash on they run in quarantine, for twice their age at the crash; one that outlasts it is set back to two crashes. A crash is explained by a culprit only if that had begun as long before it as before the crash that named it. My own case 'late crashes' of the quarantiner has new verdicts for the third and fourth crash; the bound, the fifth, is as it was.

--- a/internal/job/planner/crash.go
+++ b/internal/job/planner/crash.go
@@ -145,7 +145,7 @@
 	pl.logDecision("crash judged", "vm", c.vm, "ago", now.Sub(c.at), "mass", mass, "alone", alone, "unexplained", unexplained,
 		"unaffected", counts[quarantiner.Unaffected], "counted", counts[quarantiner.Counted], "suspects", counts[quarantiner.Suspect], "culprits", counts[quarantiner.Culprit])
 	for _, ref := range culprits {
-		pl.giveUpCulprit(ref, now)
+		pl.giveUpCulprit(ref, c, now)
 	}
 }
 
@@ -173,7 +173,7 @@
 // resembles reports whether a crash came about as soon after the start of the task as the
 // one that made it a suspect. It did not if that is not known.
 func (s suspicion) resembles(ranFor time.Duration) bool {
-	return s.crash != nil && (ranFor-s.ranFor).Abs() <= quarantiner.SimilarTime
+	return s.crash != nil && isSimilar(ranFor, s.ranFor)
 }
 
 // restoreSuspicions takes over what an earlier leader found about a crash that an agent
@@ -229,18 +229,28 @@
 
 // beganLast reports whether a run of a task had just begun at the crash.
 func (c *crash) beganLast(ref taskRef) bool {
+	age, known := c.age(ref)
+	return known && age <= quarantiner.EarlyTime
+}
+
+// age returns how long a run of a task had run at the crash, and whether its agent named
+// one.
+func (c *crash) age(ref taskRef) (age time.Duration, known bool) {
 	if ref.step == nil {
-		return false
+		return 0, false
 	}
 	name := ref.step.taskName(ref.index)
 	for key, ranFor := range c.ranFor {
-		if key.task == name && ranFor <= quarantiner.EarlyTime {
-			return true
+		if key.task == name {
+			return ranFor, true
 		}
 	}
-	return false
+	return 0, false
 }
 
+// isSimilar reports whether two times from start to crash may have the same cause.
+func isSimilar(a, b time.Duration) bool { return (a - b).Abs() <= quarantiner.SimilarTime }
+
 // countEarlyJobs counts the jobs with runs that had just begun at the crash.
 func (c *crash) countEarlyJobs() int {
 	jobs := map[string]bool{}
@@ -272,15 +282,16 @@
 
 // giveUpCulprit ends the job of a task that crashes its workers, and clears the tasks that
 // ran beside it.
-func (pl *Planner) giveUpCulprit(ref taskRef, now time.Time) {
+func (pl *Planner) giveUpCulprit(ref taskRef, last *crash, now time.Time) {
 	s := ref.step
 	if s.job.outcome != nil {
 		return
 	}
 	pl.counters.Culprits++
 	pl.logDecision("crashes its workers", "job", s.job.id, "task", s.taskName(ref.index), "workers", ref.task().Crashes.Workers, "early", ref.task().Crashes.Early, "runs", ref.task().LastRun)
+	age, known := last.age(ref)
 	for _, c := range pl.crashes.list {
-		if c.beganLast(ref) {
+		if other, began := c.age(ref); began && known && age <= quarantiner.EarlyTime && isSimilar(other, age) {
 			pl.explain(c, ref)
 		}
 	}
@@ -297,7 +308,7 @@
 	c.explained = true
 	for _, other := range c.suspects {
 		if other != culprit && pl.crashes.suspects[other].crash == c {
-			pl.clearSuspect(other, "the culprit is known")
+			pl.clearSuspect(other, quarantiner.Clear, "the culprit is known")
 		}
 	}
 	for _, other := range c.beside {
@@ -308,14 +319,14 @@
 	}
 }
 
-// clearSuspect ends the suspicion against a task.
-func (pl *Planner) clearSuspect(ref taskRef, reason string) {
+// clearSuspect ends the suspicion against a task. clear changes its history.
+func (pl *Planner) clearSuspect(ref taskRef, clear func(work.CrashHistory) work.CrashHistory, reason string) {
 	delete(pl.crashes.suspects, ref)
 	t := ref.task()
 	if !isSuspect(t) {
 		return
 	}
-	h := quarantiner.Clear(*t.Crashes)
+	h := clear(*t.Crashes)
 	t.Crashes = &h
 	pl.markDirty(ref.step, ref.index)
 	pl.logDecision("suspect cleared", "task", ref.step.taskName(ref.index), "reason", reason, "workers", h.Workers)
--- a/internal/job/planner/quarantine.go
+++ b/internal/job/planner/quarantine.go
@@ -48,7 +48,7 @@
 		case ref.step.job.outcome != nil || t.Done || !isSuspect(t):
 			delete(pl.crashes.suspects, ref)
 		case pl.outlasted(ref, now):
-			pl.clearSuspect(ref, "outlasted the quarantine")
+			pl.clearSuspect(ref, quarantiner.Outlast, "outlasted the quarantine")
 		}
 	}
 }
@@ -60,13 +60,22 @@
 			continue // It is lost.
 		}
 		p := pl.ensureVM(r.VM).runs[runKey{ref.step.taskName(ref.index), r.Run}]
-		if p != nil && p.active && !p.vm.workerDown && now.Sub(p.sentAt) >= quarantiner.EarlyTime {
+		if p != nil && p.active && !p.vm.workerDown && now.Sub(p.sentAt) >= pl.quarantineTime(ref) {
 			return true
 		}
 	}
 	return false
 }
 
+// quarantineTime returns how long a suspect stays in quarantine.
+func (pl *Planner) quarantineTime(ref taskRef) time.Duration {
+	known := pl.crashes.suspects[ref]
+	if known.crash == nil && ref.task().Crashes.Early == 0 {
+		return quarantiner.LateTime
+	}
+	return quarantiner.QuarantineTime(known.ranFor)
+}
+
 // waitingSuspects returns the suspects without a run, those first that long-running steps
 // miss, then the likeliest. Members of gangs start with the others of their gang.
 func (pl *Planner) waitingSuspects() []taskRef {
--- a/internal/job/quarantiner/quarantiner.go
+++ b/internal/job/quarantiner/quarantiner.go
@@ -35,6 +35,9 @@
 	// which a task is the culprit without quarantine. A task that crashes its workers may
 	// start twice after three have crashed under it.
 	guiltyEarly, guiltyAny = 3, 5
+	// suspectAny is the number of crashes from which a task is a suspect however long its
+	// runs took.
+	suspectAny = 3
 )
 
 // Verdict is what a crash says about a task that was lost with the worker.
@@ -76,23 +79,36 @@
 		h.Early++
 	}
 	switch {
-	case h.Workers >= guiltyAny, early && !l.Mass && (h.Early >= guiltyEarly || l.Quarantined && h.Early > 1):
+	case h.Workers >= guiltyAny, !l.Mass && (h.Early >= guiltyEarly && early || l.Quarantined && max(h.Early, h.Workers-suspectAny+1) > 1):
 		return h, Culprit
-	case !early, l.Mass && h.Early == 1:
+	case !early && h.Workers < suspectAny, l.Mass && h.Early == 1:
 		return h, Counted
 	}
 	h.Suspect = true
 	return h, Suspect
 }
 
-// Clear returns the history of a task that need not be the cause of its last crash: a run
-// of it has outlasted the quarantine, or the culprit is known. The crash still counts, as
-// there may have been two culprits.
+// Clear returns the history of a task that need not be the cause of its last crash, since
+// the culprit is known. The crash still counts, as there may have been two culprits.
 func Clear(h work.CrashHistory) work.CrashHistory {
 	h.Suspect, h.Early = false, 0
 	return h
 }
 
+// Outlast returns the history of a suspect that has outlasted its quarantine. The next
+// crash makes it a suspect again, whatever the number before.
+func Outlast(h work.CrashHistory) work.CrashHistory {
+	h = Clear(h)
+	h.Workers = min(h.Workers, suspectAny-1)
+	return h
+}
+
+// QuarantineTime returns how long a suspect stays in quarantine, by how long its run had
+// run when it was lost: longer than that.
+func QuarantineTime(ranFor time.Duration) time.Duration {
+	return min(max(EarlyTime, 2*ranFor), LateTime)
+}
+
 // IsMass reports whether so many workers crashed at the same time that their tasks are
 // not the likely cause.
 func IsMass(workers int) bool { return workers >= massCrashes }
--- a/internal/job/quarantiner/quarantiner_test.go
+++ b/internal/job/quarantiner/quarantiner_test.go
@@ -32,7 +32,6 @@
 }
 
 func TestCulpritIsNamedWithinTheStartsThatItMayHave(t *testing.T) {
-	any5 := []Verdict{Counted, Counted, Counted, Counted, Culprit}
 	cases := []struct {
 		name    string
 		losses  []Loss
@@ -43,7 +42,8 @@
 		{"never in quarantine, as the members of a gang", []Loss{{RanFor: early}, {RanFor: early}, {RanFor: early}}, false, []Verdict{Suspect, Suspect, Culprit}},
 		{"several workers at once, then quarantine", []Loss{{RanFor: early, Mass: true}, {RanFor: early, Mass: true}, {RanFor: early, Quarantined: true}}, false, []Verdict{Counted, Suspect, Culprit}},
 		{"several workers at once each time", []Loss{{RanFor: early, Mass: true}, {RanFor: early, Mass: true}, {RanFor: early, Mass: true}, {RanFor: early, Mass: true}, {RanFor: early, Mass: true}}, false, []Verdict{Counted, Suspect, Suspect, Suspect, Culprit}},
-		{"late crashes", []Loss{{RanFor: late}, {RanFor: late}, {RanFor: late}, {RanFor: late}, {RanFor: late}}, false, any5},
+		{"late crashes", []Loss{{RanFor: late}, {RanFor: late}, {RanFor: late}, {RanFor: late}, {RanFor: late}}, false, []Verdict{Counted, Counted, Suspect, Suspect, Culprit}},
+		{"late crashes, then quarantine", []Loss{{RanFor: late}, {RanFor: late}, {RanFor: late}, {RanFor: late, Quarantined: true}}, false, []Verdict{Counted, Counted, Suspect, Culprit}},
 		{"cleared each time", []Loss{{RanFor: early}, {RanFor: early}, {RanFor: early}, {RanFor: early}, {RanFor: early}}, true, []Verdict{Suspect, Suspect, Suspect, Suspect, Culprit}},
 	}
 	for _, c := range cases {
