--- a/internal/job/reserver/reserver.go
+++ b/internal/job/reserver/reserver.go
@@ -113,7 +113,7 @@
 // Allows reports whether a task of the given size and expected duration may start on
 // the VM of the promise now. A duration of 0 is unknown: the task may not end.
 func (p *Promise) Allows(size work.Size, duration time.Duration, now time.Time) bool {
-	return p.endsBefore(duration, now) || leaves(size, p.spare)
+	return p.endsBefore(duration, now) || fits(size, p.spare)
 }
 
 func (p *Promise) endsBefore(duration time.Duration, now time.Time) bool {
@@ -256,14 +256,6 @@
 	return size.Millicores <= room.Millicores && size.Memory <= room.Memory && size.Accelerators <= room.Accelerators
 }
 
-// leaves reports whether a size takes no more than the spare room. Of what it does not
-// take, more than all may be taken already.
-func leaves(size, spare work.Size) bool {
-	return fits(size, work.Size{
-		Millicores: max(spare.Millicores, 0), Memory: max(spare.Memory, 0), Accelerators: max(spare.Accelerators, 0),
-	})
-}
-
 func plus(a, b work.Size) work.Size {
 	return work.Size{Millicores: a.Millicores + b.Millicores, Memory: a.Memory + b.Memory, Accelerators: a.Accelerators + b.Accelerators}
 }
--- a/internal/job/reserver/reserver_test.go
+++ b/internal/job/reserver/reserver_test.go
@@ -79,25 +79,6 @@
 	}
 }
 
-// A task that was held back for long takes processors of the promised room. Fillers, which
-// take none, must not be held back for it.
-func TestPromiseHoldsBackNoTaskForWhatItDoesNotTake(t *testing.T) {
-	r := New(All)
-	v := fullVM("a", time.Second, 2*time.Second)
-	v.Capacity.Memory = 1000
-	d := demand("x")
-	d.Size.Memory = 600
-	p := r.Renew([]VM{v}, []Demand{d}, start)[0]
-	r.Started("a", "small", work.Size{Millicores: 1000, Memory: 100}, 0, start)
-	got := map[string]bool{}
-	for name, size := range map[string]work.Size{"small filler": {Memory: 300}, "large filler": {Memory: 301}, "processors": {Millicores: 1, Memory: 1}} {
-		got[name] = p.Allows(size, 0, start)
-	}
-	if diff := cmp.Diff(map[string]bool{"small filler": true, "large filler": false, "processors": false}, got); diff != "" {
-		t.Errorf("allowed beside a promise without its processors (-want +got):\n%s", diff)
-	}
-}
-
 func TestPromiseStaysUnlessAnotherVMIsClearlySooner(t *testing.T) {
 	r := New(All)
 	demands := []Demand{demand("x")}
