planner: a crash under a canceled job, or with suspects that are not cleared, is not unexplained

Cause: a crash whose suspects are all cleared shows that workers crash by themselves, and then two crashes don't name a culprit. A crash under a job that its client canceled within 0.4 s had no suspect, and to a new leader neither had one under a task that had crashed another worker since. Change: both are left out. Measured: TestCrashUnderACanceledJobIsNoCrashOfTheWorkersOwn failed before (4 crashes, 3 now).

--- a/internal/job/planner/crash.go
+++ b/internal/job/planner/crash.go
@@ -25,8 +25,8 @@
 	ranFor map[runKey]time.Duration
 	judged bool
 	// inQuarantine is set if the worker ran a suspect in quarantine, explained once the
-	// culprit is known.
-	inQuarantine, explained bool
+	// culprit is known, unclear if it may be a task whose job has ended meanwhile.
+	inQuarantine, explained, unclear bool
 	// suspects are the tasks that became suspects by it, beside those for which it only
 	// counts.
 	suspects, beside []taskRef
@@ -163,7 +163,7 @@
 // while a suspect runs.
 func (pl *Planner) crashedUnexplained(c *crash) bool {
 	return slices.ContainsFunc(pl.crashes.list, func(o *crash) bool {
-		return o != c && o.judged && !o.explained && !slices.ContainsFunc(o.suspects, func(ref taskRef) bool {
+		return o != c && o.judged && !o.explained && !o.unclear && !slices.ContainsFunc(o.suspects, func(ref taskRef) bool {
 			_, suspect := pl.crashes.suspects[ref]
 			return suspect
 		})
@@ -181,13 +181,18 @@
 func (pl *Planner) restoreSuspicions(c *crash) {
 	for key, ranFor := range c.ranFor {
 		s, index := pl.findTask(key.task)
-		if j := pl.jobs[jobOf(key.task)]; j != nil && j.outcome != nil && j.outcome.State == jobreducer.Failed && ranFor <= quarantiner.EarlyTime {
-			c.explained = true // An earlier leader has named the culprit.
+		if j := pl.jobs[jobOf(key.task)]; j != nil && j.outcome != nil && ranFor <= quarantiner.EarlyTime {
+			c.explained = c.explained || j.outcome.State == jobreducer.Failed // An earlier leader has named the culprit.
+			c.unclear = true
 		}
-		if s == nil || historyOf(&s.tasks[index]).Run != key.run {
-			continue
+		if s == nil || historyOf(&s.tasks[index]).Run < key.run {
+			continue // It is not judged yet.
 		}
 		ref := taskRef{s, index}
+		if historyOf(&s.tasks[index]).Run > key.run {
+			c.suspects = append(c.suspects, ref)
+			continue
+		}
 		if !isSuspect(&s.tasks[index]) {
 			c.beside = append(c.beside, ref)
 			continue
--- a/internal/job/planner/quarantine_test.go
+++ b/internal/job/planner/quarantine_test.go
@@ -3,6 +3,10 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedspur/internal/job/jobreducer"
 )
 
 // VMs with one long run each lose the least by a crash, but have no room for suspects.
@@ -92,3 +96,20 @@
 	p.play(50 * time.Second)
 	p.wantOutcomes()
 }
+
+// A job that its client cancels takes what is known of its tasks with it.
+func TestCrashUnderACanceledJobIsNoCrashOfTheWorkersOwn(t *testing.T) {
+	p := newCrashPlay(t, 6, firstTask(1), firstTask(3))
+	p.submit(1)
+	p.play(100 * time.Millisecond)
+	p.planner.CancelJob(jobID(1), p.now)
+	p.runPass()
+	p.submit(2)
+	p.play(20 * time.Second)
+	if diff := cmp.Diff(jobreducer.Failed, p.outcome(jobID(3))); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(3, p.crashes); diff != "" {
+		t.Errorf("workers that crashed, one under the canceled job (-want +got):\n%s", diff)
+	}
+}
