planner: quarantine on a sound host before one that has crashed and has room

Cause: a VM without room came after one whose host had crashed lately. In a full pool the VM that has just come back has room, and a crash there names no culprit. Change: the order is turned round until a VM was kept in vain, then as before. No test shows it alone.

--- a/internal/job/planner/quarantine.go
+++ b/internal/job/planner/quarantine.go
@@ -133,16 +133,20 @@
 	if wanted <= 0 {
 		return
 	}
-	// The last resorts are hosts that crash, VMs that were just kept in vain, and those
-	// without room now, since it may not come.
+	justKept := func(v *vm) bool { return now.Sub(v.keptUntil) < maxQuarantineWait }
+	inVain := slices.ContainsFunc(free, justKept)
 	resorts := map[*vm]int{}
 	for _, v := range free {
-		switch {
-		case !slices.ContainsFunc(waiting, func(r taskRef) bool { return v.fits(r.step.spec) && pl.mayKeep(v, r.step, now) }):
+		full := !slices.ContainsFunc(waiting, func(r taskRef) bool { return v.fits(r.step.spec) && pl.mayKeep(v, r.step, now) })
+		switch crashed := pl.hostCrashed(v, taskRef{}); {
+		case crashed && !inVain:
+			resorts[v] = 4
+		case full:
+			// The room may not come.
 			resorts[v] = 3
-		case pl.hostCrashed(v, taskRef{}):
+		case crashed:
 			resorts[v] = 2
-		case now.Sub(v.keptUntil) < maxQuarantineWait:
+		case justKept(v):
 			resorts[v] = 1
 		}
 	}
