planner: tests that moves and copies stay off VMs that shrank

Cause: the random test draws no slow fillers and no late runs. Both pass on the code as it is, and fail with the checks of room taken out of moveIfBetter and chooseCopyVM.

--- a/internal/job/planner/capacity_test.go
+++ b/internal/job/planner/capacity_test.go
@@ -292,3 +292,22 @@
 		t.Error("a job with three times the time that it needs counts as short of time")
 	}
 }
+
+// A filler that is slow must not lose its VM for one that shrank and will not take it.
+func TestFillerIsNotMovedToAVMThatShrank(t *testing.T) {
+	s := newSimulation(t)
+	a := s.addVM("a", 1000, 1000)
+	spec := stepSpec(1, 300)
+	spec.Filler, spec.Checkpoints = true, true
+	s.submitJob(jobID(1), spec)
+	s.addVM("b", 1000, 1000)
+	a.active[0].Pace = slowPace / 2
+	for _, capacity := range []work.Size{{Millicores: 1000, Memory: 99}, {Millicores: 100, Memory: 1000}, {}} {
+		s.resize("b", capacity)
+		s.advance(3 * time.Second)
+		s.wantStarts(1, fmt.Sprintf("while the other VM has %+v", capacity))
+	}
+	s.resize("b", work.Size{Millicores: 1000, Memory: 1000})
+	s.advance(5 * time.Second)
+	s.wantStarts(2, "after the other VM has grown")
+}
--- a/internal/job/planner/copy_test.go
+++ b/internal/job/planner/copy_test.go
@@ -84,6 +84,14 @@
 			s.tasks[0].Failures = 1
 		}},
 		{name: "other work waits", late: func(f *fleet) { f.submitJob(jobID(2), stepSpec(1, 5000)) }},
+		{name: "other VMs shrank", late: func(f *fleet) {
+			own := f.placements(jobID(1))[jobID(1)+".0.0.0"]
+			for _, name := range f.vmNames() {
+				if name != own {
+					f.resize(name, work.Size{Millicores: 999, Memory: 10_000})
+				}
+			}
+		}},
 		{name: "VM is silent", late: func(f *fleet) {
 			for task, name := range f.placements(jobID(1)) {
 				if task == jobID(1)+".0.0.0" {
