planner: check starts against the capacity that the planner had

Its log shows a start on b 0.1 s after b's last report, in the pass that followed a's report; b's next report, which told of a capacity of 0, came after that pass. The test had changed what b "last reported" at the beginning of the step, before b reported. The fault is the test's: the planner cannot know of a heartbeat that has not come.

Change: a heartbeat that changes a capacity is reported at once, and all starts are checked after each such report, so each start is compared with the last report before it. No check is left out, and both bounds are as before.

--- a/internal/job/planner/changingcapacity_test.go
+++ b/internal/job/planner/changingcapacity_test.go
@@ -73,19 +73,23 @@
 
 // passChanging lets time pass with heartbeats of the workers.
 func (s *simulation) passChanging(t *rapid.T, workers map[string]*changingWorker, d time.Duration) {
-	for name, w := range workers {
-		w.checkStarts(t, s, name)
+	check := func() {
+		for name, w := range workers {
+			w.checkStarts(t, s, name)
+		}
 	}
+	check()
 	for ; d > 0; d -= 100 * time.Millisecond {
-		for _, w := range workers {
+		for name, w := range workers {
 			if !s.now.Before(w.nextHeartbeat) {
 				w.workerStatus.Capacity, w.nextHeartbeat = w.capacity, s.now.Add(heartbeatInterval)
+				// The pass after this report may place on the others by their last ones.
+				s.sendReport(name)
+				check()
 			}
 		}
 		s.advance(100 * time.Millisecond)
-		for name, w := range workers {
-			w.checkStarts(t, s, name)
-		}
+		check()
 	}
 }
 
