--- a/internal/job/planner/changingcapacity_test.go
+++ b/internal/job/planner/changingcapacity_test.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -25,8 +24,6 @@
 	changes       []capacityChange
 	nextHeartbeat time.Time
 	starts        int
-	// excess describes the first start beyond the capacity that was reported last.
-	excess string
 }
 
 type capacityChange struct {
@@ -59,10 +56,10 @@
 		return
 	}
 	w.starts = len(w.mute.starts)
-	if w.excess != "" {
-		t.Fatal(w.excess)
-	}
 	used := s.used(w.simulatedVM)
+	if !within(used, w.workerStatus.Capacity) {
+		t.Fatalf("a start lets %s hold %+v, and it last reported %+v", name, used, w.workerStatus.Capacity)
+	}
 	for i := len(w.changes) - 1; i >= 0; i-- {
 		if within(used, w.changes[i].capacity) {
 			return
@@ -106,13 +103,7 @@
 		for _, name := range names {
 			v := s.addVM(name, vmSize.Millicores, vmSize.Memory)
 			s.resize(name, vmSize)
-			w := &changingWorker{simulatedVM: v, capacity: vmSize, changes: []capacityChange{{s.now, vmSize}}, nextHeartbeat: s.now}
-			w.onStart = func() {
-				if used := s.used(v); w.excess == "" && !within(used, v.reported) {
-					w.excess = fmt.Sprintf("a start lets %s hold %+v, and it last reported %+v", name, used, v.reported)
-				}
-			}
-			workers[name] = w
+			workers[name] = &changingWorker{simulatedVM: v, capacity: vmSize, changes: []capacityChange{{s.now, vmSize}}, nextHeartbeat: s.now}
 		}
 		resize := func(name string, capacity work.Size) {
 			w := workers[name]
--- a/internal/job/planner/harness_test.go
+++ b/internal/job/planner/harness_test.go
@@ -58,11 +58,7 @@
 	agentRestarts int
 	mute          muteWorker
 	lease         workerLease
-	// reported is the capacity in the last report. onStart is called after each start
-	// unless it is nil.
-	reported work.Size
-	onStart  func()
-	crash    crashedWorker
+	crash         crashedWorker
 }
 
 func newSimulation(t *testing.T) *simulation {
@@ -119,7 +115,6 @@
 		Fence: v.fence, WorkerStatus: v.workerStatus, CommandsHandled: v.handled, SessionConfirmed: true, MoreEnds: v.moreEnds, Deregistered: v.deregistered,
 		ActiveRuns: append([]work.RunStatus(nil), v.active...), Ends: append([]work.RunEnd(nil), v.ends...), Voids: append([]work.VoidRun(nil), v.voids...),
 	}
-	v.reported = v.workerStatus.Capacity
 	v.muteReport(report, s.now)
 	v.crashReport(report, s.now)
 	s.planner.HandleReport(name, report, s.now)
@@ -177,9 +172,6 @@
 			s.runs.start(s, v, start)
 			v.mute.starts = append(v.mute.starts, work.RunRef{Task: start.Task, Run: start.Run})
 			v.active = append(v.active, work.RunStatus{Task: start.Task, Run: start.Run, Pace: 100})
-			if v.onStart != nil {
-				v.onStart()
-			}
 		}
 	}
 	for _, stop := range commands.Stops {
