--- a/internal/sidecar/supervisor/workerrestart_test.go
+++ b/internal/sidecar/supervisor/workerrestart_test.go
@@ -36,6 +36,13 @@
 	w.startedAt, w.leaseEnd, w.fence, w.active, w.ends = time.Now(), 0, 0, nil, nil
 }
 
+// now returns the clock of the worker process.
+func (w *restartableWorker) now() time.Duration {
+	w.fakeWorker.mu.Lock()
+	defer w.fakeWorker.mu.Unlock()
+	return w.clock()
+}
+
 // check returns the error of a call that was meant for another process.
 func (w *restartableWorker) check(c workercontroller.Call) error {
 	w.mu.Lock()
@@ -54,7 +61,7 @@
 	if errors.Is(err, workercontroller.ErrMisdirected) {
 		return "", err
 	}
-	c.LeaseEnd = min(c.LeaseEnd, w.clock()+6*time.Second)
+	c.LeaseEnd = min(c.LeaseEnd, w.now()+6*time.Second)
 	result, startErr := w.fakeWorker.Start(ctx, c)
 	if err == nil {
 		err = startErr
@@ -69,7 +76,7 @@
 	if errors.Is(err, workercontroller.ErrMisdirected) {
 		return workercontroller.State{}, err
 	}
-	c.LeaseEnd = min(c.LeaseEnd, w.clock()+6*time.Second)
+	c.LeaseEnd = min(c.LeaseEnd, w.now()+6*time.Second)
 	state, holdErr := w.fakeWorker.Hold(ctx, c)
 	if err == nil {
 		err = holdErr
@@ -89,7 +96,8 @@
 		s.AcceptGrant(&work.Grant{VM: "vm", WorkerIncarnation: 1, Fence: 3})
 		time.Sleep(500 * time.Millisecond)
 		confirmSession(s)
-		time.Sleep(500 * time.Millisecond)
+		// No poll falls due at the time of a restart.
+		time.Sleep(530 * time.Millisecond)
 		test(t, s, w)
 	})
 }
