planner: a known culprit's crash is taken back from suspects that had run for a while too

Cause: from the third crash on such a task is a suspect, and losses were taken back only from tasks that were counted without becoming suspects. Change: also from suspects that had not just begun.

--- a/internal/job/planner/crash.go
+++ b/internal/job/planner/crash.go
@@ -315,12 +315,20 @@
 		if other != culprit && pl.crashes.suspects[other].crash == c {
 			pl.clearSuspect(other, quarantiner.Clear, "the culprit is known")
 		}
+		if other != culprit && !c.beganLast(other) {
+			pl.takeBack(other)
+		}
 	}
 	for _, other := range c.beside {
-		if t := other.task(); t.Crashes != nil && t.Crashes.Workers > 0 {
-			t.Crashes.Workers--
-			pl.markDirty(other.step, other.index)
-		}
+		pl.takeBack(other)
+	}
+}
+
+// takeBack takes a crash from the history of a task.
+func (pl *Planner) takeBack(ref taskRef) {
+	if t := ref.task(); t.Crashes != nil && t.Crashes.Workers > 0 {
+		t.Crashes.Workers--
+		pl.markDirty(ref.step, ref.index)
 	}
 }
 
