--- a/internal/job/planner/quarantine.go
+++ b/internal/job/planner/quarantine.go
@@ -105,8 +105,11 @@
 			continue
 		}
 		needed := slices.ContainsFunc(waiting, func(r taskRef) bool { return pl.mayKeep(v, r.step, now) })
-		if !needed || now.Sub(v.keptSince) > maxQuarantineWait {
-			v.keptSince, v.keptUntil = time.Time{}, now
+		switch {
+		case !needed:
+			v.keptSince = time.Time{}
+		case now.Sub(v.keptSince) > maxQuarantineWait:
+			v.keptSince, v.keptInVainUntil = time.Time{}, now
 		}
 	}
 }
@@ -133,20 +136,22 @@
 	if wanted <= 0 {
 		return
 	}
-	justKept := func(v *vm) bool { return now.Sub(v.keptUntil) < maxQuarantineWait }
-	inVain := slices.ContainsFunc(free, justKept)
+	keptInVain := func(v *vm) bool { return now.Sub(v.keptInVainUntil) < maxQuarantineWait }
+	anyInVain := slices.ContainsFunc(free, keptInVain)
+	// The higher, the less suitable is a VM. One whose host has crashed comes last until
+	// another was kept in vain.
 	resorts := map[*vm]int{}
 	for _, v := range free {
 		full := !slices.ContainsFunc(waiting, func(r taskRef) bool { return v.fits(r.step.spec) && pl.mayKeep(v, r.step, now) })
 		switch crashed := pl.hostCrashed(v, taskRef{}); {
-		case crashed && !inVain:
+		case crashed && !anyInVain:
 			resorts[v] = 4
 		case full:
 			// The room may not come.
 			resorts[v] = 3
 		case crashed:
 			resorts[v] = 2
-		case justKept(v):
+		case keptInVain(v):
 			resorts[v] = 1
 		}
 	}
--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -71,9 +71,9 @@
 	// does. workerDown is set while it refuses connections.
 	workerSilence time.Duration
 	workerDown    bool
-	// keptSince is since when the VM is kept for suspects, zero if it is not. keptUntil is
-	// when it was last released.
-	keptSince, keptUntil time.Time
+	// keptSince is since when the VM is kept for suspects, zero if it is not.
+	// keptInVainUntil is when it was last released without having run any.
+	keptSince, keptInVainUntil time.Time
 
 	runs map[runKey]*placement
 	// reserved is what the runs reserve, and fillerMillicores the processor size
