--- a/internal/standin/clustersimulator/clustersimulator.go
+++ b/internal/standin/clustersimulator/clustersimulator.go
@@ -49,6 +49,8 @@
 	interference map[string]float64
 	deliveries   []delivery
 	result       *Result
+	// noise disturbs measured latencies.
+	noise *rand.Rand
 }
 
 // delivery holds commands and grants that are on their way to the VMs.
@@ -63,6 +65,7 @@
 func Simulate(workload *Workload, settings planner.Settings, seed uint64) *Result {
 	random := rand.New(rand.NewPCG(seed, 1))
 	s := &Simulation{workload: workload, startTime: time.Unix(1_000_000, 0), state: jobreducer.New(), jobsByID: map[string]*simulatedJob{}, interference: map[string]float64{}}
+	s.noise = rand.New(rand.NewPCG(seed, 2))
 	s.result = newResult(seed)
 	s.jobs = workload.drawJobs(random, s.startTime)
 	s.drawInterference(random)
@@ -86,8 +89,8 @@
 }
 
 // drawInterference draws by how much each filler image slows each serving image:
-// each serving image is sensitive to every shared resource to some degree, and
-// each heavy filler image uses one of them.
+// each serving image is sensitive to shared resources, and each heavy filler image
+// uses one of them.
 func (s *Simulation) drawInterference(random *rand.Rand) {
 	resources := max(s.workload.Resources, 1)
 	for i := range s.workload.Kinds {
@@ -95,7 +98,7 @@
 		for image := range serving.Images {
 			sensitivities := make([]float64, resources)
 			for j := range sensitivities {
-				sensitivities[j] = random.Float64()
+				sensitivities[j] = s.workload.drawSensitivity(random)
 			}
 			for j := range s.workload.Kinds {
 				if filler := &s.workload.Kinds[j]; serving.Serves && filler.Fills {
@@ -106,6 +109,18 @@
 	}
 }
 
+// drawSensitivity draws how sensitive a serving image is to one resource.
+func (w *Workload) drawSensitivity(random *rand.Rand) float64 {
+	x := random.Float64()
+	if w.Sensitive == 0 {
+		return x
+	}
+	if x < w.Sensitive {
+		return 1
+	}
+	return 0
+}
+
 func (s *Simulation) drawWeights(random *rand.Rand, filler *Kind, serving string, sensitivities []float64) {
 	for image := range filler.Images {
 		weight := 0.3 * random.Float64()
@@ -144,7 +159,7 @@
 	for _, v := range s.vms {
 		v.advance(s, s.elapsed)
 		if v.finishTasks() || s.elapsed >= v.nextReport {
-			s.planner.HandleReport(v.name, v.report(s.elapsed), now)
+			s.planner.HandleReport(v.name, v.report(s, s.elapsed), now)
 		}
 	}
 	s.result.observe(s)
@@ -218,7 +233,7 @@
 			return
 		}
 	}
-	t := &task{start: start, job: j, stepIndex: stepIndex, taskIndex: taskIndex, startedAt: s.elapsed, totalSeconds: j.stepSeconds[stepIndex], pace: 1, nextPace: 1}
+	t := &task{start: start, job: j, stepIndex: stepIndex, taskIndex: taskIndex, startedAt: s.elapsed, totalSeconds: j.taskSeconds[stepIndex][taskIndex], pace: 1, nextPace: 1}
 	t.phase = j.loadPhase
 	if start.Checkpoint != "" {
 		if done, err := strconv.ParseFloat(start.Checkpoint, 64); err == nil {
--- a/internal/standin/clustersimulator/load.go
+++ b/internal/standin/clustersimulator/load.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -27,6 +28,11 @@
 	// Resources is the number of shared resources through which fillers slow
 	// serving tasks.
 	Resources int
+	// Sensitive is the share of these resources to which a serving image is sensitive,
+	// 0 if each is sensitive to all of them, to differing degrees.
+	Sensitive float64
+	// Noise is the spread of measured latencies around the true ones.
+	Noise float64
 	// Drift is the amplitude of the periodic change of a pair's interference weight,
 	// as a share of the weight.
 	Drift float64
@@ -53,6 +59,8 @@
 	// duration around it.
 	Seconds Distribution
 	Off     float64
+	// Uneven is the spread of the durations of the tasks of a step around its own.
+	Uneven float64
 	// Worth is earned by a job that ends within its objective, Late by one that ends
 	// within lateFactor times its objective.
 	Worth, Late float64
@@ -125,8 +133,8 @@
 	cancelAt time.Duration
 	// loadPhase is the phase of the oscillation of a serving job's load.
 	loadPhase float64
-	// stepSeconds are the true durations of the tasks of each step.
-	stepSeconds []float64
+	// taskSeconds are the true durations of the tasks, by step.
+	taskSeconds [][]float64
 	coreSeconds float64
 	// usedCoreSeconds is what the tasks used so far.
 	usedCoreSeconds float64
@@ -181,8 +189,11 @@
 		if i > 0 {
 			spec.DependsOn = []int{i - 1}
 		}
-		j.stepSeconds = append(j.stepSeconds, seconds)
-		j.coreSeconds += seconds * float64(spec.Tasks*spec.Size.Millicores) / 1000
+		tasks := k.drawTasks(random, spec.Tasks, seconds)
+		j.taskSeconds = append(j.taskSeconds, tasks)
+		for _, taskSeconds := range tasks {
+			j.coreSeconds += taskSeconds * float64(spec.Size.Millicores) / 1000
+		}
 		stepSpecs = append(stepSpecs, spec)
 	}
 	if k.Serves {
@@ -195,12 +206,24 @@
 	return j
 }
 
+// drawTasks draws the durations of the tasks of a step.
+func (k *Kind) drawTasks(random *rand.Rand, count int, seconds float64) []float64 {
+	tasks := make([]float64, count)
+	for i := range tasks {
+		tasks[i] = seconds
+		if k.Uneven > 0 {
+			tasks[i] = Distribution{Mean: seconds, Spread: k.Uneven, Max: math.Inf(1)}.sample(random)
+		}
+	}
+	return tasks
+}
+
 // objective is the latency up to which the job earns its full worth, computed from
 // the true durations.
 func (j *simulatedJob) objective() time.Duration {
 	sum := 0.0
-	for _, s := range j.stepSeconds {
-		sum += s
+	for _, tasks := range j.taskSeconds {
+		sum += slices.Max(tasks)
 	}
 	return time.Duration(j.kind.Stretch*sum*float64(time.Second)) + j.kind.Target
 }
--- a/internal/standin/clustersimulator/vm.go
+++ b/internal/standin/clustersimulator/vm.go
@@ -161,7 +161,7 @@
 }
 
 // report paces the fillers and returns the agent's report.
-func (v *vm) report(now time.Duration) *work.Report {
+func (v *vm) report(s *Simulation, now time.Duration) *work.Report {
 	active := make([]work.RunStatus, 0, len(v.tasks))
 	hasServingTask := false
 	for _, t := range v.tasks {
@@ -170,7 +170,7 @@
 		case t.job.kind.Serves:
 			hasServingTask = true
 			if now-t.startedAt > startupTime && len(t.latencyPeaks) > 0 {
-				a.Measurement = math.Ceil(t.latencyPeaks[0].value)
+				a.Measurement = math.Ceil(t.latencyPeaks[0].value * math.Exp(s.workload.Noise*s.noise.NormFloat64()))
 			}
 		default:
 			a.Measurement, a.ProgressPercent = t.usedMillicores, int(100*t.doneSeconds/t.totalSeconds)
