gatekeeper: mechanisms can be switched off one by one (--without), one table for all

Cause: what each mechanism is worth could be measured only with scratch copies; the baselines stood scattered in planner.Settings (Policy, FillVMs, DeclaredDurations, Promises, NoYields), the reserver and the options of the lab. Change: internal/setting/gatekeeper holds the table of 18 mechanisms with what runs instead. Logged at start, in the metrics, in `knapweedspur status` (now answered by entries on the users' platform too); `knapweedspur gates` lists them. The orders by deadline and by arrival and the promise to one task only were baselines of the lab; they are gone, and with them the case "first" in a promise test, on which the test checked nothing.

--- a/internal/cli/commandrunner/commandrunner.go
+++ b/internal/cli/commandrunner/commandrunner.go
@@ -36,6 +36,7 @@
 	Where   whereCommand   `cmd:"" help:"Say where a job would go now and why, without sending it."`
 	Drain   drainCommand   `cmd:"" help:"Take work off a VM and give it no more."`
 	Cancel  cancelCommand  `cmd:"" help:"Cancel a run."`
+	Gates   gatesCommand   `cmd:"" help:"List the mechanisms that --without switches off."`
 	Audit   auditCommand   `cmd:"" help:"Show the audit trail of changes."`
 	Version versionCommand `cmd:"" help:"Show the version."`
 }
@@ -60,6 +61,7 @@
 		kong.Writers(stdout, stderr),
 		kong.Exit(func(code int) { parserExit = code }),
 		kong.UsageOnError(),
+		kong.Configuration(readSettings),
 	)
 	if err != nil {
 		fmt.Fprintln(stderr, "knapweedspur:", err)
--- a/internal/cli/commandrunner/site.go
+++ b/internal/cli/commandrunner/site.go
@@ -5,12 +5,14 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/alecthomas/kong"
 	"github.com/gravitational/trace"
 	"github.com/hashicorp/go-hclog"
 	"go.uber.org/fx"
 
 	"knapweedspur/internal/diagnostic/asyncwriter"
 	"knapweedspur/internal/metric/exporter"
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/site/sitebuilder"
 	"knapweedspur/platform"
 )
@@ -23,7 +25,10 @@
 
 // siteFlags are the settings that are not in the platform's settings file.
 type siteFlags struct {
-	Lines int `help:"Most log lines a second, warnings and a quarter as many of rare messages aside." env:"KNAPWEEDSPUR_LOG_LINES" default:"150"`
+	Settings kong.ConfigFlag `help:"File with these settings (YAML); flags go before it." placeholder:"FILE"`
+	Lines    int             `help:"Most log lines a second, warnings and a quarter as many of rare messages aside." env:"KNAPWEEDSPUR_LOG_LINES" default:"150"`
+	Without  []string        `help:"Mechanisms to switch off, separated by commas; 'gates' lists them." env:"KNAPWEEDSPUR_WITHOUT" placeholder:"NAME"`
+	Unsafe   bool            `help:"Let --without switch off mechanisms on which a promise rests." env:"KNAPWEEDSPUR_UNSAFE"`
 }
 
 // Validate checks the flags.
@@ -31,37 +36,44 @@
 	if f.Lines < 1 {
 		return trace.BadParameter("--lines is %d, must be at least 1", f.Lines)
 	}
-	return nil
+	_, err := f.gates()
+	return err
 }
 
+func (f *siteFlags) gates() (gatekeeper.Gates, error) { return gatekeeper.Parse(f.Without, f.Unsafe) }
+
 type siteEntryCommand struct{ siteFlags }
 
 type siteAgentCommand struct{ siteFlags }
 
 // Run runs the entry until it gets a signal to stop.
 func (c *siteEntryCommand) Run(env *environment) error {
-	return runSite(env, c.Lines, sitebuilder.EntryOptions)
+	return runSite(env, &c.siteFlags, sitebuilder.EntryOptions)
 }
 
 // Run runs the agent until it gets a signal to stop.
 func (c *siteAgentCommand) Run(env *environment) error {
-	return runSite(env, c.Lines, sitebuilder.AgentOptions)
+	return runSite(env, &c.siteFlags, sitebuilder.AgentOptions)
 }
 
 // runSite loads the platform's settings file and runs the application with them.
-// Log lines are written asynchronously and limited to linesPerSecond.
-func runSite(env *environment, linesPerSecond int, options func(*platform.Settings, hclog.Logger) fx.Option) error {
+// Log lines are written asynchronously and limited in number.
+func runSite(env *environment, flags *siteFlags, options func(*platform.Settings, gatekeeper.Gates, hclog.Logger) fx.Option) error {
+	gates, err := flags.gates()
+	if err != nil {
+		return usageError{err}
+	}
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return usageError{err}
 	}
-	writer := asyncwriter.New(env.stdout, linesPerSecond)
+	writer := asyncwriter.New(env.stdout, flags.Lines)
 	exporter.Publish("log_lines", func() any { return writer.Written() })
 	exporter.Publish("log_lines_dropped", func() any { return writer.Dropped() })
 	defer writer.Close()
 	logger := hclog.New(&hclog.LoggerOptions{Name: settings.VMName, Level: env.logger.GetLevel(), Output: writer, JSONFormat: true, DisableTime: false})
 	go checkSettingsOnHangup(logger)
-	return runApp(options(settings, logger), settings.Grace)
+	return runApp(options(settings, gates, logger), settings.Grace)
 }
 
 // checkSettingsOnHangup validates the settings file on each SIGHUP, which the
--- /dev/null
+++ b/internal/cli/commandrunner/site_test.go
@@ -0,0 +1,91 @@
+package commandrunner
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"knapweedspur/internal/site/statusreporter"
+	"knapweedspur/internal/wire/admin"
+)
+
+func writeSettings(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Wrong settings are refused with the nearest valid name before anything starts.
+func TestWrongGatesAreRefused(t *testing.T) {
+	t.Setenv("KNAPWEEDSPUR_NODE_FILE", "")
+	cases := []struct {
+		name string
+		args []string
+		want string
+	}{
+		{"unknown name", []string{"--without", "sequense"}, `did you mean "sequence"?`},
+		{"guards a promise", []string{"--without", "moves,pacing"}, "also needs --unsafe"},
+		{"misspelled in a file", []string{"--settings", writeSettings(t, "without: [copes]\n")}, `did you mean "copies"?`},
+		{"misspelled key in a file", []string{"--settings", writeSettings(t, "wihtout: [copies]\n")}, "wihtout"},
+		{"no such file", []string{"--settings", "missing.yaml"}, "missing.yaml"},
+		{"valid, but for the platform's file", []string{"--without", "copies"}, "KNAPWEEDSPUR_NODE_FILE"},
+		{"valid in a file", []string{"--settings", writeSettings(t, "without: [pacing]\nunsafe: true\nlines: 10\n")}, "KNAPWEEDSPUR_NODE_FILE"},
+	}
+	for _, c := range cases {
+		for _, role := range []string{"entry", "agent"} {
+			var out, errors bytes.Buffer
+			if code := Run(append([]string{"site", role}, c.args...), &out, &errors); code != exitUsage {
+				t.Errorf("%s, %s: exit code %d", c.name, role, code)
+			}
+			if !strings.Contains(errors.String(), c.want) {
+				t.Errorf("%s, %s: %q lacks %q", c.name, role, errors.String(), c.want)
+			}
+		}
+	}
+}
+
+func TestFlagsGoBeforeTheSettingsFile(t *testing.T) {
+	t.Setenv("KNAPWEEDSPUR_NODE_FILE", "")
+	var out, errors bytes.Buffer
+	Run([]string{"site", "entry", "--settings", writeSettings(t, "without: [nonsense]\n"), "--without", "moves"}, &out, &errors)
+	if strings.Contains(errors.String(), "nonsense") {
+		t.Errorf("the file goes before the flag: %s", errors.String())
+	}
+}
+
+func TestStatusShowsWhatIsSwitchedOff(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != statusreporter.Path {
+			t.Errorf("path %s", r.URL.Path)
+		}
+		_ = json.NewEncoder(w).Encode(admin.Status{Entry: "front-1", Without: []string{"copies", "moves"}}) // a failed write fails the command
+	}))
+	defer server.Close()
+	var out, errors bytes.Buffer
+	if code := Run([]string{"status", "--entry", strings.TrimPrefix(server.URL, "http://")}, &out, &errors); code != exitOK {
+		t.Fatalf("exit code %d: %s", code, errors.String())
+	}
+	if !strings.Contains(out.String(), "switched off: copies, moves") {
+		t.Errorf("output:\n%s", out.String())
+	}
+}
+
+func TestGatesListsAllMechanisms(t *testing.T) {
+	var out, errors bytes.Buffer
+	if code := Run([]string{"gates"}, &out, &errors); code != exitOK {
+		t.Fatalf("exit code %d: %s", code, errors.String())
+	}
+	for _, want := range []string{"sequence", "pacing", "latency objectives"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the list lacks %q:\n%s", want, out.String())
+		}
+	}
+}
--- a/internal/cli/commandrunner/status.go
+++ b/internal/cli/commandrunner/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"knapweedspur/internal/wire/admin"
@@ -36,6 +37,9 @@
 	}
 	fmt.Fprintf(env.stdout, "entry %s in %s, %d entries alive\nconfiguration in force up to offset %d; log %s, last seen %s ago\n",
 		s.Entry, s.Domain, len(s.Entries), s.Offset, logState, s.Age.Round(time.Millisecond))
+	if len(s.Without) > 0 {
+		fmt.Fprintf(env.stdout, "switched off: %s\n", strings.Join(s.Without, ", "))
+	}
 	counts := s.Counts
 	fmt.Fprintf(env.stdout, "requests %d, answered %d, retries %d, refused: unrun %d, unknown %d, ran %d\n\n",
 		counts.Requests, counts.Answered, counts.Retries, counts.Unrun, counts.Unknown, counts.Ran)
--- a/internal/frontend/jobacceptor/jobacceptor.go
+++ b/internal/frontend/jobacceptor/jobacceptor.go
@@ -21,6 +21,7 @@
 	"knapweedspur/internal/job/logfollower"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/metric/exporter"
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -86,6 +87,8 @@
 	AcceptLatency *exporter.Histogram
 	// MaxRecordBytes bounds the record of a job.
 	MaxRecordBytes int
+	// Gates says which mechanisms are switched off.
+	Gates gatekeeper.Gates
 
 	draining       atomic.Bool
 	refusedForRoom atomic.Int64
--- a/internal/frontend/jobacceptor/room.go
+++ b/internal/frontend/jobacceptor/room.go
@@ -9,6 +9,7 @@
 	"knapweedspur/internal/frontend/queuecataloger"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/job/leader"
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -44,11 +45,13 @@
 	return err
 }
 
-// Situation returns what the view says about room.
+// Situation returns what the view says about room. Without refusals it has no forecast.
 func (a *Acceptor) Situation(now time.Time) admissiondecider.Situation {
 	var s admissiondecider.Situation
 	a.Follower.Forecast(func(state *jobreducer.State, age time.Duration) {
-		s.Forecast, s.Age = state.Forecast, age
+		if s.Age = age; a.Gates.On(gatekeeper.Refusals) {
+			s.Forecast = state.Forecast
+		}
 		if state.Term != nil {
 			s.Epoch = state.Term.Epoch
 		}
--- a/internal/job/planner/advice.go
+++ b/internal/job/planner/advice.go
@@ -48,7 +48,7 @@
 			if s.waiting == 0 || len(pl.vmsToAsk(s, now)) == 0 || s.countApprovedVMs(pl, now) >= s.waiting {
 				continue
 			}
-			if c := pl.rank(s, now); best == nil || c.before(best, pl.Settings.Policy) {
+			if c := pl.rank(s, now); best == nil || c.before(best) {
 				best = &c
 			}
 		}
--- a/internal/job/planner/copy.go
+++ b/internal/job/planner/copy.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"knapweedspur/internal/job/copier"
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -35,7 +36,7 @@
 // startCopies starts copies of the runs that gain the most, while none of the work
 // that the pool could run waits.
 func (pl *Planner) startCopies(now time.Time) {
-	if now.Sub(pl.lastCopyCheck) < copyInterval {
+	if !pl.Settings.Gates.On(gatekeeper.Copies) || now.Sub(pl.lastCopyCheck) < copyInterval {
 		return
 	}
 	pl.lastCopyCheck = now
--- a/internal/job/planner/cost.go
+++ b/internal/job/planner/cost.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -127,7 +128,10 @@
 // servingCost places serving tasks with the same image together, so that
 // fillers which interfere with that image find VMs without it.
 func (pl *Planner) servingCost(v *vm, s *step, load float64) float64 {
-	cost := -loadCost * load
+	cost := -loadCost*load + pl.interference.AddedLoad(s.spec.Image, v.fullPaceFillerShares())
+	if !pl.Settings.Gates.On(gatekeeper.Grouping) {
+		return cost
+	}
 	others := 0
 	for _, p := range v.runs {
 		if p.step.spec.LatencyTarget > 0 && p.step.spec.Image != s.spec.Image {
@@ -139,5 +143,5 @@
 	} else {
 		cost += firstServingCost
 	}
-	return cost + pl.interference.AddedLoad(s.spec.Image, v.fullPaceFillerShares())
+	return cost
 }
--- a/internal/job/planner/crash.go
+++ b/internal/job/planner/crash.go
@@ -7,6 +7,7 @@
 
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/job/quarantiner"
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -57,7 +58,7 @@
 
 // noteCrash records a crash that an agent reports. Agents repeat it.
 func (pl *Planner) noteCrash(c *work.WorkerCrash, now time.Time) {
-	known := c == nil || pl.vms[c.VM] == nil || slices.ContainsFunc(pl.crashes.list, func(o *crash) bool { return o.vm == c.VM && o.workerIncarnation == c.WorkerIncarnation })
+	known := c == nil || !pl.Settings.Gates.On(gatekeeper.Quarantine) || pl.vms[c.VM] == nil || slices.ContainsFunc(pl.crashes.list, func(o *crash) bool { return o.vm == c.VM && o.workerIncarnation == c.WorkerIncarnation })
 	if known {
 		return
 	}
--- a/internal/job/planner/durations.go
+++ b/internal/job/planner/durations.go
@@ -6,6 +6,7 @@
 
 	"knapweedspur/internal/job/durationestimator"
 	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -27,7 +28,7 @@
 // expectedStepDuration is expectedDuration of a step that may not have started.
 func (pl *Planner) expectedStepDuration(j *job, key jobreducer.StepKey) time.Duration {
 	spec := &j.record.Steps[key.Step]
-	if pl.Settings.DeclaredDurations || spec.LongRunning {
+	if spec.LongRunning || !pl.Settings.Gates.On(gatekeeper.Durations) {
 		return spec.EstimatedDuration
 	}
 	s := j.steps[key]
--- a/internal/job/planner/hopeless.go
+++ b/internal/job/planner/hopeless.go
@@ -24,10 +24,11 @@
 	minHold    = time.Second
 )
 
-// retriesFirst returns the indexes of the step's tasks, those that have failed first.
-func (s *step) retriesFirst() []int {
+// startOrder returns the indexes of the step's tasks in the order in which they start.
+func (s *step) startOrder(retriesFirst bool) []int {
 	order := make([]int, 0, len(s.tasks))
-	if s.retried > 0 {
+	retriesFirst = retriesFirst && s.retried > 0
+	if retriesFirst {
 		for i := range s.tasks {
 			if s.tasks[i].Failures > 0 {
 				order = append(order, i)
@@ -35,7 +36,7 @@
 		}
 	}
 	for i := range s.tasks {
-		if s.retried == 0 || s.tasks[i].Failures == 0 {
+		if !retriesFirst || s.tasks[i].Failures == 0 {
 			order = append(order, i)
 		}
 	}
--- a/internal/job/planner/idle.go
+++ b/internal/job/planner/idle.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -56,6 +57,9 @@
 // markIdle finds the jobs whose next task starts as a last resort, a filler at any cost:
 // those that are idle for too long in a roomy pool.
 func (pl *Planner) markIdle(candidates []candidate, now time.Time) {
+	if !pl.Settings.Gates.On(gatekeeper.Lastresort) {
+		return
+	}
 	roomy := map[string]bool{}
 	for i := range candidates {
 		s := candidates[i].step
--- a/internal/job/planner/interference.go
+++ b/internal/job/planner/interference.go
@@ -7,6 +7,7 @@
 
 	"knapweedspur/internal/job/estimator"
 	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -50,7 +51,12 @@
 		list := samples[s]
 		s.load = pl.ownLoad(s.spec.Image, list)
 		s.forecast.Observe(s.load, now)
-		s.forecastLoads = s.forecast.Predict(forecastSeconds)
+		if pl.Settings.Gates.On(gatekeeper.Forecast) {
+			s.forecastLoads = s.forecast.Predict(forecastSeconds)
+		}
+		if !pl.Settings.Gates.On(gatekeeper.Weights) {
+			continue
+		}
 		for i := range list {
 			pl.interference.Observe(s.spec.Image, list[i].load, s.load, list[i].shares)
 		}
--- a/internal/job/planner/order.go
+++ b/internal/job/planner/order.go
@@ -9,6 +9,7 @@
 
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/job/sequencer"
+	"knapweedspur/internal/setting/gatekeeper"
 )
 
 // sequenceKind is the capacity that jobs compete for: the processors of a pool that
@@ -69,10 +70,10 @@
 // time, they are taken in the order that the sequencer decides.
 func (pl *Planner) order(candidates []candidate, now time.Time) {
 	pl.markOverload(candidates, now)
-	if policy := pl.Settings.Policy; policy == "" || policy == BySequence {
+	if pl.Settings.Gates.On(gatekeeper.Sequence) {
 		pl.decideSequences(candidates, now)
 	}
-	sort.Slice(candidates, func(i, j int) bool { return candidates[i].before(&candidates[j], pl.Settings.Policy) })
+	sort.Slice(candidates, func(i, j int) bool { return candidates[i].before(&candidates[j]) })
 }
 
 // decideSequences decides about all jobs by the capacity they need, and notes the
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -70,7 +71,7 @@
 // afterPlacing looks after the tasks that a pass has left waiting.
 func (pl *Planner) afterPlacing(candidates []candidate, now time.Time) {
 	pl.renewPromises(candidates, now)
-	if !pl.Settings.NoYields {
+	if pl.Settings.Gates.On(gatekeeper.Yields) {
 		pl.yield(candidates, now)
 	}
 }
@@ -82,7 +83,7 @@
 		return pl.placeGang(s, now)
 	}
 	placed := 0
-	for _, i := range s.retriesFirst() {
+	for _, i := range s.startOrder(pl.Settings.Gates.On(gatekeeper.Retries)) {
 		if placed >= limit || s.waiting == 0 {
 			break
 		}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -20,6 +20,7 @@
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/job/reserver"
 	"knapweedspur/internal/log/journal"
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -33,40 +34,13 @@
 	// MaxRequestAge is how long after the operators' requests were last known to be
 	// complete tasks may still be placed, 0 for no limit.
 	MaxRequestAge time.Duration
-	// Policy is the order in which jobs are placed; empty means BySequence.
-	Policy Policy
-	// FillVMs lets long-running tasks reserve whole VMs. It is a baseline for
-	// comparison; otherwise room is kept for short jobs.
-	FillVMs bool
 	// MaxWaste is the share of the work that copies of tasks may cause to be thrown
 	// away, 0 for the usual one.
 	MaxWaste float64
-	// DeclaredDurations trusts the durations that clients declare. It is a baseline
-	// for comparison; otherwise durations are learned.
-	DeclaredDurations bool
-	// Promises says which tasks that wait for room are promised some; empty means
-	// reserver.All, and reserver.None is the baseline.
-	Promises reserver.Policy
-	// NoYields lets no run give way to a more urgent task. It is a baseline.
-	NoYields bool
+	// Gates says which mechanisms are switched off.
+	Gates gatekeeper.Gates
 }
 
-// Policy is the order in which waiting jobs are placed.
-type Policy string
-
-// The policies. All of them place serving steps first and fillers last. Within
-// the steps that do not serve, ByWorth and ByDeadline order by lateness, then by
-// the priority of the queue, then by deadline. For fillers, and while there is
-// too little time for all jobs, ByWorth puts the remaining work before the
-// deadline. BySequence is ByWorth while all jobs can be in time, and else the order
-// that the sequencer decides. The others are baselines for comparison.
-const (
-	BySequence Policy = "sequence"
-	ByWorth    Policy = "worth"
-	ByDeadline Policy = "deadline"
-	ByArrival  Policy = "arrival"
-)
-
 // Planner holds the jobs, their runs and the VMs, and decides where tasks run.
 type Planner struct {
 	Settings Settings
@@ -245,7 +219,7 @@
 		promises: promises{byPool: map[string]*reserver.Reserver{}, heldBack: map[*step]heldBack{}},
 		crashes:  crashes{suspects: map[taskRef]suspicion{}},
 	}
-	if state.Estimates != nil {
+	if state.Estimates != nil && settings.Gates.On(gatekeeper.Weights) {
 		pl.interference.Restore(state.Estimates.Pairs)
 	}
 	if state.Durations != nil {
--- a/internal/job/planner/promise.go
+++ b/internal/job/planner/promise.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"knapweedspur/internal/job/reserver"
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -142,7 +143,7 @@
 
 // renewPromises adapts the promises to the steps that are left waiting by a pass.
 func (pl *Planner) renewPromises(candidates []candidate, now time.Time) {
-	if pl.Settings.Promises == reserver.None || now.Sub(pl.promises.renewedAt) < promiseInterval {
+	if !pl.Settings.Gates.On(gatekeeper.Promises) || now.Sub(pl.promises.renewedAt) < promiseInterval {
 		return
 	}
 	pl.promises.renewedAt = now
--- a/internal/job/planner/rank.go
+++ b/internal/job/planner/rank.go
@@ -5,6 +5,7 @@
 
 	"knapweedspur/internal/job/jobmeasurer"
 	"knapweedspur/internal/job/sequencer"
+	"knapweedspur/internal/setting/gatekeeper"
 )
 
 // candidate is a step with waiting tasks that could be placed now.
@@ -30,7 +31,11 @@
 // useful.
 const lateFactor = jobmeasurer.LateFactor
 
-func (c *candidate) before(o *candidate, policy Policy) bool {
+// before reports whether the tasks of c are placed before those of o: first serving
+// steps, last fillers. Where not all jobs can be in time the sequencer decides; otherwise
+// lateness, the priority of the queue and, for fillers and while there is too little time,
+// the remaining work come before the deadline.
+func (c *candidate) before(o *candidate) bool {
 	if serves := c.step.spec.LatencyTarget > 0; serves || o.step.spec.LatencyTarget > 0 {
 		if serves != (o.step.spec.LatencyTarget > 0) {
 			return serves
@@ -48,9 +53,6 @@
 	if c.sequenced && o.sequenced && c.position != o.position {
 		return c.position < o.position
 	}
-	if policy == ByArrival {
-		return c.step.job.number < o.step.job.number
-	}
 	if c.lateness != o.lateness {
 		return c.lateness < o.lateness
 	}
@@ -58,7 +60,7 @@
 	if a.record.Queue.Priority != b.record.Queue.Priority {
 		return a.record.Queue.Priority < b.record.Queue.Priority
 	}
-	if policy != ByDeadline && c.shortOfTime && c.lateness < 2 && c.remainingWork != o.remainingWork {
+	if c.shortOfTime && c.lateness < 2 && c.remainingWork != o.remainingWork {
 		return c.remainingWork < o.remainingWork
 	}
 	if !c.deadline.Equal(o.deadline) {
@@ -137,6 +139,9 @@
 // delayNewServing reports whether new serving steps should wait for more to
 // arrive.
 func (pl *Planner) delayNewServing(now time.Time) bool {
+	if !pl.Settings.Gates.On(gatekeeper.Batching) {
+		return false
+	}
 	var first, last time.Time
 	for _, j := range pl.jobs {
 		if j.outcome != nil || j.record == nil {
--- a/internal/job/planner/relocate.go
+++ b/internal/job/planner/relocate.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -65,7 +66,7 @@
 // Tasks that checkpoint lose no work; others are moved only while their
 // progress is small.
 func (pl *Planner) moveSlowFillers(now time.Time) {
-	if now.Sub(pl.lastMoveCheck) < minSlowTime/2 {
+	if !pl.Settings.Gates.On(gatekeeper.Moves) || now.Sub(pl.lastMoveCheck) < minSlowTime/2 {
 		return
 	}
 	pl.lastMoveCheck = now
--- a/internal/job/planner/room.go
+++ b/internal/job/planner/room.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -97,7 +98,7 @@
 // included, would not leave enough to short jobs.
 func (pl *Planner) markCrowdedPools(candidates []candidate, now time.Time) {
 	pl.crowdedPools = map[string]bool{}
-	if pl.Settings.FillVMs {
+	if !pl.Settings.Gates.On(gatekeeper.Gaps) {
 		return
 	}
 	waiting := map[string]int{}
--- a/internal/job/planner/speed.go
+++ b/internal/job/planner/speed.go
@@ -7,6 +7,7 @@
 
 	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -115,6 +116,9 @@
 
 // judgeVMs updates which VMs are slow or fail often.
 func (pl *Planner) judgeVMs(now time.Time) {
+	if !pl.Settings.Gates.On(gatekeeper.Speeds) {
+		return
+	}
 	for _, v := range pl.sortedVMs {
 		before := v.health.OnProbation()
 		if !v.synced || !v.health.Update(now) {
@@ -168,7 +172,7 @@
 // restoreProbations puts VMs on probation that the last leader had on probation, if their workers
 // are still the same.
 func (pl *Planner) restoreProbations(speeds *work.Speeds, now time.Time) {
-	if speeds == nil || now.Sub(speeds.WrittenAt).Abs() > maxProbationAge {
+	if speeds == nil || !pl.Settings.Gates.On(gatekeeper.Speeds) || now.Sub(speeds.WrittenAt).Abs() > maxProbationAge {
 		return
 	}
 	for _, t := range speeds.VMs {
--- a/internal/job/planner/yield.go
+++ b/internal/job/planner/yield.go
@@ -5,6 +5,7 @@
 
 	"knapweedspur/internal/job/reserver"
 	"knapweedspur/internal/job/yielder"
+	"knapweedspur/internal/setting/gatekeeper"
 )
 
 const (
@@ -102,7 +103,7 @@
 	if !ok {
 		return false
 	}
-	if pl.Settings.Promises != reserver.None {
+	if pl.Settings.Gates.On(gatekeeper.Promises) {
 		r.Keep(choice.VM, s.policyName(), rankOf(s), reservedSize(s.spec), now.Add(stopTime), now)
 	}
 	pl.yields += len(choice.Runs)
@@ -153,7 +154,7 @@
 // reserverOf returns the reserver of a pool.
 func (pl *Planner) reserverOf(pool string) *reserver.Reserver {
 	if pl.promises.byPool[pool] == nil {
-		pl.promises.byPool[pool] = reserver.New(pl.Settings.Promises)
+		pl.promises.byPool[pool] = reserver.New()
 	}
 	return pl.promises.byPool[pool]
 }
--- a/internal/job/reserver/reserver.go
+++ b/internal/job/reserver/reserver.go
@@ -34,17 +34,6 @@
 	maxShare = 4
 )
 
-// Policy says to which tasks room is promised.
-type Policy string
-
-// The policies. None is the baseline. First promises room to one task only, All to as
-// many as the bound on promised VMs allows.
-const (
-	None  Policy = "none"
-	First Policy = "first"
-	All   Policy = "all"
-)
-
 // Release is room that is expected to become free.
 type Release struct {
 	At   time.Time
@@ -122,16 +111,13 @@
 
 // Reserver holds the promises on the VMs of a pool.
 type Reserver struct {
-	// Policy says who gets promises.
-	Policy Policy
-
 	promises map[string]*Promise
 	restsTo  map[string]time.Time
 }
 
 // New returns a reserver without promises.
-func New(policy Policy) *Reserver {
-	return &Reserver{Policy: policy, promises: map[string]*Promise{}, restsTo: map[string]time.Time{}}
+func New() *Reserver {
+	return &Reserver{promises: map[string]*Promise{}, restsTo: map[string]time.Time{}}
 }
 
 // On returns the promise on a VM, or nil.
@@ -185,12 +171,6 @@
 // Renew adapts the promises to the VMs and to the demands, the most urgent first, and
 // returns the new ones and those that moved to another VM.
 func (r *Reserver) Renew(vms []VM, demands []Demand, now time.Time) []*Promise {
-	if r.Policy == None {
-		return nil
-	}
-	if r.Policy == First {
-		demands = r.first(demands)
-	}
 	s := &search{reserver: r, vms: vms, now: now}
 	r.drop(vms, demands, now)
 	var changed []*Promise
@@ -205,16 +185,6 @@
 	return changed
 }
 
-// first returns the demand that holds a promise, or else the most urgent one.
-func (r *Reserver) first(demands []Demand) []Demand {
-	for i := range demands {
-		if len(r.held(demands[i].ID)) > 0 {
-			return demands[i : i+1]
-		}
-	}
-	return demands[:min(len(demands), 1)]
-}
-
 // drop ends the promises of demands that wait no more, of VMs that get no work or may
 // not run the tasks, and those that were kept for too long.
 func (r *Reserver) drop(vms []VM, demands []Demand, now time.Time) {
--- a/internal/job/reserver/search.go
+++ b/internal/job/reserver/search.go
@@ -125,7 +125,7 @@
 		}
 	}
 	for range d.Tasks - len(held) {
-		if s.left(d) <= 0 || s.reserver.Policy == First && s.reserver.Len() > 0 {
+		if s.left(d) <= 0 {
 			break
 		}
 		v, start := s.soonest(d)
--- a/internal/sidecar/pacer/pacer.go
+++ b/internal/sidecar/pacer/pacer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"knapweedspur/internal/job/estimator"
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -80,6 +81,8 @@
 	// fillers. After half of this time all fillers are paused, regardless of
 	// the model. 0 disables this.
 	MaxTargetMiss time.Duration
+	// Gates says which mechanisms are switched off.
+	Gates gatekeeper.Gates
 
 	// missingSince is since when a serving task misses its objective, 0 if none
 	// does.
@@ -266,7 +269,11 @@
 		t = &trend{level: max(load, 0), at: now}
 		p.ownLoads[s.task] = t
 	}
-	return t.predict(max(load, 0), now)
+	level, rise := t.predict(max(load, 0), now)
+	if !p.Gates.On(gatekeeper.Trend) {
+		return level
+	}
+	return level + rise
 }
 
 // trend is a smoothed value with its rate of change (double exponential
@@ -276,16 +283,16 @@
 	at           time.Duration
 }
 
-// predict adds a sample and returns the value to expect when a decision takes
+// predict adds a sample and returns the level and its rise until a decision takes
 // effect. A downward slope is not extrapolated.
-func (t *trend) predict(measured float64, now time.Duration) float64 {
+func (t *trend) predict(measured float64, now time.Duration) (level, rise float64) {
 	if elapsed := (now - t.at).Seconds(); elapsed > 0 {
 		expected := t.level + t.slope*elapsed
 		t.level = expected + levelSmoothing*(measured-expected)
 		t.slope += slopeSmoothing * (measured - expected) / max(elapsed, minElapsed)
 		t.at = now
 	}
-	return max(t.level, 0) + max(t.slope, 0)*lookAhead.Seconds()
+	return max(t.level, 0), max(t.slope, 0) * lookAhead.Seconds()
 }
 
 // limitPaces lowers paces until the load that the fillers add to the serving
--- a/internal/site/sitebuilder/agent.go
+++ b/internal/site/sitebuilder/agent.go
@@ -11,6 +11,7 @@
 
 	"knapweedspur/internal/link/connector"
 	"knapweedspur/internal/metric/exporter"
+	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/sidecar/pacer"
 	"knapweedspur/internal/sidecar/reporter"
 	"knapweedspur/internal/sidecar/supervisor"
@@ -20,6 +21,7 @@
 // agent is an agent process on the users' platform.
 type agent struct {
 	settings   *platform.Settings
+	gates      gatekeeper.Gates
 	logger     hclog.Logger
 	supervisor *supervisor.Supervisor
 	reporter   *reporter.EntryClient
@@ -28,27 +30,31 @@
 }
 
 // AgentOptions returns the fx options that build and run an agent.
-func AgentOptions(settings *platform.Settings, logger hclog.Logger) fx.Option {
+func AgentOptions(settings *platform.Settings, gates gatekeeper.Gates, logger hclog.Logger) fx.Option {
 	return fx.Options(
-		fx.Supply(settings),
+		fx.Supply(settings, gates),
 		fx.Provide(func() hclog.Logger { return logger }, platform.NewClient, newAgent),
 		fx.Invoke(func(lc fx.Lifecycle, a *agent) { lc.Append(fx.Hook{OnStart: a.start, OnStop: a.stop}) }),
 	)
 }
 
-func newAgent(s *platform.Settings, logger hclog.Logger, client *http.Client) *agent {
-	a := &agent{settings: s, logger: logger, servers: &serverGroup{logger: logger}, goroutines: newGoroutineGroup()}
+func newAgent(s *platform.Settings, gates gatekeeper.Gates, logger hclog.Logger, client *http.Client) *agent {
+	a := &agent{settings: s, gates: gates, logger: logger, servers: &serverGroup{logger: logger}, goroutines: newGoroutineGroup()}
 	a.reporter = &reporter.EntryClient{
 		Client: client, Logger: logger, AgentIncarnation: rand.Text()[:12], Host: s.VMName,
 		Finder: &platform.EntryFinder{Stream: &platform.Stream{Address: s.LogAddress, Client: client, Topic: platform.EntryStream}},
 	}
 	taskPacer := pacer.New()
-	taskPacer.MaxTargetMiss = s.MaxTargetMiss
+	taskPacer.MaxTargetMiss, taskPacer.Gates = s.MaxTargetMiss, gates
 	a.supervisor = &supervisor.Supervisor{
 		Worker: &platform.WorkerClient{Address: s.WorkerAddress, Client: client}, Logger: logger, MaxLease: s.MaxLease,
 		// The rest of the bound is for the call to the worker.
-		MaxRequestAge: s.EvacuationBound * 3 / 4, OnChange: a.reporter.RequestReport, OnSessionStart: a.reporter.SendHeartbeatsNow, Pacer: taskPacer,
+		MaxRequestAge: s.EvacuationBound * 3 / 4, OnChange: a.reporter.RequestReport, OnSessionStart: a.reporter.SendHeartbeatsNow,
 	}
+	if gates.On(gatekeeper.Pacing) {
+		a.supervisor.Pacer = taskPacer
+	}
+	exporter.Publish("without", func() any { return gates.Off() })
 	exporter.Publish("evacuation_refusals", func() any { return a.supervisor.EvacuationRefusals() })
 	a.reporter.Supervisor = a.supervisor
 	a.reporter.Init()
@@ -67,7 +73,7 @@
 	}
 	a.goroutines.run(a.supervisor.Run)
 	a.goroutines.run(a.reporter.Run)
-	a.logger.Info("start", "role", "agent", "life", a.reporter.AgentIncarnation, "worker", a.settings.WorkerAddress.String())
+	a.logger.Info("start", "role", "agent", "life", a.reporter.AgentIncarnation, "worker", a.settings.WorkerAddress.String(), "without", a.gates.String())
 	return nil
 }
 
--- a/internal/site/sitebuilder/entry.go
+++ b/internal/site/sitebuilder/entry.go
@@ -26,6 +26,8 @@
 	"knapweedspur/internal/link/framer"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/metric/exporter"
+	"knapweedspur/internal/setting/gatekeeper"
+	"knapweedspur/internal/site/statusreporter"
 	"knapweedspur/internal/wire/work"
 	"knapweedspur/platform"
 )
@@ -53,6 +55,7 @@
 // entry is an entry process on the users' platform.
 type entry struct {
 	settings    *platform.Settings
+	gates       gatekeeper.Gates
 	logger      hclog.Logger
 	workStream  *platform.Stream
 	entryStream *platform.Stream
@@ -67,20 +70,20 @@
 }
 
 // EntryOptions returns the fx options that build and run an entry.
-func EntryOptions(settings *platform.Settings, logger hclog.Logger) fx.Option {
+func EntryOptions(settings *platform.Settings, gates gatekeeper.Gates, logger hclog.Logger) fx.Option {
 	return fx.Options(
-		fx.Supply(settings),
+		fx.Supply(settings, gates),
 		fx.Provide(func() hclog.Logger { return logger }, platform.NewClient, newEntry),
 		fx.Invoke(func(lc fx.Lifecycle, e *entry) { lc.Append(fx.Hook{OnStart: e.start, OnStop: e.stop}) }),
 	)
 }
 
-func newEntry(s *platform.Settings, logger hclog.Logger, client *http.Client) *entry {
+func newEntry(s *platform.Settings, gates gatekeeper.Gates, logger hclog.Logger, client *http.Client) *entry {
 	stream := func(topic string) *platform.Stream {
 		return &platform.Stream{Address: s.LogAddress, Client: client, Topic: topic}
 	}
 	e := &entry{
-		settings: s, logger: logger, workStream: stream(platform.WorkStream), entryStream: stream(platform.EntryStream),
+		settings: s, gates: gates, logger: logger, workStream: stream(platform.WorkStream), entryStream: stream(platform.EntryStream),
 		incarnation: rand.Text()[:12], servers: &serverGroup{logger: logger}, goroutines: newGoroutineGroup(),
 	}
 	catalog := &queuecataloger.Cataloger{}
@@ -91,7 +94,7 @@
 	e.watcher.Init()
 	e.leader = &leader.Leader{
 		Journal: e.workStream, Logger: logger, Name: s.VMName, Incarnation: e.incarnation, Address: s.PeerAddress,
-		Settings:   planner.Settings{MaxLease: s.MaxLease, FarFactor: s.FarFactor, MaxRequestAge: s.EvacuationBound / 2},
+		Settings:   planner.Settings{MaxLease: s.MaxLease, FarFactor: s.FarFactor, MaxRequestAge: s.EvacuationBound / 2, Gates: gates},
 		Evacuation: e.watcher.Evacuation, Client: client, CPUShare: s.CPUShare, MaxAppendBytes: s.MaxAppendBytes,
 	}
 	if s.PolicyAddress.IsValid() {
@@ -102,12 +105,13 @@
 	e.leader.Follower, e.leader.Agents = e.follower, e.broker
 	e.acceptor = &jobacceptor.Acceptor{
 		Journal: e.workStream, Follower: e.follower, Leader: e.leader, Cataloger: catalog, ConfigAge: e.watcher.Age,
-		Logger: logger, MaxRecordBytes: s.MaxRecordBytes,
+		Logger: logger, MaxRecordBytes: s.MaxRecordBytes, Gates: gates,
 	}
 	e.leader.AppendLatency = exporter.NewHistogram("append_us")
 	e.acceptor.AcceptLatency = exporter.NewHistogram("accept_us")
 	exporter.Publish("view_age_us", func() any { return e.follower.Age().Microseconds() })
 	exporter.Publish("leading_epoch", func() any { return e.leader.Leading() })
+	exporter.Publish("without", func() any { return gates.Off() })
 	exporter.Publish("evacuated", func() any { return e.watcher.Evacuation() })
 	exporter.Publish("unserved_requests", func() any { return e.watcher.Unserved() })
 	exporter.Publish("refused_for_room", func() any { return e.acceptor.RefusedForRoom() })
@@ -128,6 +132,9 @@
 		Name: e.settings.VMName, Follower: e.follower, Planners: e.leader, FindQueue: e.acceptor.FindQueue, Decode: platform.DecodeJob,
 		Situation: e.acceptor.Situation, Client: e.leader.Client, Logger: e.logger,
 	}).Methods(http.MethodPost)
+	peers.Handle(statusreporter.Path, &statusreporter.Reporter{
+		Entry: e.settings.VMName, Domain: e.settings.Domain, Follower: e.follower, Cataloger: e.acceptor.Cataloger, Gates: e.gates, Logger: e.logger,
+	}).Methods(http.MethodGet)
 	peers.HandleFunc(leader.IncarnationPath, e.leader.ServeIncarnation).Methods(http.MethodGet)
 	handlers := []struct {
 		address netip.AddrPort
@@ -147,7 +154,7 @@
 	e.goroutines.run(e.watcher.Run)
 	e.goroutines.run(e.leader.Run)
 	e.goroutines.run(e.announce)
-	e.logger.Info("start", "role", "entry", "life", e.incarnation, "clients", e.settings.ClientAddress.String(), "store", e.settings.LogAddress.String())
+	e.logger.Info("start", "role", "entry", "life", e.incarnation, "clients", e.settings.ClientAddress.String(), "store", e.settings.LogAddress.String(), "without", e.gates.String())
 	return nil
 }
 
--- a/internal/standin/clustersimulator/clustersimulator.go
+++ b/internal/standin/clustersimulator/clustersimulator.go
@@ -72,11 +72,11 @@
 	if workload.Known {
 		s.state.Estimates = s.trueEstimates()
 	}
-	settings.MaxLease, settings.FarFactor, settings.Promises = 6*time.Second, 1.5, workload.Promises
+	settings.MaxLease, settings.FarFactor = 6*time.Second, 1.5
 	s.planner = planner.New(settings, s.state, s.startTime, func(string, ...any) {})
 	for i := range workload.VMs {
 		v := &vm{name: fmt.Sprintf("vm%04d", i), starts: map[string]work.Start{}, pacer: pacer.New(), nextReport: time.Duration(i%5) * timeStep}
-		v.pacer.MaxTargetMiss = maxTargetMiss
+		v.pacer.MaxTargetMiss, v.pacer.Gates = maxTargetMiss, settings.Gates
 		v.workerStatus = work.WorkerStatus{VM: v.name, Incarnation: 1, Pool: poolName, Capacity: work.Size{Millicores: workload.Millis, Memory: workload.Memory}}
 		s.vms = append(s.vms, v)
 		s.planner.RegisterAgent(&work.Hello{WorkerStatus: v.workerStatus, AgentIncarnation: "agent-" + v.name, Host: v.name}, s.startTime)
--- a/internal/wire/admin/admin.go
+++ b/internal/wire/admin/admin.go
@@ -177,6 +177,9 @@
 
 	// The log service does not answer.
 	Stalled bool `json:"stalled" cbor:"stalled" yaml:"stalled"`
+
+	// Names of the mechanisms that are switched off.
+	Without []string `json:"without,omitempty,omitzero" cbor:"without,omitempty" yaml:"without,omitempty"`
 }
 
 // Request to run a declared job.
