--- a/internal/cli/commandrunner/commandrunner.go
+++ b/internal/cli/commandrunner/commandrunner.go
@@ -28,6 +28,7 @@
 	Agent   agentCommand   `cmd:"" help:"Run the agent of a VM."`
 	Site    siteCommand    `cmd:"" help:"Run a process on the users' platform."`
 	Explain explainCommand `cmd:"" help:"Explain from logs what became of a job."`
+	Losses  lossesCommand  `cmd:"" help:"Tell from logs what late jobs lost their time to."`
 	Check   checkCommand   `cmd:"" help:"Check declaration files."`
 	Publish publishCommand `cmd:"" help:"Publish declaration files."`
 	Submit  submitCommand  `cmd:"" help:"Submit a run of a job."`
--- a/internal/diagnostic/explainer/explainer.go
+++ b/internal/diagnostic/explainer/explainer.go
@@ -36,20 +36,10 @@
 // that name it, those about the state of VMs that its runs were on, and those
 // about events that affect all work.
 func Read(id string, sources ...io.Reader) (*Timeline, error) {
-	var all []Event
-	for _, source := range sources {
-		scanner := bufio.NewScanner(source)
-		scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
-		for scanner.Scan() {
-			if e, ok := parse(scanner.Text()); ok {
-				all = append(all, e)
-			}
-		}
-		if err := scanner.Err(); err != nil {
-			return nil, err
-		}
+	all, err := ReadEvents(sources...)
+	if err != nil {
+		return nil, err
 	}
-	sort.SliceStable(all, func(i, j int) bool { return all[i].Time.Before(all[j].Time) })
 	timeline := &Timeline{ID: id}
 	vms := map[string]bool{}
 	for _, e := range all {
@@ -70,6 +60,25 @@
 	return timeline, nil
 }
 
+// ReadEvents returns all lines of logs, in order of time.
+func ReadEvents(sources ...io.Reader) ([]Event, error) {
+	var all []Event
+	for _, source := range sources {
+		scanner := bufio.NewScanner(source)
+		scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
+		for scanner.Scan() {
+			if e, ok := parse(scanner.Text()); ok {
+				all = append(all, e)
+			}
+		}
+		if err := scanner.Err(); err != nil {
+			return nil, err
+		}
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].Time.Before(all[j].Time) })
+	return all, nil
+}
+
 // parse reads a JSON log line. Text before the JSON object is ignored.
 func parse(line string) (Event, bool) {
 	start := strings.IndexByte(line, '{')
--- a/internal/frontend/jobacceptor/jobacceptor.go
+++ b/internal/frontend/jobacceptor/jobacceptor.go
@@ -16,6 +16,7 @@
 	"knapweedspur/internal/fault/verdict"
 	"knapweedspur/internal/frontend/admissiondecider"
 	"knapweedspur/internal/frontend/queuecataloger"
+	"knapweedspur/internal/job/jobmeasurer"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/job/leader"
 	"knapweedspur/internal/job/logfollower"
@@ -179,7 +180,7 @@
 		// At level Warn, refusals are not folded into counts under load.
 		level = hclog.Warn
 	}
-	a.Logger.Log(level, "accept", "job", job.ID, "queue", q.Name, "version", version, "outcome", outcomeText(err), "took", time.Since(now).String(), "view", a.Follower.Age().String())
+	a.Logger.Log(level, "accept", "job", job.ID, "queue", q.Name, "kind", jobmeasurer.KindOf(job), "version", version, "outcome", outcomeText(err), "took", time.Since(now).String(), "view", a.Follower.Age().String())
 	return err
 }
 
--- a/internal/job/jobmeasurer/jobmeasurer.go
+++ b/internal/job/jobmeasurer/jobmeasurer.go
@@ -11,6 +11,38 @@
 // LateFactor is how many times its objective a job may take and still be useful.
 const LateFactor = 3
 
+// Kind is a kind of job, by what its tasks need.
+type Kind string
+
+// The kinds of jobs.
+const (
+	// Serving jobs have tasks with a latency objective.
+	Serving Kind = "serving"
+	// Lasting jobs run until they are canceled and serve nobody.
+	Lasting Kind = "lasting"
+	// Filling jobs run on processors that others leave.
+	Filling Kind = "filling"
+	// Plain jobs reserve what they use.
+	Plain Kind = "plain"
+)
+
+// KindOf returns the kind of a job, by its first step.
+func KindOf(j *work.Job) Kind {
+	if len(j.Steps) == 0 {
+		return Plain
+	}
+	switch s := &j.Steps[0]; {
+	case s.LatencyTarget > 0:
+		return Serving
+	case s.Filler:
+		return Filling
+	case s.LongRunning:
+		return Lasting
+	default:
+		return Plain
+	}
+}
+
 // Objective returns the time within which a job should complete.
 func Objective(j *work.Job) time.Duration {
 	return time.Duration(j.Queue.Stretch*float64(Chain(j.Steps))) + j.Queue.Target
--- a/internal/job/planner/durations.go
+++ b/internal/job/planner/durations.go
@@ -148,6 +148,16 @@
 	return sum
 }
 
+// totalWork returns the work of one occurrence, in core-seconds.
+func (pl *Planner) totalWork(j *job) float64 {
+	sum := 0.0
+	for i := range j.record.Steps {
+		spec := &j.record.Steps[i]
+		sum += float64(spec.Tasks) * coreSeconds(spec, pl.expectedStepDuration(j, jobreducer.StepKey{Step: i}))
+	}
+	return sum
+}
+
 // coreSeconds is the work of a task of the given duration.
 func coreSeconds(spec *work.Step, duration time.Duration) float64 {
 	return duration.Seconds() * float64(spec.Size.Millicores) / 1000
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -162,7 +162,12 @@
 	if p == nil && s != nil && s.superseded(index, e) {
 		return
 	}
-	pl.logDecision("end", "task", e.Task, "run", e.Run, "vm", v.name, "how", e.Outcome, "known", p != nil)
+	atFullSpeed := time.Duration(0)
+	if p != nil {
+		p.measureTime(now)
+		atFullSpeed = p.fullSpeedTime
+	}
+	pl.logDecision("end", "task", e.Task, "run", e.Run, "vm", v.name, "how", e.Outcome, "known", p != nil, "full", atFullSpeed)
 	if p != nil {
 		pl.observeEnd(p, e, now)
 		pl.removePlacement(p)
