--- a/internal/standin/standinrunner/standinrunner.go
+++ b/internal/standin/standinrunner/standinrunner.go
@@ -22,6 +22,7 @@
 	Fit      fitCommand      `cmd:"" help:"Fit lines through measured sizes."`
 	Soak     soakCommand     `cmd:"" help:"Run the real programs on loopback under faults by a seed, and check the promises."`
 	Lab      labCommand      `cmd:"" help:"Try decisions in virtual time, without a network."`
+	Compare  compareCommand  `cmd:"" help:"Compare two versions, or one without a mechanism, by pairs of plays."`
 	Verify   verifyCommand   `cmd:"" help:"Check what workers and upstreams saw against the promises."`
 }
 
