--- a/internal/job/planner/cost.go
+++ b/internal/job/planner/cost.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"knapweedspur/internal/job/loaddivider"
 	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
@@ -23,13 +24,8 @@
 	// minServingLoad is the least load assumed of a serving task whose forecast
 	// is not known, because its load varies.
 	minServingLoad = 0.45
-	// minRise avoids a division by zero where a filler adds no load.
-	minRise = 0.001
 	// minPace is the lowest share at which a filler is assumed to run.
 	minPace = 0.05
-	// overloadCost is the cost per unit of load that a filler adds to a serving
-	// task which it pushes over the limit.
-	overloadCost = 2
 	// mixedImagesCost keeps serving tasks of different images on separate VMs.
 	// firstServingCost is the cost of a VM without serving tasks, so that such
 	// VMs stay free of them.
@@ -65,51 +61,39 @@
 	return cost
 }
 
-// fillerCost estimates the time that a filler would take, given the free
-// processors and the pace that the serving tasks beside it allow.
+// fillerCost estimates the time that a filler would take, given the free processors and
+// the pace that its agent will give it beside the serving tasks.
 func (pl *Planner) fillerCost(v *vm, s *step, load float64) float64 {
-	share := float64(s.spec.Size.Millicores) / float64(max(v.workerStatus.Capacity.Millicores, 1))
 	placed := v.fullPaceFillerShares()
-	var paces [forecastSeconds]float64
+	share := float64(s.spec.Size.Millicores) / float64(max(v.workerStatus.Capacity.Millicores, 1))
 	seconds := max(1, min(int(math.Ceil(pl.expectedDuration(s).Seconds())), forecastSeconds))
-	for i := range seconds {
-		paces[i] = 1
-	}
-	excessRise := 0.0
+	var servings []loaddivider.Serving
+	seen := map[*step]bool{}
 	for _, p := range v.runs {
-		serving := p.step.spec
-		if serving.LatencyTarget <= 0 {
+		if p.step.spec.LatencyTarget <= 0 || seen[p.step] {
 			continue
 		}
-		rise := share * pl.interference.Weight(s.spec.Image, serving.Image)
-		placedRise := pl.interference.AddedLoad(serving.Image, placed)
-		for i := range seconds {
-			ownLoad := p.expectedLoad(i)
-			if ownLoad+placedRise+rise <= servingLoadLimit {
-				continue
-			}
-			paces[i] = min(paces[i], max((servingLoadLimit-ownLoad-placedRise)/max(rise, minRise), minPace))
-			excessRise = max(excessRise, rise)
+		seen[p.step] = true
+		serving := loaddivider.Serving{Loads: p.expectedLoads(), Weight: pl.interference.Weight(s.spec.Image, p.step.spec.Image)}
+		for image, placedShare := range placed {
+			serving.Parts = append(serving.Parts, loaddivider.Part{Weight: pl.interference.Weight(image, p.step.spec.Image), Share: placedShare})
 		}
+		servings = append(servings, serving)
 	}
-	pace := 0.0
-	for i := range seconds {
-		pace += paces[i] / float64(seconds)
-	}
-	return max(1, load)/pace + loadCost*load + overloadCost*excessRise
+	pace := max(loaddivider.Predict(servings, share, servingLoadLimit, seconds), minPace)
+	return max(1, load)/pace + loadCost*load
 }
 
-// expectedLoad returns the expected load of a serving run after the given number
-// of seconds. A new leader has the measured load of a run before it has learned
-// that of the step.
-func (p *placement) expectedLoad(seconds int) float64 {
+// expectedLoads returns the expected loads of a serving run in the next seconds. A new
+// leader has the measured load of a run before it has learned that of the step.
+func (p *placement) expectedLoads() []float64 {
 	switch s := p.step; {
 	case s.forecastLoads != nil:
-		return s.forecastLoads[seconds]
+		return s.forecastLoads
 	case s.load > 0:
-		return max(s.load, minServingLoad)
+		return []float64{max(s.load, minServingLoad)}
 	default:
-		return max(p.measuredLoad(), minServingLoad)
+		return []float64{max(p.measuredLoad(), minServingLoad)}
 	}
 }
 
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -254,7 +254,7 @@
 
 // maxFillerCost is the cost above which a filler waits instead of taking memory
 // on a VM where it would make little progress.
-const maxFillerCost = 2.0
+const maxFillerCost = 1.5
 
 // maxFillerWaitFactor is how many times its objective a filler may wait before
 // it accepts any cost. By then it is far too late for its result to be useful.
--- a/internal/sidecar/pacer/pacer.go
+++ b/internal/sidecar/pacer/pacer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"knapweedspur/internal/job/estimator"
+	"knapweedspur/internal/job/loaddivider"
 	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
@@ -15,9 +16,6 @@
 	// maxLoad is the load of a serving task up to which fillers may add load.
 	// The task's latency reaches its objective at a load of 0.8.
 	maxLoad = 0.77
-	// minBudget is the load that fillers may add even if the serving task alone
-	// exceeds maxLoad, so that fillers with little interference keep running.
-	minBudget = 0.05
 	// distrustRatio is the ratio of tail latency to objective above which trust
 	// in the model falls, recoveryRatio the one below which it rises again.
 	distrustRatio = 0.9
@@ -40,8 +38,6 @@
 	levelSmoothing = 0.4
 	// defaultWeight is assumed for pairs of images without a learned weight.
 	defaultWeight = 1.0
-	// negligibleWeight is the weight up to which a filler is not throttled.
-	negligibleWeight = 0.05
 	// slopeSmoothing is the weight of a new sample in the rate at which a load
 	// changes. minElapsed is the least time in seconds by which the change of a
 	// sample is divided.
@@ -61,9 +57,6 @@
 	// minRaiseInterval is the shortest time between two decisions that raise
 	// paces.
 	minRaiseInterval = 300 * time.Millisecond
-	// bisectionSteps are enough to find the limit on weight times pace to well
-	// within one paceStep.
-	bisectionSteps = 12
 )
 
 // imagePair holds the image of a filler and that of a serving task beside it.
@@ -167,7 +160,7 @@
 	}
 	peaks := p.peaks.Observe(shares, now)
 	for _, s := range servingTasks {
-		budget := max(maxLoad-p.ownLoad(s, peaks, now), minBudget)
+		budget := max(maxLoad-p.ownLoad(s, peaks, now), loaddivider.MinBudget)
 		p.limitPaces(fillers, s.image, budget*p.trust)
 	}
 	return p.changes(fillers, now)
@@ -299,34 +292,16 @@
 // tasks of an image is within the budget. It lowers those with the greatest weight
 // first, down to a common limit on weight times pace.
 func (p *Pacer) limitPaces(fillers []filler, servingImage string, budget float64) {
-	if p.addedLoad(fillers, servingImage, 1e9) <= budget {
-		return
-	}
-	low, high := 0.0, 10.0
-	for range bisectionSteps {
-		middle := (low + high) / 2
-		if p.addedLoad(fillers, servingImage, middle) > budget {
-			high = middle
-		} else {
-			low = middle
-		}
-	}
+	parts := make([]loaddivider.Part, len(fillers))
 	for i := range fillers {
 		f := &fillers[i]
-		if w := p.weight(f.image, servingImage); w > negligibleWeight {
-			f.pace = min(f.pace, low/w)
-		}
+		parts[i] = loaddivider.Part{Weight: p.weight(f.image, servingImage) * f.pace, Share: f.fullShare}
 	}
-}
-
-// addedLoad returns the load that fillers add if weight times pace is limited.
-func (p *Pacer) addedLoad(fillers []filler, servingImage string, limit float64) float64 {
-	sum := 0.0
+	limit := loaddivider.Limit(parts, budget)
 	for i := range fillers {
 		f := &fillers[i]
-		sum += f.fullShare * min(p.weight(f.image, servingImage)*f.pace, limit)
+		f.pace = min(f.pace, loaddivider.Pace(p.weight(f.image, servingImage), limit))
 	}
-	return sum
 }
 
 // changes returns the paces that differ from the confirmed ones. A pace is
