--- a/internal/job/durationestimator/durationestimator.go
+++ b/internal/job/durationestimator/durationestimator.go
@@ -44,6 +44,10 @@
 	// durations in seconds at full speed.
 	Ended  int
 	LogSum float64
+	// LogSquares is the sum of the squares of these logarithms, Longest the longest of
+	// the durations.
+	LogSquares float64
+	Longest    time.Duration
 	// Elapsed is how long the most advanced running task ran, at full speed, for
 	// Percent of its work.
 	Elapsed time.Duration
@@ -54,6 +58,14 @@
 func (o *Observation) Add(duration time.Duration) {
 	o.Ended++
 	o.LogSum += logSeconds(duration)
+	o.LogSquares += logSeconds(duration) * logSeconds(duration)
+	o.Longest = max(o.Longest, duration)
+}
+
+// variance returns the variance of the logarithms of the tasks that ended.
+func (o *Observation) variance() float64 {
+	n := float64(o.Ended)
+	return max((o.LogSquares-o.LogSum*o.LogSum/n)/(n-1), 0)
 }
 
 // moments are a mean and a variance that forget.
@@ -72,6 +84,8 @@
 type learned struct {
 	// ratio is that of real to declared durations, duration the real one in seconds.
 	ratio, duration moments
+	// uneven is the variance among the tasks of one step, for a queue.
+	uneven moments
 	// changed numbers the last change; the entry with the lowest is dropped first.
 	changed int64
 }
@@ -106,6 +120,9 @@
 		l.duration.add(duration)
 		l.changed = e.changes
 	}
+	if observed.Ended > 1 {
+		e.queue(kind.Queue).uneven.add(observed.variance())
+	}
 	e.shrink(kind.Queue)
 }
 
@@ -160,6 +177,28 @@
 	return time.Duration(math.Exp(sum/precision) * float64(time.Second))
 }
 
+// Longest returns the duration to expect of the longest task of a step, given that of
+// its tasks. A step ends with that one. Tasks of a step count as alike until steps of the
+// queue show otherwise.
+func (e *Estimator) Longest(queue string, expected time.Duration, tasks int, observed Observation) time.Duration {
+	variance := 0.0
+	if l := e.queues[queue]; l != nil {
+		variance = l.uneven.mean * l.uneven.count / (l.uneven.count + 1)
+	}
+	factor := math.Exp(math.Sqrt(variance) * expectedMaximum(tasks))
+	return max(time.Duration(factor*float64(expected)), observed.Longest)
+}
+
+// expectedMaximum returns the mean of the largest of n standard normal values, by Blom's
+// approximation.
+func expectedMaximum(n int) float64 {
+	if n < 2 {
+		return 0
+	}
+	p := (float64(n) - 0.375) / (float64(n) + 0.25)
+	return math.Sqrt2 * math.Erfinv(2*p-1)
+}
+
 // blend returns the moments to expect where prior holds in general and m was seen.
 func blend(prior, m moments) moments {
 	weight := m.count / (m.count + priorCount)
--- a/internal/job/durationestimator/durationestimator_test.go
+++ b/internal/job/durationestimator/durationestimator_test.go
@@ -138,3 +138,40 @@
 	}
 	wantNear(t, "next leader", next.Expected(sheets, time.Second, Observation{}), e.Expected(sheets, time.Second, Observation{}), 0.02)
 }
+
+// A step ends with its longest task. The factor follows the number of tasks and how
+// uneven those of the queue were, also with the next leader.
+func TestLongestTaskIsExpectedFromTheSpread(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	for _, spread := range []float64{0, 0.3, 0.5} {
+		e := New()
+		longest, expected := 0.0, 0.0
+		const steps, tasks = 400, 8
+		for i := range steps {
+			var o Observation
+			worst := 0.0
+			for range tasks {
+				seconds := 2 * math.Exp(spread*random.NormFloat64())
+				worst = max(worst, seconds)
+				o.Add(time.Duration(seconds * float64(time.Second)))
+			}
+			if i >= steps/2 {
+				longest += math.Log(worst) / (steps / 2)
+				expected += logSeconds(e.Longest(sheets.Queue, 2*time.Second, tasks, Observation{})) / (steps / 2)
+			}
+			e.Learn(sheets, 2*time.Second, o)
+		}
+		if math.Abs(longest-expected) > 0.1 {
+			t.Errorf("spread %.1f: the longest task takes %.2f s, expected %.2f s", spread, math.Exp(longest), math.Exp(expected))
+		}
+		next := New()
+		next.Restore(e.Table())
+		wantNear(t, "next leader", next.Longest(sheets.Queue, time.Second, tasks, Observation{}), e.Longest(sheets.Queue, time.Second, tasks, Observation{}), 0.05)
+	}
+	if got := New().Longest("x", time.Second, 1, Observation{}); got != time.Second {
+		t.Errorf("a single task is expected to take %s, want 1s", got)
+	}
+	if got := New().Longest("x", time.Second, 4, Observation{Longest: 5 * time.Second}); got != 5*time.Second {
+		t.Errorf("a task took 5 s, expected %s", got)
+	}
+}
--- a/internal/job/durationestimator/table.go
+++ b/internal/job/durationestimator/table.go
@@ -16,7 +16,7 @@
 	// MaxRecordBytes bounds the encoded table, entryBytes is the most that an entry
 	// takes there without its names.
 	MaxRecordBytes = 4096
-	entryBytes     = 96
+	entryBytes     = 106
 	// unit is that of stored logarithms: a hundredth.
 	unit = 100
 )
@@ -89,7 +89,7 @@
 		table.Kinds = append(table.Kinds, work.LearnedDuration{
 			Queue: x.kind.Queue, Image: x.kind.Image, Step: x.kind.Step, Count: round(l.ratio.count),
 			RatioMean: round(l.ratio.mean), RatioVariance: round(l.ratio.variance),
-			DurationMean: round(l.duration.mean), DurationVariance: round(l.duration.variance),
+			DurationMean: round(l.duration.mean), DurationVariance: round(l.duration.variance), TaskVariance: round(l.uneven.mean),
 		})
 	}
 	return table
@@ -111,6 +111,9 @@
 		l.changed = e.changes
 		l.ratio = moments{count, clip(value(d.RatioMean)), value(d.RatioVariance)}
 		l.duration = moments{count, value(d.DurationMean), value(d.DurationVariance)}
+		if d.Step == allSteps {
+			l.uneven = moments{count: count, mean: value(d.TaskVariance)}
+		}
 	}
 }
 
--- a/internal/job/planner/durations.go
+++ b/internal/job/planner/durations.go
@@ -41,6 +41,19 @@
 	return s.expected
 }
 
+// longestDuration returns how long the longest task of a step is expected to take.
+func (pl *Planner) longestDuration(j *job, key jobreducer.StepKey) time.Duration {
+	spec, expected := &j.record.Steps[key.Step], pl.expectedStepDuration(j, key)
+	if spec.LongRunning || !pl.Settings.Gates.On(gatekeeper.Durations) {
+		return expected
+	}
+	var observed durationestimator.Observation
+	if s := j.steps[key]; s != nil {
+		observed = s.observed
+	}
+	return pl.durations.Longest(j.record.Queue.Name, expected, spec.Tasks, observed)
+}
+
 // knowledge is what an expected duration rests on.
 type knowledge struct {
 	changes  int64
@@ -180,7 +193,7 @@
 	steps := j.record.Steps
 	longest := make([]time.Duration, len(steps))
 	for i := len(steps) - 1; i >= 0; i-- {
-		longest[i] += pl.expectedStepDuration(j, jobreducer.StepKey{Occurrence: occurrence, Step: i})
+		longest[i] += pl.longestDuration(j, jobreducer.StepKey{Occurrence: occurrence, Step: i})
 		for _, dependency := range steps[i].DependsOn {
 			longest[dependency] = max(longest[dependency], longest[i])
 		}
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -265,6 +265,9 @@
 
 	// Position in the job, -1 for all.
 	Step int `json:"step" cbor:"step" yaml:"step"`
+
+	// Variance of the logarithms of the tasks of one step; 0 for an image.
+	TaskVariance int `json:"uneven" cbor:"uneven" yaml:"uneven"`
 }
 
 // What a leader has learned about durations of tasks.
