--- a/internal/job/planner/durations.go
+++ b/internal/job/planner/durations.go
@@ -178,8 +178,18 @@
 
 // timeObjective returns the time within which an occurrence should complete.
 func (pl *Planner) timeObjective(j *job, occurrence int) time.Duration {
+	return objectiveOf(j, pl.chains(j, occurrence))
+}
+
+// exactObjective is timeObjective by the longest task of each step, for the log.
+func (pl *Planner) exactObjective(j *job, occurrence int) time.Duration {
+	return objectiveOf(j, chainsBy(j, occurrence, pl.longestDuration))
+}
+
+// objectiveOf returns the objective of a job with the given chains.
+func objectiveOf(j *job, chains []time.Duration) time.Duration {
 	longest := time.Duration(0)
-	for i, chain := range pl.chains(j, occurrence) {
+	for i, chain := range chains {
 		if len(j.record.Steps[i].DependsOn) == 0 {
 			longest = max(longest, chain)
 		}
@@ -190,10 +200,15 @@
 // chains returns, for each step of an occurrence, the longest expected time from the
 // start of the step to the end of the job.
 func (pl *Planner) chains(j *job, occurrence int) []time.Duration {
+	return chainsBy(j, occurrence, pl.expectedStepDuration)
+}
+
+// chainsBy is chains, given how long a step takes.
+func chainsBy(j *job, occurrence int, duration func(*job, jobreducer.StepKey) time.Duration) []time.Duration {
 	steps := j.record.Steps
 	longest := make([]time.Duration, len(steps))
 	for i := len(steps) - 1; i >= 0; i-- {
-		longest[i] += pl.longestDuration(j, jobreducer.StepKey{Occurrence: occurrence, Step: i})
+		longest[i] += duration(j, jobreducer.StepKey{Occurrence: occurrence, Step: i})
 		for _, dependency := range steps[i].DependsOn {
 			longest[dependency] = max(longest[dependency], longest[i])
 		}
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -183,7 +183,7 @@
 func (pl *Planner) finishJob(j *job, state string, now time.Time) {
 	j.outcome = &work.Outcome{State: state, EndedAt: now, Queue: j.record.Queue.Name}
 	pl.records = append(pl.records, jobreducer.OutcomeRecord(j.id, j.outcome))
-	pl.logDecision("finish", "job", j.id, "state", state, "after", now.Sub(j.record.AcceptedAt), "objective", pl.timeObjective(j, 0), "work", int(pl.totalWork(j)))
+	pl.logDecision("finish", "job", j.id, "state", state, "after", now.Sub(j.record.AcceptedAt), "objective", pl.exactObjective(j, 0), "work", int(pl.totalWork(j)))
 	for _, s := range j.steps {
 		for i := range s.tasks {
 			pl.stopTaskRuns(s, i, state, now)
--- a/internal/job/planner/order.go
+++ b/internal/job/planner/order.go
@@ -250,7 +250,7 @@
 	if s.waiting > 0 || s.running == 0 {
 		return 0
 	}
-	return time.Duration(float64(pl.longestDuration(s.job, s.key)) * float64(s.leastProgress) / fullProgress)
+	return time.Duration(float64(pl.expectedDuration(s)) * float64(s.leastProgress) / fullProgress)
 }
 
 // sequenceCapacity returns the cores on which the jobs of a kind can count.
