--- a/internal/job/loaddivider/loaddivider.go
+++ b/internal/job/loaddivider/loaddivider.go
@@ -30,10 +30,6 @@
 // Limit sorts the parts.
 func Limit(parts []Part, budget float64) float64 {
 	slices.SortFunc(parts, func(a, b Part) int { return cmp.Compare(a.Weight, b.Weight) })
-	return limitSorted(parts, budget)
-}
-
-func limitSorted(parts []Part, budget float64) float64 {
 	rest := 0.0
 	for _, p := range parts {
 		rest += p.Share
@@ -58,33 +54,22 @@
 
 // Serving is a serving task as a further filler would find it.
 type Serving struct {
-	// Loads are its expected loads in the next seconds, without fillers.
-	Loads []float64
+	// Load is its load without fillers.
+	Load float64
 	// Parts are the fillers beside it.
 	Parts []Part
 	// Weight is that of the further filler.
 	Weight float64
 }
 
-// Predict returns the mean pace of a further filler that uses a share of the VM, if the
-// load of no serving task may rise above maxLoad.
-func Predict(servings []Serving, share, maxLoad float64, seconds int) float64 {
-	paces := make([]float64, seconds)
-	for i := range paces {
-		paces[i] = 1
-	}
+// Predict returns the pace, from 0 to 1, of a further filler that uses a share of the VM,
+// if the load of no serving task may rise above maxLoad.
+func Predict(servings []Serving, share, maxLoad float64) float64 {
+	pace := 1.0
 	for i := range servings {
 		s := &servings[i]
-		parts := append(s.Parts, Part{s.Weight, share})
-		slices.SortFunc(parts, func(a, b Part) int { return cmp.Compare(a.Weight, b.Weight) })
-		for second := range paces {
-			budget := max(maxLoad-s.Loads[min(second, len(s.Loads)-1)], MinBudget)
-			paces[second] = min(paces[second], Pace(s.Weight, limitSorted(parts, budget)))
-		}
-	}
-	sum := 0.0
-	for _, pace := range paces {
-		sum += pace
+		limit := Limit(append(s.Parts, Part{s.Weight, share}), max(maxLoad-s.Load, MinBudget))
+		pace = min(pace, Pace(s.Weight, limit))
 	}
-	return sum / float64(max(seconds, 1))
+	return pace
 }
--- a/internal/job/planner/cost.go
+++ b/internal/job/planner/cost.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -21,8 +20,8 @@
 	// servingLoadLimit is the load of a serving task up to which fillers are
 	// placed beside it. Above it the agent slows fillers down.
 	servingLoadLimit = 0.68
-	// minServingLoad is the least load assumed of a serving task whose forecast
-	// is not known, because its load varies.
+	// minServingLoad is the least load assumed of a serving task, because its load
+	// varies.
 	minServingLoad = 0.45
 	// minPace is the lowest share at which a filler is assumed to run.
 	minPace = 0.05
@@ -66,7 +65,6 @@
 func (pl *Planner) fillerCost(v *vm, s *step, load float64) float64 {
 	placed := v.fullPaceFillerShares()
 	share := float64(s.spec.Size.Millicores) / float64(max(v.workerStatus.Capacity.Millicores, 1))
-	seconds := max(1, min(int(math.Ceil(pl.expectedDuration(s).Seconds())), forecastSeconds))
 	var servings []loaddivider.Serving
 	seen := map[*step]bool{}
 	for _, p := range v.runs {
@@ -74,27 +72,23 @@
 			continue
 		}
 		seen[p.step] = true
-		serving := loaddivider.Serving{Loads: p.expectedLoads(), Weight: pl.interference.Weight(s.spec.Image, p.step.spec.Image)}
+		serving := loaddivider.Serving{Load: p.expectedLoad(), Weight: pl.interference.Weight(s.spec.Image, p.step.spec.Image)}
 		for image, placedShare := range placed {
 			serving.Parts = append(serving.Parts, loaddivider.Part{Weight: pl.interference.Weight(image, p.step.spec.Image), Share: placedShare})
 		}
 		servings = append(servings, serving)
 	}
-	pace := max(loaddivider.Predict(servings, share, servingLoadLimit, seconds), minPace)
+	pace := max(loaddivider.Predict(servings, share, servingLoadLimit), minPace)
 	return max(1, load)/pace + loadCost*load
 }
 
-// expectedLoads returns the expected loads of a serving run in the next seconds. A new
-// leader has the measured load of a run before it has learned that of the step.
-func (p *placement) expectedLoads() []float64 {
-	switch s := p.step; {
-	case s.forecastLoads != nil:
-		return s.forecastLoads
-	case s.load > 0:
-		return []float64{max(s.load, minServingLoad)}
-	default:
-		return []float64{max(p.measuredLoad(), minServingLoad)}
+// expectedLoad returns the load of a serving run without fillers. A new leader has the
+// measured load of a run before it has learned that of the step.
+func (p *placement) expectedLoad() float64 {
+	if load := p.step.load; load > 0 {
+		return max(load, minServingLoad)
 	}
+	return max(p.measuredLoad(), minServingLoad)
 }
 
 // fullPaceFillerShares returns, by image, the shares of the VM that fillers use
--- a/internal/job/planner/interference.go
+++ b/internal/job/planner/interference.go
@@ -18,9 +18,6 @@
 	// saveInterval is the interval at which the learned estimates are written
 	// to the log, so that the next leader does not start without them.
 	saveInterval = 2 * time.Second
-	// forecastSeconds is how far ahead the load of a serving step is forecast,
-	// in seconds. A filler that is slowed later than that can be moved.
-	forecastSeconds = 4
 	// varianceFloor keeps the weight of a sample finite if no fillers run
 	// beside the task.
 	varianceFloor = 0.03
@@ -50,10 +47,6 @@
 	for _, s := range steps {
 		list := samples[s]
 		s.load = pl.ownLoad(s.spec.Image, list)
-		s.forecast.Observe(s.load, now)
-		if pl.Settings.Gates.On(gatekeeper.Forecast) {
-			s.forecastLoads = s.forecast.Predict(forecastSeconds)
-		}
 		if !pl.Settings.Gates.On(gatekeeper.Weights) {
 			continue
 		}
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"knapweedspur/internal/job/durationestimator"
-	"knapweedspur/internal/job/estimator"
 	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/job/sequencer"
@@ -58,12 +57,8 @@
 	startedAt time.Time
 	// load is the load of a serving step without the effect of fillers, from 0
 	// to 1. It is 0 while unknown.
-	load     float64
-	forecast estimator.Forecast
-	// forecastLoads are the expected loads in the next seconds, nil while they
-	// are not known.
-	forecastLoads []float64
-	rates         healthtracker.Rates
+	load  float64
+	rates healthtracker.Rates
 	// endedTimes are the times of the latest runs that completed.
 	endedTimes []time.Duration
 	// avoidsSince is since when tasks wait although a VM that is on probation has room,
--- a/internal/setting/gatekeeper/gatekeeper.go
+++ b/internal/setting/gatekeeper/gatekeeper.go
@@ -25,7 +25,6 @@
 	Moves
 	Pacing
 	Trend
-	Forecast
 	Weights
 	Grouping
 	Batching
@@ -56,7 +55,6 @@
 	Moves:      {Name: "moves", Does: "moves slow fillers to better VMs", Instead: "fillers stay where they began"},
 	Pacing:     {Name: "pacing", Does: "slows fillers beside serving tasks", Instead: "fillers run at full pace", Guards: "the latency objectives of serving tasks"},
 	Trend:      {Name: "trend", Does: "extrapolates rising loads when it paces", Instead: "paces follow the last measured load"},
-	Forecast:   {Name: "forecast", Does: "foresees the load of serving tasks", Instead: "their present load is assumed to last"},
 	Weights:    {Name: "weights", Does: "learns which fillers slow which serving tasks", Instead: "all pairs count the same"},
 	Grouping:   {Name: "grouping", Does: "places serving tasks of one image together", Instead: "they go to the fullest VM"},
 	Batching:   {Name: "batching", Does: "places new serving tasks in batches", Instead: "each is placed as it comes"},
