--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -19,6 +19,7 @@
 	"knapweedspur/internal/job/healthtracker"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/job/reserver"
+	"knapweedspur/internal/job/roomkeeper"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
@@ -59,7 +60,7 @@
 
 	// shortWork is the demand of short jobs by pool. crowdedPools are the pools in
 	// which long-running tasks ask for the room that is kept for short jobs.
-	shortWork    map[string]*shortWork
+	shortWork    map[string]*roomkeeper.Demand
 	crowdedPools map[string]bool
 	// lastArrivals is when the last job of each pool was added.
 	lastArrivals map[string]time.Time
@@ -215,7 +216,7 @@
 		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
 		copyBudget: copier.Budget{MaxWaste: settings.MaxWaste}, interference: estimator.NewInterference(), durations: durationestimator.New(),
 		speeds:    estimator.NewSpeeds(),
-		shortWork: map[string]*shortWork{}, fillerShares: map[string]*fillerShare{}, outlook: newOutlook(),
+		shortWork: map[string]*roomkeeper.Demand{}, fillerShares: map[string]*fillerShare{}, outlook: newOutlook(),
 		promises: promises{byPool: map[string]*reserver.Reserver{}, heldBack: map[*step]heldBack{}},
 		crashes:  crashes{suspects: map[taskRef]suspicion{}},
 	}
--- a/internal/job/planner/room.go
+++ b/internal/job/planner/room.go
@@ -1,70 +1,13 @@
 package planner
 
 import (
-	"math"
 	"time"
 
+	"knapweedspur/internal/job/roomkeeper"
 	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
 
-// Long-running tasks reserve processors for far longer than short jobs have time
-// to wait. Where clients ask for more long-running tasks than fit, those that
-// arrive first would reserve every VM in full, and short jobs would miss their
-// objectives. So a share of the processors is kept free of long-running tasks, as
-// large as the short jobs that arrive need.
-
-const (
-	// shortWorkWindow is the time constant over which the demand of short jobs is
-	// averaged.
-	shortWorkWindow = 20 * time.Second
-	// initialShortShare is the demand of short jobs, as a share of the processors,
-	// that a leader assumes at first. The assumption fades with shortWorkWindow.
-	initialShortShare = 0.08
-	// roomFactor is how many times the mean demand of short jobs is kept free,
-	// because they arrive in bursts and do not fill gaps exactly.
-	roomFactor = 2.0
-	// minKeptShare is the share below which no room is kept, maxKeptShare the most
-	// that is kept.
-	minKeptShare, maxKeptShare = 0.01, 0.25
-)
-
-// shortWork averages the demand of jobs whose steps reserve processors for a
-// short time.
-type shortWork struct {
-	startedAt time.Time
-	// millicores is the mean demand of the jobs seen so far at updatedAt.
-	millicores float64
-	updatedAt  time.Time
-}
-
-// observe adds the work of a step. It counts for no more than all its tasks at once.
-func (w *shortWork) observe(spec *work.Step, now time.Time) {
-	w.millicores = w.observed(now)
-	w.updatedAt = now
-	duration := min(spec.EstimatedDuration, shortWorkWindow)
-	w.millicores += float64(spec.Tasks*spec.Size.Millicores) * duration.Seconds() / shortWorkWindow.Seconds()
-}
-
-func (w *shortWork) observed(now time.Time) float64 {
-	return w.millicores * decay(now.Sub(w.updatedAt))
-}
-
-// keptShare returns the share of the processors to keep free of long-running
-// tasks, given those of all VMs in millicores.
-func (w *shortWork) keptShare(capacity int, now time.Time) float64 {
-	demand := w.observed(now)/float64(max(capacity, 1)) + initialShortShare*decay(now.Sub(w.startedAt))
-	share := roomFactor * demand
-	if share < minKeptShare {
-		return 0
-	}
-	return min(share, maxKeptShare)
-}
-
-func decay(elapsed time.Duration) float64 {
-	return math.Exp(-elapsed.Seconds() / shortWorkWindow.Seconds())
-}
-
 // observeShortWork adds the work of a new job to the demand in its pool, but for
 // steps that are too large for any VM.
 func (pl *Planner) observeShortWork(job *work.Job, now time.Time) {
@@ -76,18 +19,16 @@
 	}
 	for i := range job.Steps {
 		if spec := &job.Steps[i]; !spec.LongRunning && !spec.Filler && spec.Size.Millicores <= largest {
-			pl.poolShortWork(job.Queue.Pool).observe(spec, now)
+			pl.poolShortWork(job.Queue.Pool).Observe(spec, now)
 		}
 	}
 }
 
-func (pl *Planner) poolShortWork(pool string) *shortWork {
-	w := pl.shortWork[pool]
-	if w == nil {
-		w = &shortWork{startedAt: pl.termStart, updatedAt: pl.termStart}
-		pl.shortWork[pool] = w
+func (pl *Planner) poolShortWork(pool string) *roomkeeper.Demand {
+	if pl.shortWork[pool] == nil {
+		pl.shortWork[pool] = roomkeeper.NewDemand(pl.termStart)
 	}
-	return w
+	return pl.shortWork[pool]
 }
 
 // reservesForLong reports whether the tasks of a step reserve processors for far
@@ -124,7 +65,7 @@
 			reserved += min(v.longRunningMillicores, v.workerStatus.Capacity.Millicores)
 		}
 	}
-	share := pl.poolShortWork(pool).keptShare(capacity, now)
+	share := pl.poolShortWork(pool).KeptShare(capacity, now)
 	return float64(reserved) <= (1-share)*float64(capacity)
 }
 
--- a/internal/job/planner/room_test.go
+++ b/internal/job/planner/room_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/job/roomkeeper"
 	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/wire/work"
 )
@@ -133,7 +134,7 @@
 func TestJobTooLargeForAnyVMTakesNoRoom(t *testing.T) {
 	s := newSimulation(t)
 	s.addVM("a", 10_000, 1000)
-	s.advance(6 * shortWorkWindow)
+	s.advance(6 * roomkeeper.Window)
 	s.submitJob(jobID(1), stepSpec(100, 20_000))
 	s.submitJob(jobID(2), longRunningStep(5, 2000))
 	s.advance(time.Second)
@@ -151,7 +152,7 @@
 	if got := len(s.placements(jobID(1))); got != 4 {
 		t.Fatalf("%d tasks run at first, want 4", got)
 	}
-	s.advance(6 * shortWorkWindow)
+	s.advance(6 * roomkeeper.Window)
 	if got := len(s.placements(jobID(1))); got != 5 {
 		t.Errorf("%d tasks run when no short job came, want all 5", got)
 	}
