--- a/internal/standin/paircomparer/paircomparer.go
+++ b/internal/standin/paircomparer/paircomparer.go
@@ -24,8 +24,13 @@
 	// Lost is the lost worth, as a share of what the day owes, by cause and by the second
 	// from which the request came.
 	Lost map[string]map[int]float64
+	// LostBy is the same by kind of request and cause.
+	LostBy map[LossKey]float64
 }
 
+// LossKey is a kind of request and a cause of its lost worth.
+type LossKey struct{ Kind, Cause string }
+
 // Pair is a day that both sides have played.
 type Pair struct {
 	Site, Day  string
--- a/internal/standin/paircomparer/table.go
+++ b/internal/standin/paircomparer/table.go
@@ -1,6 +1,7 @@
 package paircomparer
 
 import (
+	"cmp"
 	"fmt"
 	"html/template"
 	"io"
@@ -22,10 +23,41 @@
 		fmt.Fprintf(&b, "| %s | %s | %.*f | %.*f | %+.*f ± %.*f | %d |\n", r.Group, r.Metric, digits, r.Base, digits, r.With,
 			digits, r.Difference.Mean, digits, r.Difference.Half, r.Difference.Count)
 	}
+	b.WriteString(lossTable(pairs))
 	fmt.Fprintf(&b, "\nBroken rules: base %s; with %s\n", brokenIn(pairs, func(p *Pair) *Outcome { return &p.Base }), brokenIn(pairs, func(p *Pair) *Outcome { return &p.With }))
 	return b.String()
 }
 
+// lossTable returns what was lost by kind and cause, as shares of what a day owes.
+func lossTable(pairs []Pair) string {
+	base, with := meanLossesBy(pairs, func(p *Pair) *Outcome { return &p.Base }), meanLossesBy(pairs, func(p *Pair) *Outcome { return &p.With })
+	keys := maps.Clone(base)
+	maps.Copy(keys, with)
+	if len(keys) == 0 {
+		return ""
+	}
+	var b strings.Builder
+	b.WriteString("\n| lost by | to | base | with |\n|---|---|---|---|\n")
+	sorted := slices.SortedFunc(maps.Keys(keys), func(x, y LossKey) int {
+		return cmp.Or(cmp.Compare(x.Kind, y.Kind), cmp.Compare(base[y], base[x]), cmp.Compare(x.Cause, y.Cause))
+	})
+	for _, k := range sorted {
+		fmt.Fprintf(&b, "| %s | %s | %.4f | %.4f |\n", k.Kind, k.Cause, base[k], with[k])
+	}
+	return b.String()
+}
+
+// meanLossesBy returns the mean losses of one side by kind and cause.
+func meanLossesBy(pairs []Pair, side func(*Pair) *Outcome) map[LossKey]float64 {
+	means := map[LossKey]float64{}
+	for i := range pairs {
+		for k, lost := range side(&pairs[i]).LostBy {
+			means[k] += lost / float64(len(pairs))
+		}
+	}
+	return means
+}
+
 func seedsOf(pairs []Pair) string {
 	seeds := map[uint64]bool{}
 	for i := range pairs {
--- a/internal/standin/standinrunner/relay.go
+++ b/internal/standin/standinrunner/relay.go
@@ -70,12 +70,13 @@
 	if err != nil {
 		return o, err
 	}
-	o.Lost = map[string]map[int]float64{}
+	o.Lost, o.LostBy = map[string]map[int]float64{}, map[paircomparer.LossKey]float64{}
 	for _, l := range losses {
 		if o.Lost[l.Cause] == nil {
 			o.Lost[l.Cause] = map[int]float64{}
 		}
 		o.Lost[l.Cause][l.Second] += l.Worth
+		o.LostBy[paircomparer.LossKey{Kind: l.Kind, Cause: l.Cause}] += l.Worth
 	}
 	return o, nil
 }
