--- a/internal/cli/commandrunner/site_test.go
+++ b/internal/cli/commandrunner/site_test.go
@@ -52,13 +52,19 @@
 	}
 }
 
-func TestFlagsGoBeforeTheSettingsFile(t *testing.T) {
+func TestFlagsGoBeforeTheSettingsFileAndThatBeforeTheEnvironment(t *testing.T) {
 	t.Setenv("KNAPWEEDSPUR_NODE_FILE", "")
 	var out, errors bytes.Buffer
 	Run([]string{"site", "entry", "--settings", writeSettings(t, "without: [nonsense]\n"), "--without", "moves"}, &out, &errors)
 	if strings.Contains(errors.String(), "nonsense") {
 		t.Errorf("the file goes before the flag: %s", errors.String())
 	}
+	t.Setenv("KNAPWEEDSPUR_WITHOUT", "drivel")
+	errors.Reset()
+	Run([]string{"site", "entry", "--settings", writeSettings(t, "without: [nonsense]\n")}, &out, &errors)
+	if strings.Contains(errors.String(), "drivel") || !strings.Contains(errors.String(), "nonsense") {
+		t.Errorf("the environment goes before the file: %s", errors.String())
+	}
 }
 
 func TestStatusShowsWhatIsSwitchedOff(t *testing.T) {
--- a/internal/standin/standinrunner/compare_test.go
+++ b/internal/standin/standinrunner/compare_test.go
@@ -96,3 +96,23 @@
 		t.Errorf("plays by seed (-want +got):\n%s", diff)
 	}
 }
+
+// Without a bench the lab compares; the page has both pictures.
+func TestCompareLabWritesTablesAndPage(t *testing.T) {
+	folder := t.TempDir()
+	load := filepath.Join(folder, "small.yaml")
+	text := "vms: 2\nmillis: 8000\nmemory: 16000\nlength: 2s\nkinds:\n- {name: check, rate: 2, steps: {mean: 1, max: 1}, width: {mean: 2, max: 2}, millis: {mean: 500, max: 500}, memory: {mean: 100, max: 100}, seconds: {mean: 0.3, max: 0.3}, worth: 1, stretch: 2, target: 1s}\n"
+	if err := os.WriteFile(load, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out := filepath.Join(folder, "out")
+	if code, errors := compare("lab", load, "--seeds", "1-3", "--confirm", "11-12", "--without", "moves", "--out", out); code != 0 {
+		t.Fatalf("exit code %d: %s", code, errors)
+	}
+	for name, want := range map[string]string{"small-without-moves.md": "confirming: 2 pairs, seeds 11, 12", "small-without-moves.html": "<svg"} {
+		data, err := os.ReadFile(filepath.Join(out, name))
+		if err != nil || !strings.Contains(string(data), want) {
+			t.Errorf("%s lacks %q (%v)", name, want, err)
+		}
+	}
+}
