--- a/internal/job/loaddivider/loaddivider.go
+++ b/internal/job/loaddivider/loaddivider.go
@@ -25,9 +25,8 @@
 	Share float64
 }
 
-// Limit returns the limit on the weight of each part, as a paced one has it, at which
-// all parts together add a load of at most budget. It is infinite if they do without.
-// Limit sorts the parts.
+// Limit returns the limit on weight times pace at which all parts together add a load of
+// at most budget, infinite if they do so at full pace. It sorts the parts.
 func Limit(parts []Part, budget float64) float64 {
 	slices.SortFunc(parts, func(a, b Part) int { return cmp.Compare(a.Weight, b.Weight) })
 	rest := 0.0
