--- a/internal/cli/commandrunner/site_test.go
+++ b/internal/cli/commandrunner/site_test.go
@@ -12,6 +12,7 @@
 
 	"knapweedspur/internal/site/statusreporter"
 	"knapweedspur/internal/wire/admin"
+	"knapweedspur/platform"
 )
 
 func writeSettings(t *testing.T, text string) string {
@@ -25,7 +26,7 @@
 
 // Wrong settings are refused with the nearest valid name before anything starts.
 func TestWrongGatesAreRefused(t *testing.T) {
-	t.Setenv("KNAPWEEDSPUR_NODE_FILE", "")
+	t.Setenv(platform.SettingsEnvVar, "")
 	cases := []struct {
 		name string
 		args []string
@@ -36,8 +37,8 @@
 		{"misspelled in a file", []string{"--settings", writeSettings(t, "without: [copes]\n")}, `did you mean "copies"?`},
 		{"misspelled key in a file", []string{"--settings", writeSettings(t, "wihtout: [copies]\n")}, "wihtout"},
 		{"no such file", []string{"--settings", "missing.yaml"}, "missing.yaml"},
-		{"valid, but for the platform's file", []string{"--without", "copies"}, "KNAPWEEDSPUR_NODE_FILE"},
-		{"valid in a file", []string{"--settings", writeSettings(t, "without: [pacing]\nunsafe: true\nlines: 10\n")}, "KNAPWEEDSPUR_NODE_FILE"},
+		{"valid, but for the platform's file", []string{"--without", "copies"}, platform.SettingsEnvVar},
+		{"valid in a file", []string{"--settings", writeSettings(t, "without: [pacing]\nunsafe: true\nlines: 10\n")}, platform.SettingsEnvVar},
 	}
 	for _, c := range cases {
 		for _, role := range []string{"entry", "agent"} {
@@ -53,7 +54,7 @@
 }
 
 func TestFlagsGoBeforeTheSettingsFileAndThatBeforeTheEnvironment(t *testing.T) {
-	t.Setenv("KNAPWEEDSPUR_NODE_FILE", "")
+	t.Setenv(platform.SettingsEnvVar, "")
 	var out, errors bytes.Buffer
 	Run([]string{"site", "entry", "--settings", writeSettings(t, "without: [nonsense]\n"), "--without", "moves"}, &out, &errors)
 	if strings.Contains(errors.String(), "nonsense") {
