supervisor: lines for a run that vanishes without an end, and for what a leaving worker still had

Cause: the lines of the record's kind do not tell its hypotheses apart. A worker that has left (hypothesis 1) leaves one line without what it still ran or listed; a run that a worker no longer lists, neither as active nor as ended (hypothesis 2), leaves none, and the line about another worker process does not say up to which end the former one was acknowledged.

Change: 'worker gone' has the runs, the ends that are not known to be in the log and the age of the list; 'run vanished without an end' is new, written once per run; 'another worker process answers' has ends_acked. explain shows the latter. No logic has changed.

--- a/internal/diagnostic/explainer/explainer.go
+++ b/internal/diagnostic/explainer/explainer.go
@@ -117,7 +117,7 @@
 func (e *Event) affectsVM(vms map[string]bool) bool {
 	vm, _ := e.Fields["vm"].(string)
 	switch e.Message {
-	case "worker crashed", "crash judged", "revoke", "session", "gone", slowVMMessage, "VM sound again", "worker drains", "worker gone", "worker found", "lease over on a worker that does not answer":
+	case "worker crashed", "crash judged", "revoke", "session", "gone", slowVMMessage, "VM sound again", "worker drains", "worker gone", "worker found", "another worker process answers", "lease over on a worker that does not answer":
 		return vms[vm]
 	}
 	return false
--- a/internal/sidecar/supervisor/poll.go
+++ b/internal/sidecar/supervisor/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"knapweedspur/internal/sidecar/workercontroller"
@@ -183,7 +184,7 @@
 		return
 	}
 	if !s.replaced {
-		s.Logger.Warn("another worker process answers", "vm", call.VM, "born", call.WorkerIncarnation, "fence", call.Fence, "error", err.Error())
+		s.Logger.Warn("another worker process answers", "vm", call.VM, "born", call.WorkerIncarnation, "fence", call.Fence, "ends_acked", s.ackedEnds, "error", err.Error())
 	}
 	s.replaced = true
 	if leaseEnd > 0 && !errors.Is(err, workercontroller.ErrMisdirected) {
@@ -212,6 +213,9 @@
 	s.answeredAt, s.replaced = received, false
 	s.lastReading = clockReading{workerClock: state.Clock, received: received, steady: s.Steady(), suspended: (s.Clock() - s.Steady())}
 	changed := firstHold || s.runsChanged(state)
+	if changed {
+		s.logVanishedRuns(call, state)
+	}
 	s.active, s.moreEnds, s.listSentAt = state.Active, state.MoreEnds, sent
 	for i := range s.active {
 		_, known := s.starts[s.active[i].Task]
@@ -268,6 +272,22 @@
 	return false
 }
 
+// logVanishedRuns logs the runs that the worker listed as active and now lists neither as
+// active nor as ended. A run that was accepted and not listed yet is none of them.
+func (s *Supervisor) logVanishedRuns(call workercontroller.HoldCall, state workercontroller.State) {
+	if state.MoreEnds {
+		return
+	}
+	for i := range s.active {
+		run := work.RunRef{Task: s.active[i].Task, Run: s.active[i].Run}
+		listed := slices.ContainsFunc(state.Active, func(a work.RunStatus) bool { return a.Task == run.Task && a.Run == run.Run }) ||
+			slices.ContainsFunc(state.Ends, func(e work.RunEnd) bool { return e.Task == run.Task && e.Run == run.Run })
+		if !listed && !s.pending[run] {
+			s.Logger.Warn("run vanished without an end", "task", run.Task, "run", run.Run, "vm", call.VM, "born", call.WorkerIncarnation, "fence", call.Fence, "ends_acked", call.EndsAcked)
+		}
+	}
+}
+
 // clearListedPending removes runs from the pending starts that the worker lists
 // as active or ended.
 func (s *Supervisor) clearListedPending(state workercontroller.State) {
--- a/internal/sidecar/supervisor/supervisor.go
+++ b/internal/sidecar/supervisor/supervisor.go
@@ -220,7 +220,7 @@
 		return
 	}
 	s.deregistered = true
-	s.Logger.Info("worker gone", "vm", vm)
+	s.Logger.Info("worker gone", "vm", vm, "born", s.workerStatus.Incarnation, "runs", len(s.active), "pending", len(s.pending), "unacked_ends", len(s.ends), "ends_acked", s.ackedEnds, "list_age", (s.Clock() - s.answeredAt).String())
 	s.OnChange()
 }
 
