Tests that fail: a worker restarted under its name is told to forget ends by the former process's numbers

Suspected cause (hypothesis 2): each worker process numbers its ends anew; a poll that the agent sends before the first heartbeat of the new process still carries the number up to which the former one's ends are in the log. A worker that keeps the highest such number forgets its own ends up to it as soon as they happen. They count as acknowledged, no list has them, the leader takes the runs for gone and starts the tasks again.

The passing test of the supervisor that has the same name of failure lets the first poll through; it stays as it is.

--- a/internal/job/leader/simulatedworker_test.go
+++ b/internal/job/leader/simulatedworker_test.go
@@ -31,6 +31,9 @@
 	active   map[string]*simulatedRun
 	ends     []*simulatedEnd
 	lastEnd  int64
+	// ackedEnds is the highest end that the process was told to forget. It keeps none up
+	// to that number, also later.
+	ackedEnds int64
 	// stopped is the highest run of each task that was stopped or has ended.
 	stopped       map[string]int
 	heartbeats    int64
@@ -131,6 +134,15 @@
 	e := &simulatedEnd{RunEnd: work.RunEnd{Number: w.lastEnd, Task: r.task, Run: r.run, Outcome: outcome}, vm: r.vm}
 	w.ends = append(w.ends, e)
 	h.checker.ended(r, e, outcome)
+	h.forgetAckedEnds()
+}
+
+func (h *simulatedHost) forgetAckedEnds() {
+	w := h.worker
+	for len(w.ends) > 0 && w.ends[0].Number <= w.ackedEnds {
+		h.checker.acknowledged(w.ends[0])
+		w.ends = w.ends[1:]
+	}
 }
 
 // workerClient is the connection of one agent process to the worker of its host.
@@ -298,10 +310,8 @@
 		if call.LeaseEnd > 0 {
 			w.extendLease(call.LeaseEnd, now)
 		}
-		for len(w.ends) > 0 && w.ends[0].Number <= call.EndsAcked {
-			c.host.checker.acknowledged(w.ends[0])
-			w.ends = w.ends[1:]
-		}
+		w.ackedEnds = max(w.ackedEnds, call.EndsAcked)
+		c.host.forgetAckedEnds()
 		state := workercontroller.State{Clock: w.clock(now).Truncate(time.Millisecond), WorkerIncarnation: w.status.Incarnation}
 		for _, r := range w.active {
 			state.Active = append(state.Active, work.RunStatus{Task: r.task, Run: r.run, Pace: 100, ProgressPercent: r.percent(now)})
