platform: ends are acknowledged only on a connection on which the worker process has answered

Seen by callers: a task that is done runs again (TWICE). Cause: class 'a number that one process counted is read by another of its name'. Worker processes number their ends anew. The agent learns of a new process by its first heartbeat or by an answer with another start time; a poll that it sends before that carries the number up to which the former process's ends are in the log. A call names the worker, not its process, so the new one takes the number for its own.

Ruled out as mends: a fence (a new process knows none and takes any), clearing the number after a failed call (a process that is back before the next poll has failed none; found by the review), asking for the process first (it may restart between the answer and the next call).

The number goes out only on a connection on which the process that the call is meant for has answered; the first call on a new connection carries none. So it reaches no later process, whichever way the worker uses it.

--- a/internal/job/leader/simulatedworker_test.go
+++ b/internal/job/leader/simulatedworker_test.go
@@ -150,6 +150,9 @@
 	host *simulatedHost
 	// dead is set once the agent process has ended, under the host's lock.
 	dead bool
+	// answered is the process that has answered on the connection for hold calls, nil for
+	// none. Only the goroutine that sends hold calls uses it.
+	answered *simulatedWorker
 }
 
 var (
@@ -304,9 +307,17 @@
 	return err
 }
 
-// Hold extends the lease and lists the runs.
+// Hold extends the lease and lists the runs. Ends are acknowledged only to the process
+// that has answered on the same connection, which ends with the process or a call that is
+// not answered in time.
 func (c *workerClient) Hold(ctx context.Context, call workercontroller.HoldCall) (workercontroller.State, error) {
-	return callWorker(ctx, c, call.Call, simulatedOrderTimeout, call.Wait, func(w *simulatedWorker, now time.Time) workercontroller.State {
+	answered := c.answered
+	var carriedOutBy *simulatedWorker
+	state, err := callWorker(ctx, c, call.Call, simulatedOrderTimeout, call.Wait, func(w *simulatedWorker, now time.Time) workercontroller.State {
+		if w != answered && !*lateCallsReachNextProcess {
+			call.EndsAcked = 0
+		}
+		carriedOutBy = w
 		if call.LeaseEnd > 0 {
 			w.extendLease(call.LeaseEnd, now)
 		}
@@ -321,6 +332,11 @@
 		}
 		return state
 	})
+	c.answered = nil
+	if err == nil {
+		c.answered = carriedOutBy
+	}
+	return state, err
 }
 
 func (h *simulatedHost) hasEnds() bool {
--- a/internal/sidecar/workercontroller/workercontroller.go
+++ b/internal/sidecar/workercontroller/workercontroller.go
@@ -78,7 +78,8 @@
 	// LeaseEnd is the end of the lease on the worker's clock, 0 for no change.
 	LeaseEnd time.Duration
 	// EndsAcked is the highest number of an end that the worker may drop, since it
-	// is in the log.
+	// is in the log. Only the process that the call is meant for may be told of it, since
+	// each numbers its ends anew: it is left out of a call that may reach another one.
 	EndsAcked int64
 	// Wait is how long the worker may delay its answer until a run ends.
 	Wait time.Duration
