planner: commands that acknowledge a void do not start the run any more

Cause: while records are written, two reports of a VM may come; the first lacks a run, whose start is queued again, the second reports it as void, and its task is placed elsewhere. The queued start stayed, so one message told the agent to forget the void and to start the run.

Ruled out: that the agent refuses it; it does only while the cause of the void lasts (unhealthy, room, unvouched pass).

Change: a run that is given up is taken out of the commands that are not sent yet.

Evidence: TestCommandsDoNotStartRunWhoseVoidTheyAcknowledge failed before (Run 1 in the starts) and passes.

--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -279,9 +279,13 @@
 }
 
 // discardRun removes a run that is known not to be running and not to have
-// ended by itself.
+// ended by itself. Commands that have not been sent yet do not start it any more.
 func (pl *Planner) discardRun(p *placement) {
 	s := p.step
+	if commands := pl.commands[p.vm.name]; commands != nil {
+		task := s.taskName(p.index)
+		commands.Starts = slices.DeleteFunc(commands.Starts, func(start work.Start) bool { return start.Task == task && start.Run == p.run })
+	}
 	pl.removePlacement(p)
 	pl.markDirty(s, p.index)
 	pl.dropEndedJob(s.job)
