supervisor: a run whose void is acknowledged by the same commands does not start

Cause: commands were carried out in the order acknowledged voids, starts; the void that keeps a run from starting was forgotten just before its start was looked at.

Change: starts first.

Evidence: TestRunWhoseVoidIsAcknowledgedDoesNotStart failed before (run 1 active on the worker) and passes; the package's other tests pass.

--- a/internal/sidecar/supervisor/order.go
+++ b/internal/sidecar/supervisor/order.go
@@ -48,12 +48,13 @@
 	for i := range commands.AdoptedRuns {
 		s.adoptRun(&commands.AdoptedRuns[i])
 	}
-	for _, run := range commands.VoidsAcked {
-		delete(s.voids, run)
-	}
+	// A run whose void is acknowledged by the same commands must not start.
 	for _, start := range commands.Starts {
 		s.startRun(ctx, start)
 	}
+	for _, run := range commands.VoidsAcked {
+		delete(s.voids, run)
+	}
 	for _, run := range commands.Stops {
 		s.stopInBackground(ctx, run)
 	}
