planner, supervisor: numbers of commands hold for one session and go on over connections

After a reconnect or a worker's restart the first commands counted as handled while they were on their way, so the planner sent their starts again and again until the agent listed the runs.

Change: the planner goes on with its numbers over connections; the agent begins anew with each session, whose VM may be another one.

Evidence: TestCommandsAfterReconnectAreNotNumberedAsHandledOnes (number 1 after 5 handled) and TestHandledCommandsCountAnewWithSession (57, want 0) failed before and pass.

--- a/internal/job/planner/agentrestart_test.go
+++ b/internal/job/planner/agentrestart_test.go
@@ -82,3 +82,24 @@
 		t.Errorf("outcome (-want +got):\n%s", diff)
 	}
 }
+
+// An agent that reconnects reports the number of the last commands that it has handled on
+// its former connection. Starts that are still on their way must not count as handled.
+func TestCommandsAfterReconnectAreNotNumberedAsHandledOnes(t *testing.T) {
+	s := newSimulation(t)
+	v := s.addVM("a", 1000, 1000)
+	for n := range 5 {
+		s.submitJob(jobID(n+1), stepSpec(1, 100))
+		s.advance(100 * time.Millisecond)
+	}
+	handled := v.handled
+	s.planner.DisconnectAgent("a")
+	s.sendHello("a")
+	s.planner.HandleReport("a", &work.Report{Fence: v.fence, WorkerStatus: v.workerStatus, CommandsHandled: handled, SessionConfirmed: true, ActiveRuns: v.active}, s.now)
+	s.planner.AddJob(&work.Job{ID: jobID(9), Spec: "spec", AcceptedAt: s.now, Steps: []work.Step{stepSpec(1, 100)}, Queue: work.Queue{Name: "queue", Pool: "pool", MaxFailures: 2, Stretch: 2, Target: time.Second}}, s.now)
+	s.planner.Tick(s.now)
+	commands := s.planner.Flush().Commands["a"]
+	if commands == nil || len(commands.Starts) == 0 || commands.Number <= handled {
+		t.Errorf("commands %+v after those up to %d, want a start with a higher number", commands, handled)
+	}
+}
--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -94,8 +94,8 @@
 	sentWeights      map[work.Interference]bool
 	weightsCheckedAt time.Time
 
-	// lastCommandsNumber is the number of the last commands on the current
-	// connection.
+	// lastCommandsNumber is the number of the last commands in this term. It goes on over
+	// connections, since the agent reports the highest one that it has handled.
 	lastCommandsNumber int64
 	// acknowledgedEnd is the highest end that the agent may forget.
 	// processedEnds holds the ends above it that have been processed.
@@ -163,8 +163,7 @@
 // RegisterAgent processes the hello of an agent and grants it a session.
 func (pl *Planner) RegisterAgent(h *work.Hello, now time.Time) {
 	v := pl.ensureVM(h.WorkerStatus.VM)
-	// Commands are numbered anew on each connection.
-	v.connected, v.synced, v.lastContact, v.lastCommandsNumber, v.workerStatus = true, false, now, 0, h.WorkerStatus
+	v.connected, v.synced, v.lastContact, v.workerStatus = true, false, now, h.WorkerStatus
 	v.agentID, v.host, v.grantSentAt, v.sentWeights = h.AgentIncarnation, h.Host, now, nil
 	for _, p := range v.runs {
 		p.startCommandsNumber = 0
--- a/internal/sidecar/supervisor/supervisor.go
+++ b/internal/sidecar/supervisor/supervisor.go
@@ -77,7 +77,8 @@
 	// yet.
 	confirmedAt time.Duration
 	// epoch is the newest term of which a leader has sent commands,
-	// handledCommands the number of the last ones in it.
+	// handledCommands the number of the last ones in it for this session. The leader
+	// numbers the commands of each VM by itself.
 	epoch           int64
 	handledCommands int64
 	// ackedEnds is the number up to which ends are known to be in the log.
@@ -275,7 +276,7 @@
 		s.answeredAt = s.Clock()
 	}
 	s.session = session{vm: g.VM, workerIncarnation: g.WorkerIncarnation, granted: g.Fence}
-	s.confirmedAt = 0
+	s.confirmedAt, s.handledCommands = 0, 0
 	s.wake()
 }
 
--- a/internal/sidecar/supervisor/workerrestart_test.go
+++ b/internal/sidecar/supervisor/workerrestart_test.go
@@ -222,3 +222,18 @@
 		}
 	})
 }
+
+// The leader numbers the commands of each VM by itself. Commands that came before must not
+// count as handled ones of a new session.
+func TestHandledCommandsCountAnewWithSession(t *testing.T) {
+	runWithRestartableWorker(t, func(t *testing.T, s *Supervisor, w *restartableWorker) {
+		sendCommands(s, t, &work.Commands{Number: 57})
+		w.restart(2, false)
+		s.HandleHeartbeat(work.WorkerStatus{VM: "vm", Incarnation: 2, Pool: "pool"}, 1, time.Now())
+		s.AcceptGrant(&work.Grant{VM: "vm", WorkerIncarnation: 2, Fence: 4})
+		time.Sleep(500 * time.Millisecond)
+		if diff := cmp.Diff(int64(0), s.Report(1).CommandsHandled); diff != "" {
+			t.Errorf("handled commands before any came in the session (-want +got):\n%s", diff)
+		}
+	})
+}
