--- a/internal/standin/soaktester/soaktester.go
+++ b/internal/standin/soaktester/soaktester.go
@@ -191,7 +191,7 @@
 		s.agents = append(s.agents, p)
 		w := &platformemulator.Worker{
 			Name: fmt.Sprintf("w%d", i), Domain: domainOf(i), AgentAddress: fmt.Sprintf("%s:%d", p.ip, basePort+platformemulator.ControlPortOffset), Millicores: workerMillicores, MemoryMB: workerMemory,
-			Observer: s.checker, TaskDuration: s.taskDuration, CrashDelay: s.checker.crashesWorker,
+			Observer: s.checker, TaskDuration: s.taskDuration, CrashDelay: s.checker.crashesWorker, KeepsID: i%2 == 1,
 		}
 		if s.config.Pairs {
 			w.ClockDrift = maxClockDrift * rand.New(rand.NewPCG(s.config.Seed, uint64(firstDriftStream+i))).Float64()
