quarantiner: three early crashes name a culprit only if they came at a similar age

A crash in quarantine names the culprit only at an age within 40 ms of the one before; the third early crash named it whatever the ages, though this leader knew all three. Ruled out: a constant (SimilarTime is as it was). Change: early losses at an age that is known to be another one don't count for the third crash. The task stays a suspect; the fifth crash names it as before, so a task that crashes its workers at different ages below 0.3 s starts twice after the third crash at most. Ages that a leader does not know count as before.

--- a/internal/job/planner/crash_test.go
+++ b/internal/job/planner/crash_test.go
@@ -351,3 +351,50 @@
 		t.Errorf("long-running tasks at work (-want +got):\n%s", diff)
 	}
 }
+
+// crashUnder crashes the worker that runs a task as soon as that has run for a while, if
+// it does so within 15 s.
+func (p *crashPlay) crashUnder(task string, age time.Duration) {
+	p.t.Helper()
+	for wait := time.Duration(0); wait < 15*time.Second; wait += crashStep {
+		p.play(crashStep)
+		for _, name := range p.vmNames() {
+			for _, a := range p.vms[name].active {
+				began, known := p.began[fmt.Sprintf("%s/%d", a.Task, a.Run)]
+				if a.Task == task && known && !p.vms[name].crash.down && p.now.Sub(began) >= age {
+					p.crashWorker(name)
+					return
+				}
+			}
+		}
+	}
+	p.t.Errorf("%s was not at work for %s", task, age)
+}
+
+// Workers that crash by themselves do so at any time after the start of a task.
+func TestTaskLostEarlyAtDifferentAgesIsNotGivenUp(t *testing.T) {
+	p := newCrashPlay(t, 6)
+	p.submit(3)
+	for _, age := range []time.Duration{180, 100, 180} {
+		p.crashUnder(firstTask(2), age*time.Millisecond)
+	}
+	p.play(10 * time.Second)
+	p.wantOutcomes()
+}
+
+// A task whose time to the crash varies may start twice after three workers have crashed.
+func TestTaskThatCrashesWorkersEarlyAtDifferentAgesIsGivenUpByTheFifth(t *testing.T) {
+	p := newCrashPlay(t, 6)
+	p.submit(3)
+	for _, age := range []time.Duration{20, 100, 180, 240, 60} {
+		if p.outcome(jobID(2)) == "" {
+			p.crashUnder(firstTask(2), age*time.Millisecond)
+			p.play(time.Second)
+		}
+	}
+	p.play(10 * time.Second)
+	got := []string{p.outcome(jobID(1)), p.outcome(jobID(2)), p.outcome(jobID(3))}
+	if diff := cmp.Diff([]string{jobreducer.Completed, jobreducer.Failed, jobreducer.Completed}, got); diff != "" {
+		t.Errorf("outcomes (-want +got):\n%s", diff)
+	}
+}
--- a/internal/job/quarantiner/quarantiner_test.go
+++ b/internal/job/quarantiner/quarantiner_test.go
@@ -80,3 +80,22 @@
 		t.Errorf("VMs kept for 20 jobs (-want +got):\n%s", diff)
 	}
 }
+
+// Early crashes that come at different ages have different causes, or one that varies.
+func TestEarlyCrashesAtDifferentAgesNameNoCulpritBeforeTheFifth(t *testing.T) {
+	cases := []struct {
+		name   string
+		losses []Loss
+		want   []Verdict
+	}{
+		{"one unlike the others", []Loss{{RanFor: early}, {RanFor: early, Unlike: 1}, {RanFor: early, Unlike: 1}, {RanFor: early, Unlike: 1}}, []Verdict{Suspect, Suspect, Suspect, Culprit}},
+		{"all unlike", []Loss{{RanFor: early}, {RanFor: early, Unlike: 1}, {RanFor: early, Unlike: 2}, {RanFor: early, Unlike: 3}, {RanFor: early, Unlike: 4}}, []Verdict{Suspect, Suspect, Suspect, Suspect, Culprit}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, judgeAll(c.losses, false)); diff != "" {
+				t.Errorf("verdicts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
