Revert "planner: early losses at an unknown age don't count for the third early crash (try)"

Change: only losses that are known to have come at a similar age count; the code gets shorter. Crashes whose evidence was lost with an agent aren't counted, so the bound rests on the third early crash just where ages are unknown. Conclusion: reverted.

--- a/internal/job/planner/crash.go
+++ b/internal/job/planner/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -117,9 +118,8 @@
 	counts := map[quarantiner.Verdict]int{}
 	for _, p := range pl.lostRuns(c) {
 		t := &p.step.tasks[p.index]
-		loss := quarantiner.Loss{Run: p.run, RanFor: c.ranForOf(p), Mass: mass}
+		loss := quarantiner.Loss{Run: p.run, RanFor: c.ranForOf(p), Mass: mass, Unlike: pl.countUnlike(c, p)}
 		ref := taskRef{p.step, p.index}
-		loss.Unlike = pl.countUnlike(c, ref, loss.RanFor)
 		loss.Quarantined = p.quarantined && alone && !unexplained && !pl.hostCrashed(p.vm, ref) && pl.crashes.suspects[ref].resembles(loss.RanFor)
 		h, verdict := quarantiner.Judge(historyOf(t), &loss)
 		counts[verdict]++
@@ -178,18 +178,26 @@
 	return s.crash != nil && isSimilar(ranFor, s.ranFor)
 }
 
-// countUnlike counts the early losses of a task, since it was last cleared, that are not
-// known to have come at the age that it was lost at in crash c.
-func (pl *Planner) countUnlike(c *crash, ref taskRef, ranFor time.Duration) int {
-	alike := 0
+// countUnlike counts the early losses of a task before crash c, since it was last cleared,
+// that came at another age than in c. Those whose age this leader does not know are left out.
+func (pl *Planner) countUnlike(c *crash, p *placement) int {
+	name := p.step.taskName(p.index)
+	ages := map[int]time.Duration{}
 	for _, o := range pl.crashes.list {
-		if o != c && o.beganLast(ref) {
-			if age, _ := o.age(ref); isSimilar(age, ranFor) {
-				alike++
+		for key, ranFor := range o.ranFor {
+			if o != c && key.task == name && key.run < p.run && ranFor <= quarantiner.EarlyTime {
+				ages[key.run] = ranFor
 			}
 		}
 	}
-	return max(0, historyOf(ref.task()).Early-alike)
+	runs := slices.Sorted(maps.Keys(ages))
+	unlike := 0
+	for _, run := range runs[max(0, len(runs)-historyOf(&p.step.tasks[p.index]).Early):] {
+		if !isSimilar(ages[run], c.ranForOf(p)) {
+			unlike++
+		}
+	}
+	return unlike
 }
 
 // restoreSuspicions takes over what an earlier leader found about a crash that an agent
--- a/internal/job/quarantiner/quarantiner.go
+++ b/internal/job/quarantiner/quarantiner.go
@@ -63,7 +63,7 @@
 	// was lost as soon after its start as before.
 	Quarantined bool
 	// Unlike is the number of early losses of the task before, since it was last cleared,
-	// that are not known to have come at the same age: they may have another cause.
+	// that are known to have come at another age: they have another cause than this one.
 	Unlike int
 	// Mass is set if several workers crashed at the same time.
 	Mass bool
