quarantiner: an early crash at another age puts the culprit off by one crash (try)

Change: a known other age puts the third early crash off to the fourth, no further. A suspect is cleared as having outlasted its quarantine though its worker has crashed under it: planner.outlasted goes by the leader's clock while the agent has not been heard since (killed, or cut off). That sets its early crashes back to 0.

--- a/internal/job/planner/crash.go
+++ b/internal/job/planner/crash.go
@@ -118,7 +118,7 @@
 	counts := map[quarantiner.Verdict]int{}
 	for _, p := range pl.lostRuns(c) {
 		t := &p.step.tasks[p.index]
-		loss := quarantiner.Loss{Run: p.run, RanFor: c.ranForOf(p), Mass: mass, Unlike: pl.countUnlike(c, p)}
+		loss := quarantiner.Loss{Run: p.run, RanFor: c.ranForOf(p), Mass: mass, Unlike: pl.lostAtOtherAge(c, p)}
 		ref := taskRef{p.step, p.index}
 		loss.Quarantined = p.quarantined && alone && !unexplained && !pl.hostCrashed(p.vm, ref) && pl.crashes.suspects[ref].resembles(loss.RanFor)
 		h, verdict := quarantiner.Judge(historyOf(t), &loss)
@@ -178,9 +178,9 @@
 	return s.crash != nil && isSimilar(ranFor, s.ranFor)
 }
 
-// countUnlike counts the early losses of a task before crash c, since it was last cleared,
-// that came at another age than in c. Those whose age this leader does not know are left out.
-func (pl *Planner) countUnlike(c *crash, p *placement) int {
+// lostAtOtherAge reports whether a task is known to have been lost early before crash c, at
+// another age and since it was last cleared.
+func (pl *Planner) lostAtOtherAge(c *crash, p *placement) bool {
 	name := p.step.taskName(p.index)
 	ages := map[int]time.Duration{}
 	for _, o := range pl.crashes.list {
@@ -191,13 +191,8 @@
 		}
 	}
 	runs := slices.Sorted(maps.Keys(ages))
-	unlike := 0
-	for _, run := range runs[max(0, len(runs)-historyOf(&p.step.tasks[p.index]).Early):] {
-		if !isSimilar(ages[run], c.ranForOf(p)) {
-			unlike++
-		}
-	}
-	return unlike
+	sinceCleared := runs[max(0, len(runs)-historyOf(&p.step.tasks[p.index]).Early):]
+	return slices.ContainsFunc(sinceCleared, func(run int) bool { return !isSimilar(ages[run], c.ranForOf(p)) })
 }
 
 // restoreSuspicions takes over what an earlier leader found about a crash that an agent
