Revert the tries that compare the ages of early crashes

Change: a known other age puts the third early crash off to the fourth, no further. A suspect is cleared as having outlasted its quarantine though its worker has crashed under it: planner.outlasted goes by the leader's clock while the agent has not been heard since (killed, or cut off). That sets its early crashes back to 0. Conclusion: reverted, with: until that is mended the third early crash, whatever the ages, is what keeps the bound. To be tried again after it.

--- a/internal/job/planner/crash.go
+++ b/internal/job/planner/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -118,7 +117,7 @@
 	counts := map[quarantiner.Verdict]int{}
 	for _, p := range pl.lostRuns(c) {
 		t := &p.step.tasks[p.index]
-		loss := quarantiner.Loss{Run: p.run, RanFor: c.ranForOf(p), Mass: mass, Unlike: pl.lostAtOtherAge(c, p)}
+		loss := quarantiner.Loss{Run: p.run, RanFor: c.ranForOf(p), Mass: mass}
 		ref := taskRef{p.step, p.index}
 		loss.Quarantined = p.quarantined && alone && !unexplained && !pl.hostCrashed(p.vm, ref) && pl.crashes.suspects[ref].resembles(loss.RanFor)
 		h, verdict := quarantiner.Judge(historyOf(t), &loss)
@@ -178,23 +177,6 @@
 	return s.crash != nil && isSimilar(ranFor, s.ranFor)
 }
 
-// lostAtOtherAge reports whether a task is known to have been lost early before crash c, at
-// another age and since it was last cleared.
-func (pl *Planner) lostAtOtherAge(c *crash, p *placement) bool {
-	name := p.step.taskName(p.index)
-	ages := map[int]time.Duration{}
-	for _, o := range pl.crashes.list {
-		for key, ranFor := range o.ranFor {
-			if o != c && key.task == name && key.run < p.run && ranFor <= quarantiner.EarlyTime {
-				ages[key.run] = ranFor
-			}
-		}
-	}
-	runs := slices.Sorted(maps.Keys(ages))
-	sinceCleared := runs[max(0, len(runs)-historyOf(&p.step.tasks[p.index]).Early):]
-	return slices.ContainsFunc(sinceCleared, func(run int) bool { return !isSimilar(ages[run], c.ranForOf(p)) })
-}
-
 // restoreSuspicions takes over what an earlier leader found about a crash that an agent
 // still reports: which tasks became suspects by it, and whether the culprit is known.
 func (pl *Planner) restoreSuspicions(c *crash) {
--- a/internal/job/quarantiner/quarantiner.go
+++ b/internal/job/quarantiner/quarantiner.go
@@ -31,10 +31,10 @@
 	// LateTime is the age from which a run that is lost with its worker says nothing
 	// about the task.
 	LateTime = 3 * time.Second
-	// guiltyEarly, guiltyUnlike and guiltyAny are the numbers of crashes, early ones, early
-	// ones at different ages and all, from which a task is the culprit without quarantine. A
-	// task that crashes its workers may start twice after three have crashed under it.
-	guiltyEarly, guiltyUnlike, guiltyAny = 3, 4, 5
+	// guiltyEarly and guiltyAny are the numbers of crashes, early ones and all, from
+	// which a task is the culprit without quarantine. A task that crashes its workers may
+	// start twice after three have crashed under it.
+	guiltyEarly, guiltyAny = 3, 5
 	// suspectAny is the number of crashes from which a task is a suspect however long its
 	// runs took.
 	suspectAny = 3
@@ -62,9 +62,6 @@
 	// the worker for a while, workers have not crashed by themselves lately, and the task
 	// was lost as soon after its start as before.
 	Quarantined bool
-	// Unlike is set if an early loss of the task before, since it was last cleared, is known
-	// to have come at another age: it likely has another cause than this one.
-	Unlike bool
 	// Mass is set if several workers crashed at the same time.
 	Mass bool
 }
@@ -81,12 +78,8 @@
 	if early {
 		h.Early++
 	}
-	enough := guiltyEarly
-	if l.Unlike {
-		enough = guiltyUnlike
-	}
 	switch {
-	case h.Workers >= guiltyAny, !l.Mass && (h.Early >= enough && early || l.Quarantined && max(h.Early, h.Workers-suspectAny+1) > 1):
+	case h.Workers >= guiltyAny, !l.Mass && (h.Early >= guiltyEarly && early || l.Quarantined && max(h.Early, h.Workers-suspectAny+1) > 1):
 		return h, Culprit
 	case !early && h.Workers < suspectAny, l.Mass && h.Early == 1:
 		return h, Counted
--- a/internal/job/quarantiner/quarantiner_test.go
+++ b/internal/job/quarantiner/quarantiner_test.go
@@ -80,11 +80,3 @@
 		t.Errorf("VMs kept for 20 jobs (-want +got):\n%s", diff)
 	}
 }
-
-// Early crashes that come at different ages have different causes, or one that varies.
-func TestEarlyCrashesAtDifferentAgesNameTheCulpritOneLater(t *testing.T) {
-	losses := []Loss{{RanFor: early}, {RanFor: early, Unlike: true}, {RanFor: early, Unlike: true}, {RanFor: early, Unlike: true}}
-	if diff := cmp.Diff([]Verdict{Suspect, Suspect, Suspect, Culprit}, judgeAll(losses, false)); diff != "" {
-		t.Errorf("verdicts (-want +got):\n%s", diff)
-	}
-}
