planner: a suspect outlasts its quarantine only as far as its agent was heard

What callers would see: a task that crashes its workers is started three times after three have crashed (a broken rule). Change: the quarantine is outlasted by the last time that the agent was heard, not by the leader's clock. Measured: TestSuspectWhoseAgentIsNotHeardIsNotCleared failed before.

--- a/internal/job/planner/quarantine.go
+++ b/internal/job/planner/quarantine.go
@@ -22,7 +22,7 @@
 
 // placeSuspects places the suspects that wait, and keeps VMs for them.
 func (pl *Planner) placeSuspects(now time.Time) {
-	pl.endQuarantines(now)
+	pl.endQuarantines()
 	waiting := pl.waitingSuspects()
 	pl.releaseVMs(waiting, now)
 	for len(waiting) > 0 {
@@ -41,26 +41,27 @@
 
 // endQuarantines clears the suspects whose runs have outlasted the quarantine or ended
 // otherwise than by a crash.
-func (pl *Planner) endQuarantines(now time.Time) {
+func (pl *Planner) endQuarantines() {
 	for ref := range pl.crashes.suspects {
 		t := ref.task()
 		switch {
 		case ref.step.job.outcome != nil || t.Done || !isSuspect(t):
 			delete(pl.crashes.suspects, ref)
-		case pl.outlasted(ref, now):
+		case pl.outlasted(ref):
 			pl.clearSuspect(ref, quarantiner.Outlast, "outlasted the quarantine")
 		}
 	}
 }
 
 // outlasted reports whether a run of a suspect has outlasted the quarantine.
-func (pl *Planner) outlasted(ref taskRef, now time.Time) bool {
+func (pl *Planner) outlasted(ref taskRef) bool {
 	for _, r := range ref.task().Runs {
 		if r.Run <= ref.task().Crashes.Run {
 			continue // It is lost.
 		}
 		p := pl.ensureVM(r.VM).runs[runKey{ref.step.taskName(ref.index), r.Run}]
-		if p != nil && p.active && !p.vm.workerDown && now.Sub(p.sentAt) >= pl.quarantineTime(ref) {
+		// A crash that its agent has not reported yet is no end of the quarantine.
+		if p != nil && p.active && !p.vm.workerDown && p.vm.lastContact.Sub(p.sentAt) >= pl.quarantineTime(ref) {
 			return true
 		}
 	}
--- a/internal/job/planner/quarantine_test.go
+++ b/internal/job/planner/quarantine_test.go
@@ -113,3 +113,38 @@
 		t.Errorf("workers that crashed, one under the canceled job (-want +got):\n%s", diff)
 	}
 }
+
+// The agent may end or be cut off at the crash.
+func TestSuspectWhoseAgentIsNotHeardIsNotCleared(t *testing.T) {
+	p := newCrashPlay(t, 4)
+	p.submit(1)
+	p.play(100 * time.Millisecond)
+	p.crashWorker(p.placements(jobID(1))[firstTask(1)])
+	var suspect string
+	for i := 0; i < 500 && suspect == ""; i++ {
+		p.play(crashStep)
+		for _, v := range p.planner.sortedVMs {
+			for _, r := range v.runs {
+				if r.quarantined && r.active && isSuspect(&r.step.tasks[r.index]) {
+					suspect = v.name
+				}
+			}
+		}
+	}
+	if suspect == "" {
+		t.Fatal("no suspect is at work in quarantine")
+	}
+	before := len(p.planner.crashes.suspects)
+	for range 50 {
+		p.now = p.now.Add(crashStep)
+		for _, name := range p.vmNames() {
+			if name != suspect {
+				p.sendReport(name)
+			}
+		}
+		p.runPass()
+	}
+	if got := len(p.planner.crashes.suspects); got != before {
+		t.Errorf("%d suspects while the agent is not heard, want %d", got, before)
+	}
+}
