planner: commands that acknowledge an end do not start the run any more

Cause: while records are written, two reports of a VM may come; the first lacks a run, whose start is queued again, the second lists its end. So it may be when a new leader's first report is sent before commands of the former leader arrive. The queued start stayed, so one message told the agent to forget the end and to start the run. The worker process that ended it rejects the start; one that begins meanwhile under its name does not.

Change: a run that leaves the books is taken out of the commands that are not sent yet, whichever way it leaves.

--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -267,24 +267,24 @@
 	pl.dirtyTasks[s][index] = true
 }
 
-// removePlacement removes a run from its VM and its task.
+// removePlacement removes a run from its VM and its task. Commands that have not been sent
+// yet do not start it any more.
 func (pl *Planner) removePlacement(p *placement) {
-	t := &p.step.tasks[p.index]
+	t, task := &p.step.tasks[p.index], p.step.taskName(p.index)
+	if commands := pl.commands[p.vm.name]; commands != nil {
+		commands.Starts = slices.DeleteFunc(commands.Starts, func(start work.Start) bool { return start.Task == task && start.Run == p.run })
+	}
 	if i := runIndex(t, p.run); i >= 0 {
 		t.Runs = slices.Delete(t.Runs, i, i+1)
 	}
-	delete(p.vm.runs, runKey{p.step.taskName(p.index), p.run})
+	delete(p.vm.runs, runKey{task, p.run})
 	p.vm.adjustReserved(p.step.spec, -1)
 }
 
 // discardRun removes a run that is known not to be running and not to have
-// ended by itself. Commands that have not been sent yet do not start it any more.
+// ended by itself.
 func (pl *Planner) discardRun(p *placement) {
 	s := p.step
-	if commands := pl.commands[p.vm.name]; commands != nil {
-		task := s.taskName(p.index)
-		commands.Starts = slices.DeleteFunc(commands.Starts, func(start work.Start) bool { return start.Task == task && start.Run == p.run })
-	}
 	pl.removePlacement(p)
 	pl.markDirty(s, p.index)
 	pl.dropEndedJob(s.job)
