supervisor: a run whose end is acknowledged by the same commands does not start

Cause: the end that keeps a run from starting was forgotten just before its start was looked at.

Change: starts first.

Evidence: TestRunWhoseEndIsAcknowledgedDoesNotStart failed before (run 1 active on a worker that does not know of its end) and passes, as do the package's other tests.

--- a/internal/sidecar/supervisor/order.go
+++ b/internal/sidecar/supervisor/order.go
@@ -39,19 +39,19 @@
 		return
 	}
 	s.handledCommands = max(s.handledCommands, commands.Number)
-	if commands.EndsAcked > s.ackedEnds {
-		s.dropAckedEnds(commands.EndsAcked)
-	}
 	if len(commands.Interference) > 0 && s.Pacer != nil {
 		s.Pacer.Learn(commands.Interference)
 	}
 	for i := range commands.AdoptedRuns {
 		s.adoptRun(&commands.AdoptedRuns[i])
 	}
-	// A run whose void is acknowledged by the same commands must not start.
+	// A run whose end or void is acknowledged by the same commands must not start.
 	for _, start := range commands.Starts {
 		s.startRun(ctx, start)
 	}
+	if commands.EndsAcked > s.ackedEnds {
+		s.dropAckedEnds(commands.EndsAcked)
+	}
 	for _, run := range commands.VoidsAcked {
 		delete(s.voids, run)
 	}
