--- a/internal/sidecar/supervisor/supervisor_test.go
+++ b/internal/sidecar/supervisor/supervisor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -115,6 +116,7 @@
 	w.fence = max(w.fence, c.Fence)
 	w.leaseEnd = max(w.leaseEnd, c.LeaseEnd)
 	w.endsAcked = max(w.endsAcked, c.EndsAcked)
+	w.ends = slices.DeleteFunc(slices.Clone(w.ends), func(e work.RunEnd) bool { return e.Number > 0 && e.Number <= c.EndsAcked })
 	return workercontroller.State{Clock: w.clock(), Active: append([]work.RunStatus(nil), w.active...), Ends: append([]work.RunEnd(nil), w.ends...), MoreEnds: w.hiddenEnds}, nil
 }
 
