supervisor: a worker that lists acknowledged ends again is not polled without a pause

Cause: since a call on a new connection acknowledges no ends. A worker that ends each connection after its answer, as HTTP servers do that shut down, never learns that an end is in the log; it lists the end and does not wait with its answers, while the agent knows no open end and does not pause.

Change: the agent pauses as for an open end if an answer lists one that the call was to acknowledge.

--- a/internal/sidecar/supervisor/poll.go
+++ b/internal/sidecar/supervisor/poll.go
@@ -198,8 +198,9 @@
 	return max(s.latestLeaseEnd, s.inheritedLeaseEnd)
 }
 
-// handleHoldState handles the answer to a hold call. It returns true if there
-// are ends that are not known to be in the log.
+// handleHoldState handles the answer to a hold call. It returns true if there are ends that
+// are not known to be in the log, or that the call was to acknowledge: the worker has not
+// been told, and does not wait with its answers while it lists ends.
 func (s *Supervisor) handleHoldState(call workercontroller.HoldCall, state workercontroller.State, firstHold bool, sent, received time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -239,7 +240,8 @@
 	if changed {
 		s.OnChange()
 	}
-	return len(s.ends) > 0
+	listedAgain := call.EndsAcked > 0 && len(state.Ends) > 0 && state.Ends[0].Number <= call.EndsAcked
+	return len(s.ends) > 0 || listedAgain
 }
 
 // startSession starts the session whose fence the worker has accepted at the given
