supervisor: calls acknowledge only ends that the worker still lists

Cause: each poll carried the number up to which ends are in the log, also long after the worker had forgotten them, when it has no use but to mislead a later process.

Change, proposed by the review: the number goes up to the highest end of the last list.

Measured: TestPollsAcknowledgeOnlyEndsThatAreStillListed failed before (7, want 0) and passes.

--- a/internal/sidecar/supervisor/poll.go
+++ b/internal/sidecar/supervisor/poll.go
@@ -84,7 +84,7 @@
 	call := workercontroller.HoldCall{Call: s.call()}
 	if !s.replaced {
 		// Each worker process numbers its ends anew.
-		call.EndsAcked = s.ackedEnds
+		call.EndsAcked = min(s.ackedEnds, s.listedEnd)
 	}
 	if s.session.accepted == 0 {
 		return call, true, true
@@ -225,8 +225,9 @@
 			s.active[i].Pace = percent
 		}
 	}
-	s.ends = s.ends[:0:0]
+	s.ends, s.listedEnd = s.ends[:0:0], 0
 	for _, e := range state.Ends {
+		s.listedEnd = max(s.listedEnd, e.Number)
 		if e.Number > s.ackedEnds {
 			s.ends = append(s.ends, e)
 		}
--- a/internal/sidecar/supervisor/supervisor.go
+++ b/internal/sidecar/supervisor/supervisor.go
@@ -83,6 +83,10 @@
 	handledCommands int64
 	// ackedEnds is the number up to which ends are known to be in the log.
 	ackedEnds int64
+	// listedEnd is the highest end in the last list, 0 for none. Calls acknowledge ends
+	// up to it only: those beyond are forgotten already, and a call that is held back may
+	// reach another process.
+	listedEnd int64
 
 	active []work.RunStatus
 	ends   []work.RunEnd
@@ -173,7 +177,7 @@
 	s.paces = map[work.RunRef]int{}
 	s.stopping = map[work.RunRef]workercontroller.Call{}
 	s.lastReading, s.latestLeaseEnd, s.inheritedLeaseEnd, s.confirmedAt = clockReading{}, 0, 0, 0
-	s.ackedEnds, s.leaseExpired = 0, false
+	s.ackedEnds, s.listedEnd, s.leaseExpired = 0, 0, false
 	s.replaced, s.replacementExtendedAt = false, 0
 	s.reachability, s.sentStarts = reachability{}, nil
 	s.session = session{}
--- a/internal/sidecar/supervisor/workerrestart_test.go
+++ b/internal/sidecar/supervisor/workerrestart_test.go
@@ -237,3 +237,26 @@
 		}
 	})
 }
+
+// A call that is held back may reach a later process of the name. So calls acknowledge
+// nothing while there is nothing to forget.
+func TestPollsAcknowledgeOnlyEndsThatAreStillListed(t *testing.T) {
+	runWithRestartableWorker(t, func(t *testing.T, s *Supervisor, w *restartableWorker) {
+		w.fakeWorker.mu.Lock()
+		w.ends = []work.RunEnd{{Number: 7, Task: "t", Run: 1, Outcome: "done"}}
+		w.fakeWorker.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		sendCommands(s, t, &work.Commands{Number: 1, EndsAcked: 7})
+		time.Sleep(500 * time.Millisecond)
+		if diff := cmp.Diff(int64(7), w.highestEndAcked()); diff != "" {
+			t.Fatalf("acknowledged end (-want +got):\n%s", diff)
+		}
+		w.fakeWorker.mu.Lock()
+		w.endsAcked = 0
+		w.fakeWorker.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		if diff := cmp.Diff(int64(0), w.highestEndAcked()); diff != "" {
+			t.Errorf("acknowledged end once the worker lists none (-want +got):\n%s", diff)
+		}
+	})
+}
