--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -282,18 +282,6 @@
 	return answer.State
 }
 
-// pending asks an entry for the number of submissions that have not begun.
-func (d *deployment) pending() (int, bool) {
-	p := d.entry()
-	status, body, err := send(http.MethodGet, p.front(), queuePrefix, queueHost, nil, deadline)
-	var answer struct {
-		Pending int `json:"pending"`
-	}
-	decodeErr := json.Unmarshal(body, &answer)
-	d.history.add("GET %s at %s: %d pending %d %s", queuePrefix, p.name, status, answer.Pending, errorText(err))
-	return answer.Pending, err == nil && decodeErr == nil && status == http.StatusOK
-}
-
 // newID returns a random ID.
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
--- a/review/standin/history.go
+++ b/review/standin/history.go
@@ -12,10 +12,13 @@
 // submission is what a client hands in. Run holds how long the tasks of each step take,
 // which only the workers know.
 type submission struct {
-	ID    string          `json:"-"`
-	Spec  string          `json:"spec"`
-	Steps []step          `json:"steps"`
-	Run   []time.Duration `json:"-"`
+	ID          string          `json:"-"`
+	Spec        string          `json:"spec"`
+	Steps       []step          `json:"steps"`
+	StartAtMs   int64           `json:"startAtMs,omitempty"`
+	IntervalMs  int64           `json:"intervalMs,omitempty"`
+	RepeatCount int             `json:"repeatCount,omitempty"`
+	Run         []time.Duration `json:"-"`
 }
 
 type step struct {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,7 @@
 // play is a case. It returns what breaks the rule, empty if it held.
 type play func(d *deployment, trouble bool) (string, error)
 
-var plays = map[string]play{"fronts": playFronts, "ends": playEnds, "flap": playFlap, "gang": playGang, "pending": playPending}
+var plays = map[string]play{"fronts": playFronts, "schedule": playSchedule, "ends": playEnds, "flap": playFlap, "gang": playGang}
 
 func main() {
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
--- a/review/standin/plays.go
+++ b/review/standin/plays.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -13,10 +12,8 @@
 	// how long one may have nothing running then.
 	finish = 14 * time.Second
 	idle   = 3 * time.Second
-	// visible is the least age of a submission that counts as pending.
-	visible = 5 * time.Second
-	second  = time.Second
-	ms      = time.Millisecond
+	second = time.Second
+	ms     = time.Millisecond
 )
 
 // startAll starts three entries and a number of workers, and waits until all work.
@@ -194,6 +191,39 @@
 	return nil, fmt.Errorf("%s did not start in %s", id, limit)
 }
 
+// playSchedule hands in ordinary submissions, and while their first steps run a schedule
+// of which many occurrences are due.
+func playSchedule(d *deployment, trouble bool) (string, error) {
+	if err := startAll(d, 3, false, sameLabel); err != nil {
+		return "", err
+	}
+	const occurrences, overdue = 20000, 4 * time.Hour
+	var ordinary []*submission
+	for range 3 {
+		s := &submission{
+			ID: newID(), Spec: "ordinary", Run: []time.Duration{4 * second, second},
+			Steps: []step{{Count: 2, CPU: 1000, MemMb: 500, EstimateMs: 4000}, {Count: 1, CPU: 1000, MemMb: 500, EstimateMs: 1000, DependsOn: []int{0}}},
+		}
+		if !d.submit(s) {
+			return "", fmt.Errorf("a submission was not accepted")
+		}
+		ordinary = append(ordinary, s)
+	}
+	time.Sleep(second)
+	schedule := &submission{
+		ID: newID(), Spec: "schedule", Steps: []step{{Count: 1, CPU: 100, MemMb: 50, EstimateMs: 50}}, Run: []time.Duration{50 * ms},
+		StartAtMs: time.Now().UnixMilli(), IntervalMs: second.Milliseconds(), RepeatCount: occurrences,
+	}
+	if trouble {
+		schedule.StartAtMs -= overdue.Milliseconds()
+	}
+	if !d.submit(schedule) {
+		return "", fmt.Errorf("the schedule was not accepted")
+	}
+	time.Sleep(finish)
+	return d.findIdle(ordinary, 20*second), nil
+}
+
 // playFlap lets the only worker of a kind go down and up by turns while two submissions
 // run there that need this kind: one of a task that ends, one of a task that lasts.
 func playFlap(d *deployment, trouble bool) (string, error) {
@@ -298,69 +328,3 @@
 	}
 	return ""
 }
-
-// playPending lets a worker hang, hands in small submissions, and asks how many of them
-// have not begun.
-func playPending(d *deployment, trouble bool) (string, error) {
-	if err := startAll(d, 10, false, sameLabel); err != nil {
-		return "", err
-	}
-	const hangFor = 5500 * ms
-	w := d.workers[3]
-	if trouble {
-		w.setMute(true)
-		time.AfterFunc(hangFor, func() { w.setMute(false) })
-	}
-	began := time.Now()
-	accepted := d.submitSmall(20)
-	time.Sleep(visible + 50*ms)
-	finding := ""
-	for ; finding == "" && time.Since(began) < hangFor+2*second; time.Sleep(100 * ms) {
-		finding = d.judgePending(accepted)
-	}
-	return finding, nil
-}
-
-// submitSmall hands in submissions of one task at the same time, and returns the IDs of
-// those that were accepted.
-func (d *deployment) submitSmall(count int) []string {
-	var accepted []string
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	for range count {
-		group.Go(func() {
-			s := &submission{ID: newID(), Spec: "small", Steps: []step{{Count: 1, CPU: 4000, MemMb: 1000, EstimateMs: 1000}}, Run: []time.Duration{second}}
-			if d.submit(s) {
-				mu.Lock()
-				defer mu.Unlock()
-				accepted = append(accepted, s.ID)
-			}
-		})
-	}
-	group.Wait()
-	return accepted
-}
-
-// judgePending compares what an entry says with what has begun on the workers.
-func (d *deployment) judgePending(accepted []string) string {
-	count, ok := d.pending()
-	if !ok {
-		return ""
-	}
-	begun := map[string]bool{}
-	for task := range d.history.tasks() {
-		id, _ := splitTask(task)
-		begun[id] = true
-	}
-	waiting := 0
-	for _, id := range accepted {
-		if !begun[id] {
-			waiting++
-		}
-	}
-	d.history.add("%d of %d submissions have not begun", waiting, len(accepted))
-	if 2*count >= waiting {
-		return ""
-	}
-	return fmt.Sprintf("MIXED: pending is %d, and %d submissions that were accepted over %s ago have not begun", count, waiting, visible)
-}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -34,8 +34,6 @@
 	lives   int
 	// cut is set while the worker and its machine don't reach each other.
 	cut bool
-	// mute is set while orders are left unanswered and not carried out.
-	mute bool
 }
 
 // workerProcess is one life of a worker.
@@ -114,7 +112,7 @@
 		}
 		w.mu.Lock()
 		w.endRuns(p, time.Now())
-		silent := w.cut || w.mute
+		silent := w.cut
 		w.mu.Unlock()
 		if time.Since(beatAt) > heartbeat && !silent {
 			beatAt = time.Now()
@@ -158,7 +156,7 @@
 			"capacity": map[string]int{"cpu": w.cpu, "memMb": w.memMb, "gpu": 0}, "labels": w.labels,
 			"clockMs": p.clock(time.Now()).Milliseconds(), "seq": p.seq, "born": p.born.UnixMilli(),
 		}
-		silent := w.cut || w.mute || w.process != p
+		silent := w.cut || w.process != p
 		w.mu.Unlock()
 		if silent {
 			return
@@ -191,13 +189,6 @@
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		w.mu.Lock()
-		mute := w.mute
-		w.mu.Unlock()
-		if mute {
-			<-r.Context().Done()
-			return
-		}
 		if r.URL.Path == "/-/hold" {
 			w.waitForEnd(p, &o)
 		}
@@ -299,14 +290,6 @@
 	w.history.add("worker of %s cut off: %t", w.machine, cut)
 }
 
-// setMute makes the worker leave everything unanswered, or ends that.
-func (w *worker) setMute(mute bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.mute = mute
-	w.history.add("worker of %s hangs: %t", w.machine, mute)
-}
-
 func (w *worker) isCut() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
