--- a/review/standin/plays.go
+++ b/review/standin/plays.go
@@ -137,13 +137,13 @@
 	return d.findIdle([]*submission{s}, 5*second), nil
 }
 
-// playEnds cuts a worker off while a long task ends there. The task is started again on
+// playEnds cuts one of six workers off while a long task ends there. The task starts again on
 // another worker; then many short tasks run.
 func playEnds(d *deployment, trouble bool) (string, error) {
-	if err := startAll(d, 3, true, sameLabel); err != nil {
+	if err := startAll(d, 6, true, sameLabel); err != nil {
 		return "", err
 	}
-	const long, cutBefore, cutFor = 30 * second, 1500 * ms, 9 * second
+	const long, cutBefore, cutFor = 30 * second, 1500 * ms, 8 * second
 	first := &submission{ID: newID(), Spec: "long", Steps: []step{{Count: 1, CPU: 2000, MemMb: 1000, EstimateMs: long.Milliseconds()}}, Run: []time.Duration{long}}
 	if !d.submit(first) {
 		return "", fmt.Errorf("the long submission was not accepted")
@@ -158,7 +158,7 @@
 	host.setCut(false)
 	time.Sleep(2 * second)
 	var burst []*submission
-	for range 3 {
+	for range 6 {
 		s := &submission{
 			ID: newID(), Spec: "burst", Run: []time.Duration{100 * ms, 500 * ms},
 			Steps: []step{{Count: 900, CPU: 250, MemMb: 100, EstimateMs: 100}, {Count: 1, CPU: 1000, MemMb: 500, EstimateMs: 500, DependsOn: []int{0}}},
