--- a/internal/job/planner/advice.go
+++ b/internal/job/planner/advice.go
@@ -1,11 +1,18 @@
 package planner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxVMsPerQuery bounds the VMs in one query, because the policy service
 	// needs time for each.
 	maxVMsPerQuery = 30
+	// maxStepsToApprove bounds the steps of a job, ready ones and others, that are
+	// considered for a query, maxExaminedSteps those of all jobs, which take turns.
+	maxStepsToApprove = 32
+	maxExaminedSteps  = 500
 	// ticketMargin is how long a ticket must still be valid when a start is sent,
 	// so that the start arrives in time.
 	ticketMargin = 300 * time.Millisecond
@@ -40,12 +47,16 @@
 // are done, so that tickets are ready in time.
 func (pl *Planner) NextPolicyQuery(now time.Time) (PolicyQuery, bool) {
 	var best *candidate
+	examined := 0
 	for _, j := range pl.jobs {
 		if j.outcome != nil || j.record == nil || j.record.Queue.Approval == nil {
 			continue
 		}
-		for _, s := range j.steps {
-			if s.waiting == 0 || len(pl.vmsToAsk(s, now)) == 0 || s.countApprovedVMs(pl, now) >= s.waiting {
+		for _, s := range j.stepsToApprove() {
+			if examined++; examined > maxExaminedSteps {
+				break
+			}
+			if len(pl.vmsToAsk(s, now)) == 0 || s.countApprovedVMs(pl, now) >= s.waiting {
 				continue
 			}
 			if c := pl.rank(s, now); best == nil || c.before(best) {
@@ -60,6 +71,25 @@
 	return PolicyQuery{Step: best.step.policyName(), VMs: vms[:min(len(vms), maxVMsPerQuery)]}, true
 }
 
+// stepsToApprove returns steps with waiting tasks: those that are ready, and those of the
+// first occurrences that wait for others, some of each if there are many.
+func (j *job) stepsToApprove() []*step {
+	steps := slices.Clone(window(j.ready, maxStepsToApprove, &j.approvalTurn))
+	blocked := 0
+	for _, o := range j.open {
+		for _, s := range o.steps {
+			if s.waiting == 0 || s.isReady {
+				continue
+			}
+			if blocked++; blocked > maxStepsToApprove {
+				return steps
+			}
+			steps = append(steps, s)
+		}
+	}
+	return steps
+}
+
 // countApprovedVMs counts the VMs that have room and may run a further task of the step.
 func (s *step) countApprovedVMs(pl *Planner, now time.Time) int {
 	count := 0
--- a/internal/job/planner/copy.go
+++ b/internal/job/planner/copy.go
@@ -17,6 +17,8 @@
 	// copyInterval is the interval at which runs are considered for a copy. Their
 	// progress is reported every 250 ms.
 	copyInterval = 100 * time.Millisecond
+	// maxCopyChecks bounds the runs for which a VM is looked for at a time.
+	maxCopyChecks = 64
 	// maxEndedTimes bounds the ended runs of a step whose times are kept.
 	maxEndedTimes = 64
 )
@@ -48,7 +50,7 @@
 		return cmp.Or(cmp.Compare(b.copy.Gain(), a.copy.Gain()), cmp.Compare(a.placement.step.taskName(a.placement.index), b.placement.step.taskName(b.placement.index)))
 	})
 	busy := pl.poolsWithWaitingWork()
-	for i := range late {
+	for i := range late[:min(len(late), maxCopyChecks)] {
 		p, c := late[i].placement, &late[i].copy
 		s := p.step
 		if busy[s.job.record.Queue.Pool] {
@@ -115,11 +117,7 @@
 			continue
 		}
 		pool := j.record.Queue.Pool
-		for _, s := range j.steps {
-			if s.waiting > 0 && !s.spec.Filler && s.dependenciesDone() && (!s.spec.LongRunning || !pl.crowdedPools[pool]) {
-				busy[pool] = true
-			}
-		}
+		busy[pool] = busy[pool] || slices.ContainsFunc(j.ready, func(s *step) bool { return !s.spec.Filler && (!s.spec.LongRunning || !pl.crowdedPools[pool]) })
 	}
 	return busy
 }
--- a/internal/job/planner/cost.go
+++ b/internal/job/planner/cost.go
@@ -66,12 +66,7 @@
 	placed := v.fullPaceFillerShares()
 	share := float64(s.spec.Size.Millicores) / float64(max(v.workerStatus.Capacity.Millicores, 1))
 	var servings []loaddivider.Serving
-	seen := map[*step]bool{}
-	for _, p := range v.runs {
-		if p.step.spec.LatencyTarget <= 0 || seen[p.step] {
-			continue
-		}
-		seen[p.step] = true
+	for _, p := range v.use.serving {
 		serving := loaddivider.Serving{Load: p.expectedLoad(), Weight: pl.interference.Weight(s.spec.Image, p.step.spec.Image)}
 		for image, placedShare := range placed {
 			serving.Parts = append(serving.Parts, loaddivider.Part{Weight: pl.interference.Weight(image, p.step.spec.Image), Share: placedShare})
@@ -94,13 +89,8 @@
 // fullPaceFillerShares returns, by image, the shares of the VM that fillers use
 // when all run at full pace.
 func (v *vm) fullPaceFillerShares() map[string]float64 {
-	shares := map[string]float64{}
-	for _, p := range v.runs {
-		if p.step.spec.Filler {
-			shares[p.step.spec.Image] += float64(p.step.spec.Size.Millicores) / float64(max(v.workerStatus.Capacity.Millicores, 1))
-		}
-	}
-	return shares
+	v.measureUse()
+	return v.use.fillerShares
 }
 
 // servingCost places serving tasks with the same image together, so that
--- a/internal/job/planner/durations.go
+++ b/internal/job/planner/durations.go
@@ -31,7 +31,7 @@
 	if spec.LongRunning || !pl.Settings.Gates.On(gatekeeper.Durations) {
 		return spec.EstimatedDuration
 	}
-	s := j.steps[key]
+	s := j.step(key)
 	if s == nil {
 		return pl.durations.Expected(j.kind(key.Step), spec.EstimatedDuration, durationestimator.Observation{})
 	}
@@ -48,7 +48,7 @@
 		return expected
 	}
 	var observed durationestimator.Observation
-	if s := j.steps[key]; s != nil {
+	if s := j.step(key); s != nil {
 		observed = s.observed
 	}
 	return pl.durations.Longest(j.record.Queue.Name, expected, spec.Tasks, observed)
@@ -146,19 +146,24 @@
 }
 
 // remainingWork returns the remaining work of an occurrence, in core-seconds.
-func (pl *Planner) remainingWork(j *job, occurrence int) float64 {
-	sum := 0.0
-	for i := range j.record.Steps {
-		key := jobreducer.StepKey{Occurrence: occurrence, Step: i}
-		tasks := j.record.Steps[i].Tasks
-		if s := j.steps[key]; s != nil {
-			tasks -= s.done
-		}
-		if tasks > 0 {
-			sum += float64(tasks) * coreSeconds(&j.record.Steps[i], pl.expectedStepDuration(j, key))
+func (pl *Planner) remainingWork(j *job, o *occurrence) float64 {
+	return pl.estimate(j, o).remainingWork
+}
+
+// estimate returns the estimates of an occurrence, computed once in each pass.
+func (pl *Planner) estimate(j *job, o *occurrence) *estimates {
+	if o.chains != nil && o.pass == pl.pass {
+		return &o.estimates
+	}
+	o.pass, o.remainingWork = pl.pass, 0
+	o.chains = chainsBy(j, o.number, pl.expectedStepDuration)
+	o.objective = objectiveOf(j, o.chains)
+	for _, s := range o.steps {
+		if tasks := len(s.tasks) - s.done; tasks > 0 {
+			o.remainingWork += float64(tasks) * coreSeconds(s.spec, pl.expectedDuration(s))
 		}
 	}
-	return sum
+	return &o.estimates
 }
 
 // totalWork returns the work of one occurrence, in core-seconds.
@@ -176,9 +181,9 @@
 	return duration.Seconds() * float64(spec.Size.Millicores) / 1000
 }
 
-// timeObjective returns the time within which an occurrence should complete.
-func (pl *Planner) timeObjective(j *job, occurrence int) time.Duration {
-	return objectiveOf(j, pl.chains(j, occurrence))
+// timeObjective returns the time within which the occurrence of a step should complete.
+func (pl *Planner) timeObjective(s *step) time.Duration {
+	return pl.estimate(s.job, s.occurrence).objective
 }
 
 // exactObjective is timeObjective by the longest task of each step, for the log.
@@ -199,9 +204,7 @@
 
 // chains returns, for each step of an occurrence, the longest expected time from the
 // start of the step to the end of the job.
-func (pl *Planner) chains(j *job, occurrence int) []time.Duration {
-	return chainsBy(j, occurrence, pl.expectedStepDuration)
-}
+func (pl *Planner) chains(j *job, o *occurrence) []time.Duration { return pl.estimate(j, o).chains }
 
 // chainsBy is chains, given how long a step takes.
 func chainsBy(j *job, occurrence int, duration func(*job, jobreducer.StepKey) time.Duration) []time.Duration {
--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -1,9 +1,9 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
-	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -33,6 +33,9 @@
 	Against map[Reason]int `json:"against,omitempty"`
 }
 
+// maxExplainedSteps bounds the steps in an explanation.
+const maxExplainedSteps = 100
+
 // ExplainJob explains a job that waits, or a new one. It places the tasks that wait as
 // a pass would, without those of other jobs that may go first, and takes them off again:
 // the planner stays as it is.
@@ -40,24 +43,17 @@
 	j := pl.jobs[record.ID]
 	e := JobExplanation{ID: record.ID, Waits: j != nil}
 	if j == nil {
-		j = &job{id: record.ID, record: record, steps: map[jobreducer.StepKey]*step{}, startedOccurrences: 1}
-		for i := range record.Steps {
-			j.ensureStep(jobreducer.StepKey{Step: i})
-		}
+		j = &job{id: record.ID, record: record}
+		j.startedOccurrences = 1
+		j.ensureOccurrence(0)
 	}
 	if j.record == nil || j.outcome != nil {
 		return e
 	}
 	var placed []*placement
-	for occurrence := range j.startedOccurrences {
-		for i := range j.record.Steps {
-			s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: i}]
-			if s == nil {
-				continue
-			}
-			explanation, placements := pl.explainStep(s, maxPlacements-len(placed), now)
-			e.Steps, placed = append(e.Steps, explanation), append(placed, placements...)
-		}
+	for _, s := range j.stepsToExplain() {
+		explanation, placements := pl.explainStep(s, maxPlacements-len(placed), now)
+		e.Steps, placed = append(e.Steps, explanation), append(placed, placements...)
 	}
 	for _, p := range placed {
 		pl.takeOff(p)
@@ -65,6 +61,20 @@
 	return e
 }
 
+// stepsToExplain returns the steps of the job that are not over, at most maxExplainedSteps,
+// those with waiting tasks first if there are more.
+func (j *job) stepsToExplain() []*step {
+	var steps []*step
+	for _, o := range j.open {
+		if steps = append(steps, o.steps...); len(steps) > maxExplainedSteps {
+			first := j.ready[:min(len(j.ready), maxExplainedSteps)]
+			steps = slices.DeleteFunc(steps, func(s *step) bool { return s.isReady })
+			return slices.Concat(first, steps[:min(len(steps), maxExplainedSteps-len(first))])
+		}
+	}
+	return steps
+}
+
 // explainStep explains a step, and returns the placements of its tasks that would start,
 // at most limit unless the step is a gang.
 func (pl *Planner) explainStep(s *step, limit int, now time.Time) (StepExplanation, []*placement) {
--- a/internal/job/planner/harness_test.go
+++ b/internal/job/planner/harness_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -255,14 +256,18 @@
 }
 
 func (s *simulation) acceptJob(job *work.Job) {
-	r := jobreducer.JobRecord(job)
+	s.writeToState(jobreducer.JobRecord(job))
+	s.planner.AddJob(job, s.now)
+	s.runPass()
+}
+
+// writeToState adds a record to the log.
+func (s *simulation) writeToState(r journal.Record) {
 	r.Offset = s.nextOffset
 	s.nextOffset++
 	if err := s.state.Apply(r); err != nil {
 		s.t.Fatal(err)
 	}
-	s.planner.AddJob(job, s.now)
-	s.runPass()
 }
 
 // placements returns the VM of each running task of a job.
--- a/internal/job/planner/hopeless.go
+++ b/internal/job/planner/hopeless.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"iter"
+	"slices"
 	"time"
 
 	"knapweedspur/internal/wire/work"
@@ -24,23 +26,22 @@
 	minHold    = time.Second
 )
 
-// startOrder returns the indexes of the step's tasks in the order in which they start.
-func (s *step) startOrder(retriesFirst bool) []int {
-	order := make([]int, 0, len(s.tasks))
+// startOrder iterates over the indexes of the step's tasks in the order in which they
+// start.
+func (s *step) startOrder(retriesFirst bool) iter.Seq[int] {
 	retriesFirst = retriesFirst && s.retried > 0
-	if retriesFirst {
+	return func(yield func(int) bool) {
 		for i := range s.tasks {
-			if s.tasks[i].Failures > 0 {
-				order = append(order, i)
+			if retriesFirst && s.tasks[i].Failures > 0 && !yield(i) {
+				return
 			}
 		}
-	}
-	for i := range s.tasks {
-		if !retriesFirst || s.tasks[i].Failures == 0 {
-			order = append(order, i)
+		for i := range s.tasks {
+			if (!retriesFirst || s.tasks[i].Failures == 0) && !yield(i) {
+				return
+			}
 		}
 	}
-	return order
 }
 
 // heldBack reports whether a task that has never run waits for the result of a
@@ -49,12 +50,12 @@
 	if t.LastRun > 0 || s.spec.LongRunning {
 		return false
 	}
-	for _, o := range s.job.steps {
-		if o.retried > 0 && o.key.Occurrence == s.key.Occurrence && pl.hasDoubtfulRun(o, now) {
-			return true
-		}
+	o := s.occurrence
+	if o.doubtfulPass != pl.pass {
+		o.doubtfulPass = pl.pass
+		o.doubtful = o.retried > 0 && slices.ContainsFunc(o.steps, func(s *step) bool { return s.retried > 0 && pl.hasDoubtfulRun(s, now) })
 	}
-	return false
+	return o.doubtful
 }
 
 // hasDoubtfulRun reports whether a doubtful task of the step is at work on a VM that
--- a/internal/job/planner/idle.go
+++ b/internal/job/planner/idle.go
@@ -32,26 +32,17 @@
 func (j *job) noteIdle(waits bool, now time.Time) {
 	j.takesAnyRoom, j.overcommits = false, false
 	switch {
-	case !waits || j.hasRunning():
+	case !waits || j.running > 0:
 		j.idleSince, j.idleLogged = time.Time{}, false
 	case j.idleSince.IsZero():
 		j.idleSince = now
 	}
 }
 
-func (j *job) hasRunning() bool {
-	for _, s := range j.steps {
-		if s.running > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // idleTooLong reports whether a job has been idle for longer than it may wait for better
 // conditions.
 func (j *job) idleTooLong(now time.Time) bool {
-	return !j.idleSince.IsZero() && now.Sub(j.idleSince) >= maxIdleWait && !j.hasRunning()
+	return !j.idleSince.IsZero() && now.Sub(j.idleSince) >= maxIdleWait && j.running == 0
 }
 
 // markIdle finds the jobs whose next task starts as a last resort, a filler at any cost:
--- a/internal/job/planner/interference.go
+++ b/internal/job/planner/interference.go
@@ -44,6 +44,9 @@
 		pl.estimatesSavedAt = now
 		pl.records = append(pl.records, jobreducer.EstimatesRecord(&work.InterferenceEstimates{Pairs: pl.interference.Pairs()}))
 	}
+	for _, v := range pl.sortedVMs {
+		v.use.known = false
+	}
 	for _, s := range steps {
 		list := samples[s]
 		s.load = pl.ownLoad(s.spec.Image, list)
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -19,10 +20,8 @@
 	number int
 	// record is the job as accepted, nil if the log holds only its outcome.
 	record *work.Job
-	// steps holds the steps of all occurrences that have started.
-	steps              map[jobreducer.StepKey]*step
-	startedOccurrences int
-	canceled           bool
+	progress
+	canceled bool
 	// sequenced is the last decision about the order of the job.
 	sequenced map[classKey]sequencer.Result
 	outcome   *work.Outcome
@@ -39,16 +38,13 @@
 
 // step is a step of one occurrence of a job.
 type step struct {
-	job  *job
-	key  jobreducer.StepKey
-	spec *work.Step
+	job        *job
+	occurrence *occurrence
+	key        jobreducer.StepKey
+	spec       *work.Step
 	// tasks is the state that is written to the log.
 	tasks []work.Task
-	// Tasks by state: waiting ones have no run, running ones have at least one,
-	// done ones completed successfully.
-	waiting, running, done int
-	// retried counts the tasks that are not done and have failed.
-	retried int
+	stepCounts
 	// blamedFailures counts, by task, the failures that were the fault of a VM. A new
 	// leader does not know them.
 	blamedFailures map[int]int
@@ -84,44 +80,11 @@
 
 func (pl *Planner) newJob(id string, record *work.Job) *job {
 	pl.lastJobNumber++
-	j := &job{id: id, number: pl.lastJobNumber, record: record, steps: map[jobreducer.StepKey]*step{}}
+	j := &job{id: id, number: pl.lastJobNumber, record: record}
 	pl.jobs[id] = j
 	return j
 }
 
-// ensureStep returns the step with the given key. It creates the step with all
-// tasks waiting if it does not exist.
-func (j *job) ensureStep(key jobreducer.StepKey) *step {
-	if s := j.steps[key]; s != nil {
-		return s
-	}
-	spec := &j.record.Steps[key.Step]
-	s := &step{job: j, key: key, spec: spec, tasks: make([]work.Task, spec.Tasks), waiting: spec.Tasks}
-	j.steps[key] = s
-	return s
-}
-
-// recount updates the numbers of tasks by state.
-func (s *step) recount() {
-	s.waiting, s.running, s.done, s.retried = 0, 0, 0, 0
-	for i := range s.tasks {
-		if t := &s.tasks[i]; !t.Done && t.Failures > 0 {
-			s.retried++
-		}
-		switch t := &s.tasks[i]; {
-		case t.Done:
-			s.done++
-		case len(t.Runs) > 0:
-			s.running++
-		default:
-			s.waiting++
-		}
-	}
-	if s.waiting == 0 {
-		s.avoidsSince, s.noRoomSince, s.awaySince = time.Time{}, time.Time{}, time.Time{}
-	}
-}
-
 func (s *step) taskName(index int) string {
 	return s.job.id + "." + strconv.Itoa(s.key.Occurrence) + "." + strconv.Itoa(s.key.Step) + "." + strconv.Itoa(index)
 }
@@ -144,7 +107,7 @@
 	if j == nil || err1 != nil || err2 != nil || err3 != nil {
 		return nil, 0
 	}
-	s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: stepIndex}]
+	s := j.step(jobreducer.StepKey{Occurrence: occurrence, Step: stepIndex})
 	if s == nil || index < 0 || index >= len(s.tasks) {
 		return nil, 0
 	}
@@ -179,48 +142,41 @@
 	j.outcome = &work.Outcome{State: state, EndedAt: now, Queue: j.record.Queue.Name}
 	pl.records = append(pl.records, jobreducer.OutcomeRecord(j.id, j.outcome))
 	pl.logDecision("finish", "job", j.id, "state", state, "after", now.Sub(j.record.AcceptedAt), "objective", pl.exactObjective(j, 0), "work", int(pl.totalWork(j)))
-	for _, s := range j.steps {
-		for i := range s.tasks {
-			pl.stopTaskRuns(s, i, state, now)
+	pl.stopAllRuns(j, state, now)
+	pl.dropEndedJob(j)
+}
+
+// stopAllRuns stops all runs of a job.
+func (pl *Planner) stopAllRuns(j *job, reason string, now time.Time) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				pl.stopTaskRuns(s, i, reason, now)
+			}
 		}
 	}
-	pl.dropEndedJob(j)
 }
 
 // dropEndedJob removes the description of a job from the log if the job has
 // ended and has no runs left.
 func (pl *Planner) dropEndedJob(j *job) {
-	if j.outcome == nil || j.dropped {
+	if j.outcome == nil || j.dropped || j.runs > 0 {
 		return
 	}
-	for _, s := range j.steps {
-		if s.running > 0 || s.hasRuns() {
-			return
-		}
-	}
-	var keys []jobreducer.TaskKey
-	for _, s := range j.steps {
-		for i := range s.tasks {
-			if s.tasks[i].LastRun > 0 {
-				keys = append(keys, s.taskKey(i))
+	keys := j.endedTasks()
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				if s.tasks[i].LastRun > 0 {
+					keys = append(keys, s.taskKey(i))
+				}
 			}
+			delete(pl.dirtyTasks, s)
 		}
-		delete(pl.dirtyTasks, s)
 	}
 	j.dropped = true
-	pl.records = append(pl.records, jobreducer.JobTombstones(j.id, keys)...)
-	j.steps = map[jobreducer.StepKey]*step{}
-}
-
-// hasRuns reports whether any task of the step, including done ones, has a run
-// that is not known to have ended.
-func (s *step) hasRuns() bool {
-	for i := range s.tasks {
-		if len(s.tasks[i].Runs) > 0 {
-			return true
-		}
-	}
-	return false
+	pl.tombstones = append(pl.tombstones, jobreducer.JobTombstones(j.id, keys)...)
+	j.progress = progress{}
 }
 
 const (
@@ -250,61 +206,47 @@
 	}
 }
 
-// startDueOccurrences creates the steps of the occurrences that are due.
+// startDueOccurrences creates the steps of the occurrences that are due, as many as the
+// job may have at a time.
 func (pl *Planner) startDueOccurrences(j *job, now time.Time) {
 	if j.outcome != nil || j.dropped {
 		return
 	}
 	occurrences := max(j.record.Occurrences, 1)
-	for j.startedOccurrences < occurrences {
+	for j.startedOccurrences < occurrences && j.mayStartOccurrence() {
 		due := j.record.DueAt.Add(time.Duration(j.startedOccurrences) * j.record.Interval)
 		if !j.record.DueAt.IsZero() && now.Before(due) {
 			return
 		}
-		for i := range j.record.Steps {
-			s := j.ensureStep(jobreducer.StepKey{Occurrence: j.startedOccurrences, Step: i})
+		for _, s := range j.ensureOccurrence(j.startedOccurrences).steps {
 			s.startedAt = now
 		}
 		j.startedOccurrences++
 	}
 }
 
-// dependenciesDone reports whether all steps that the step depends on are done.
-func (s *step) dependenciesDone() bool {
-	for _, index := range s.spec.DependsOn {
-		dependency := s.job.steps[jobreducer.StepKey{Occurrence: s.key.Occurrence, Step: index}]
-		if dependency == nil || dependency.done < len(dependency.tasks) {
-			return false
-		}
-	}
-	return true
-}
-
 // complete reports whether all occurrences of the job are done.
 func (j *job) complete() bool {
-	if j.startedOccurrences < max(j.record.Occurrences, 1) {
-		return false
-	}
-	for _, s := range j.steps {
-		if s.done < len(s.tasks) {
-			return false
-		}
-	}
-	return true
+	return j.startedOccurrences >= max(j.record.Occurrences, 1) && len(j.open) == 0
 }
 
 // finishIfDecided ends a job as failed if a task has reached its failure limit,
 // or as completed if all tasks are done.
 func (pl *Planner) finishIfDecided(j *job, now time.Time) {
-	for _, s := range j.steps {
-		for i := range s.tasks {
-			if t := &s.tasks[i]; !s.spec.LongRunning && !t.Done && t.Failures >= j.record.Queue.MaxFailures {
+	for _, o := range j.open {
+		for _, s := range o.steps {
+			if s.hasHopelessTask() {
 				pl.finishJob(j, jobreducer.Failed, now)
 				return
 			}
 		}
 	}
-	if len(j.steps) > 0 && j.complete() {
+	if j.startedOccurrences > 0 && j.complete() {
 		pl.finishJob(j, jobreducer.Completed, now)
 	}
 }
+
+// hasHopelessTask reports whether a task of the step has reached its failure limit.
+func (s *step) hasHopelessTask() bool {
+	return !s.spec.LongRunning && slices.ContainsFunc(s.tasks, func(t work.Task) bool { return !t.Done && t.Failures >= s.job.record.Queue.MaxFailures })
+}
--- a/internal/job/planner/order.go
+++ b/internal/job/planner/order.go
@@ -7,7 +7,6 @@
 	"sort"
 	"time"
 
-	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/job/sequencer"
 	"knapweedspur/internal/setting/gatekeeper"
 )
@@ -142,10 +141,10 @@
 	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.number, b.number) })
 	sequences := map[sequenceKind]*sequence{}
 	for _, j := range jobs {
-		for occurrence := range j.startedOccurrences {
+		for _, o := range j.open {
 			for _, fillers := range []bool{false, true} {
-				key := classKey{occurrence, fillers}
-				x, ok := pl.sequenceJob(j, key, progress, now)
+				key := classKey{o.number, fillers}
+				x, ok := pl.sequenceJob(j, o, key, progress, now)
 				if !ok {
 					continue
 				}
@@ -167,14 +166,12 @@
 // number of tasks.
 func (pl *Planner) runningProgress() map[*step]float64 {
 	progress := map[*step]float64{}
-	for _, j := range pl.jobs {
-		for _, s := range j.steps {
-			s.leastProgress = fullProgress
-		}
-	}
 	for _, v := range pl.sortedVMs {
 		for _, p := range v.runs {
 			if !p.step.spec.LongRunning {
+				if _, seen := progress[p.step]; !seen {
+					p.step.leastProgress = fullProgress
+				}
 				progress[p.step] += float64(p.progressPercent) / fullProgress
 				p.step.leastProgress = min(p.step.leastProgress, p.progressPercent)
 			}
@@ -185,9 +182,9 @@
 
 // sequenceJob describes the part of an occurrence that needs one kind of capacity. It
 // reports false if nothing of it is left, or it has no end.
-func (pl *Planner) sequenceJob(j *job, key classKey, progress map[*step]float64, now time.Time) (sequencer.Job, bool) {
+func (pl *Planner) sequenceJob(j *job, o *occurrence, key classKey, progress map[*step]float64, now time.Time) (sequencer.Job, bool) {
 	x := sequencer.Job{Priority: j.record.Queue.Priority, Previous: j.sequenced[key].Class}
-	chains := pl.chains(j, key.occurrence)
+	chains := pl.chains(j, o)
 	objective := time.Duration(0)
 	unfinished, ends := false, false
 	for i := range j.record.Steps {
@@ -195,8 +192,8 @@
 		if len(spec.DependsOn) == 0 {
 			objective = max(objective, chains[i])
 		}
-		s := j.steps[jobreducer.StepKey{Occurrence: key.occurrence, Step: i}]
-		if s == nil || spec.Filler != key.fillers || spec.LatencyTarget > 0 {
+		s := o.steps[i]
+		if spec.Filler != key.fillers || spec.LatencyTarget > 0 {
 			continue
 		}
 		x.Running += float64(s.running*spec.Size.Millicores) / 1000
--- a/internal/job/planner/order_test.go
+++ b/internal/job/planner/order_test.go
@@ -104,7 +104,7 @@
 	for _, leader := range []string{"the leader", "a new leader"} {
 		s.submitJob(jobID(100), stepSpec(1, 1000))
 		j := s.planner.jobs[jobID(100)]
-		for _, step := range j.steps {
+		for _, step := range j.occurrences[0].steps {
 			if got := s.planner.expectedDuration(step); got < 2600*time.Millisecond || got > 3300*time.Millisecond {
 				t.Errorf("%s expects %s, want about 3s", leader, got)
 			}
--- a/internal/job/planner/outlook.go
+++ b/internal/job/planner/outlook.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"knapweedspur/internal/job/jobmeasurer"
-	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/job/roomforecaster"
 	"knapweedspur/internal/wire/work"
 )
@@ -148,9 +147,10 @@
 			continue
 		}
 		if p := pools[j.record.Queue.Pool]; p != nil {
-			for occurrence := range j.startedOccurrences {
-				pl.addOccurrence(p, j, occurrence, now)
+			for _, o := range j.open {
+				pl.addOccurrence(p, j, o, now)
 			}
+			pl.addDueOccurrences(p, j, now)
 		}
 	}
 }
@@ -158,25 +158,24 @@
 // addOccurrence adds the waiting tasks of an occurrence of a job. A job with less than
 // half of its time left is not counted, since a newer one soon goes before it: first
 // when it becomes late, then when its result becomes useless.
-func (pl *Planner) addOccurrence(p *poolOutlook, j *job, occurrence int, now time.Time) {
+func (pl *Planner) addOccurrence(p *poolOutlook, j *job, o *occurrence, now time.Time) {
 	var waiting []*step
-	rest, due, chains := time.Duration(0), time.Time{}, pl.chains(j, occurrence)
-	for i := range j.record.Steps {
-		s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: i}]
-		if s == nil || s.waiting == 0 || s.spec.LongRunning || pl.heldBack(s, &work.Task{}, now) {
+	rest, chains := time.Duration(0), pl.chains(j, o)
+	for i, s := range o.steps {
+		if s.waiting == 0 || s.spec.LongRunning || pl.heldBack(s, &work.Task{}, now) {
 			continue
 		}
-		waiting, due = append(waiting, s), j.dueAt(occurrence)
+		waiting = append(waiting, s)
 		rest = max(rest, chains[i])
 	}
 	if len(waiting) == 0 {
 		return
 	}
-	objective, spent := pl.timeObjective(j, occurrence), now.Sub(due)
+	objective, spent := pl.estimate(j, o).objective, now.Sub(j.dueAt(o.number))
 	if spent > (lateFactor*objective-rest)/2 {
 		return
 	}
-	jobWork := j.declaredWork(occurrence)
+	jobWork := o.declaredWork()
 	for _, s := range waiting {
 		p.fillersWait = p.fillersWait || s.spec.Filler && s.dependenciesDone()
 		p.Demands = append(p.Demands, roomforecaster.Demand{
@@ -186,16 +185,68 @@
 	}
 }
 
-// declaredWork returns the remaining work of an occurrence as it was declared, in core
-// time. An entry compares it with that of a new job, of which it knows nothing else.
-func (j *job) declaredWork(occurrence int) time.Duration {
-	sum := time.Duration(0)
+// addDueOccurrences adds the occurrences of a job that are due and have not begun, as
+// addOccurrence does with others.
+func (pl *Planner) addDueOccurrences(p *poolOutlook, j *job, now time.Time) {
+	due := j.dueOccurrences(now) - j.startedOccurrences
+	if due <= 0 {
+		return
+	}
+	chains := chainsBy(j, j.startedOccurrences, pl.expectedStepDuration)
+	objective, rest, jobWork := objectiveOf(j, chains), time.Duration(0), time.Duration(0)
 	for i := range j.record.Steps {
-		tasks := j.record.Steps[i].Tasks
-		if s := j.steps[jobreducer.StepKey{Occurrence: occurrence, Step: i}]; s != nil {
-			tasks -= s.done
+		if spec := &j.record.Steps[i]; !spec.LongRunning {
+			rest, jobWork = max(rest, chains[i]), jobWork+jobmeasurer.CoreTime(spec, spec.Tasks)
 		}
-		sum += jobmeasurer.CoreTime(&j.record.Steps[i], tasks)
+	}
+	useful := j.countDueSince(now, (lateFactor*objective-rest)/2, due)
+	inTime := j.countDueSince(now, (objective-rest)/2, useful)
+	for i := range j.record.Steps {
+		spec := &j.record.Steps[i]
+		if spec.LongRunning {
+			continue
+		}
+		p.fillersWait = p.fillersWait || spec.Filler && useful > 0
+		d := roomforecaster.Demand{Priority: j.record.Queue.Priority, Filler: spec.Filler, JobWork: jobWork, Work: jobmeasurer.CoreTime(spec, spec.Tasks*inTime)}
+		late := d
+		late.Late, late.Work = true, jobmeasurer.CoreTime(spec, spec.Tasks*(useful-inTime))
+		p.Demands = append(p.Demands, d, late)
+	}
+}
+
+// dueOccurrences returns how many occurrences of the job are due.
+func (j *job) dueOccurrences(now time.Time) int {
+	occurrences := max(j.record.Occurrences, 1)
+	since := now.Sub(j.record.DueAt)
+	switch {
+	case j.record.DueAt.IsZero() || j.record.Interval == 0 && since >= 0:
+		return occurrences
+	case since < 0:
+		return 0
+	}
+	return int(min(since/j.record.Interval+1, time.Duration(occurrences)))
+}
+
+// countDueSince returns how many of the due occurrences, at most limit, have been due for
+// no longer than a time.
+func (j *job) countDueSince(now time.Time, age time.Duration, limit int) int {
+	latest := j.dueAt(j.dueOccurrences(now) - 1)
+	spare := age - now.Sub(latest)
+	switch {
+	case spare < 0:
+		return 0
+	case j.record.Interval == 0:
+		return limit
+	}
+	return int(min(spare/j.record.Interval+1, time.Duration(limit)))
+}
+
+// declaredWork returns the remaining work of the occurrence as it was declared, in core
+// time. An entry compares it with that of a new job, of which it knows nothing else.
+func (o *occurrence) declaredWork() time.Duration {
+	sum := time.Duration(0)
+	for _, s := range o.steps {
+		sum += jobmeasurer.CoreTime(s.spec, len(s.tasks)-s.done)
 	}
 	return sum
 }
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -11,9 +11,24 @@
 // and its records fit into one append.
 const maxPlacements = 400
 
+// A pass considers a bounded part of what waits, so that it stays short whatever clients
+// submit.
+const (
+	// maxCandidates bounds the steps that a pass considers, which all jobs share;
+	// minCandidates is the least number of steps of a job.
+	maxCandidates = 4000
+	minCandidates = 2
+	// maxExaminedVMs bounds the VMs that a pass examines for tasks, minSearches is the
+	// least number of tasks for which it looks for a VM.
+	maxExaminedVMs = 60_000
+	minSearches    = 200
+)
+
 // Tick runs one planning pass: it revokes sessions and discards runs whose
 // lease is over, starts occurrences that are due, and places waiting tasks.
 func (pl *Planner) Tick(now time.Time) {
+	pl.pass++
+	pl.searches = 0
 	pl.checkSessions(now)
 	pl.evacuateLeavingWorkers(now)
 	pl.learnInterference(now)
@@ -33,8 +48,15 @@
 	pl.startCopies(now)
 }
 
-// plan places waiting tasks in order of urgency.
-func (pl *Planner) plan(now time.Time) {
+// collectCandidates returns the steps with waiting tasks that a pass considers.
+func (pl *Planner) collectCandidates(now time.Time) []candidate {
+	waiting := 0
+	for _, j := range pl.jobs {
+		if len(j.ready) > 0 {
+			waiting++
+		}
+	}
+	limit := max(maxCandidates/max(waiting, 1), minCandidates)
 	var candidates []candidate
 	delayServing := pl.delayNewServing(now)
 	for _, j := range pl.jobs {
@@ -42,13 +64,19 @@
 			continue
 		}
 		before := len(candidates)
-		for _, s := range j.steps {
-			if s.waiting > 0 && s.dependenciesDone() && (!delayServing || !s.newServing()) {
+		for _, s := range window(j.ready, limit, &j.readyTurn) {
+			if !delayServing || !s.newServing() {
 				candidates = append(candidates, pl.rank(s, now))
 			}
 		}
 		j.noteIdle(len(candidates) > before, now)
 	}
+	return candidates
+}
+
+// plan places waiting tasks in order of urgency.
+func (pl *Planner) plan(now time.Time) {
+	candidates := pl.collectCandidates(now)
 	pl.logLoad(candidates, now)
 	if len(candidates) == 0 {
 		pl.sequences = nil
@@ -58,14 +86,63 @@
 	pl.markCrowdedPools(candidates, now)
 	pl.markIdle(candidates, now)
 	pl.order(candidates, now)
-	remaining := maxPlacements
+	if pl.placeCandidates(candidates, now) < maxPlacements {
+		pl.afterPlacing(candidates, now)
+	}
+}
+
+// placeCandidates places tasks of the candidates, the most urgent first, and returns how
+// many it placed. Half of the searches of a pass are for those; the others take turns, so
+// that no step waits behind those for which there is no place.
+func (pl *Planner) placeCandidates(candidates []candidate, now time.Time) int {
+	maxSearches := max(maxExaminedVMs/max(len(pl.sortedVMs), 1), minSearches)
+	shares := sharesOfLargeJobs(candidates)
+	placed, next := 0, 0
+	place := func(s *step, limit int) {
+		count := pl.placeStep(s, min(limit, maxPlacements-placed), now)
+		placed += count
+		if _, large := shares[s.job]; large {
+			shares[s.job] -= count
+		}
+	}
+	shareOf := func(s *step) int {
+		if share, large := shares[s.job]; large {
+			return share
+		}
+		return maxPlacements
+	}
+	for ; next < len(candidates) && placed < maxPlacements && pl.searches < maxSearches/2; next++ {
+		place(candidates[next].step, shareOf(candidates[next].step))
+	}
+	others := candidates[next:]
+	for range others {
+		if placed >= maxPlacements || pl.searches >= maxSearches {
+			return placed
+		}
+		pl.candidateTurn = (pl.candidateTurn + 1) % len(others)
+		place(others[pl.candidateTurn].step, shareOf(others[pl.candidateTurn].step))
+	}
 	for i := range candidates {
-		if remaining <= 0 {
-			return
+		if share, large := shares[candidates[i].step.job]; large && share <= 0 && placed < maxPlacements && pl.searches < maxSearches {
+			place(candidates[i].step, maxPlacements)
 		}
-		remaining -= pl.placeStep(candidates[i].step, remaining, now)
 	}
-	pl.afterPlacing(candidates, now)
+	return placed
+}
+
+// sharesOfLargeJobs returns how many tasks each job that could take all placements of a
+// pass gets at first. Together they get half, so that others do not wait for passes.
+func sharesOfLargeJobs(candidates []candidate) map[*job]int {
+	shares := map[*job]int{}
+	for i := range candidates {
+		if j := candidates[i].step.job; j.readyTasks >= maxPlacements {
+			shares[j] = 0
+		}
+	}
+	for j := range shares {
+		shares[j] = max(maxPlacements/2/len(shares), 1)
+	}
+	return shares
 }
 
 // afterPlacing looks after the tasks that a pass has left waiting.
@@ -79,11 +156,14 @@
 // placeStep places waiting tasks of a step, at most limit unless the step is a
 // gang, and returns how many it placed.
 func (pl *Planner) placeStep(s *step, limit int, now time.Time) int {
+	if limit <= 0 {
+		return 0
+	}
 	if s.spec.Gang {
 		return pl.placeGang(s, now)
 	}
 	placed := 0
-	for _, i := range s.startOrder(pl.Settings.Gates.On(gatekeeper.Retries)) {
+	for i := range s.startOrder(pl.Settings.Gates.On(gatekeeper.Retries)) {
 		if placed >= limit || s.waiting == 0 {
 			break
 		}
@@ -142,6 +222,7 @@
 	r := work.Run{Run: run, VM: v.name, WorkerIncarnation: v.session.WorkerIncarnation, Fence: v.session.Fence, Ticket: s.tickets[v.name].value}
 	t.LastRun = run
 	t.Runs = append(t.Runs, r)
+	s.occurrence.doubtfulPass = 0
 	pl.addPlacement(s, index, r, now)
 	pl.markDirty(s, index)
 	started := v.runs[runKey{s.taskName(index), run}]
@@ -163,10 +244,53 @@
 // still hold memory.
 const maxOvercommit = 1.15
 
+// processorUse is the processor use of the runs of a VM.
+type processorUse struct {
+	// known is set until a run, its pace, the load of its step or the VM changes.
+	known bool
+	// reserving and fillers are in millicores.
+	reserving, fillers int
+	// fillerShares holds, by image, the shares of the VM that fillers use when all run at
+	// full pace.
+	fillerShares map[string]float64
+	// serving holds a run of each serving step.
+	serving []*placement
+}
+
 // expectedUse returns the processor use expected of the runs that reserve
 // processors, in millicores.
 func (v *vm) expectedUse() int {
-	unused := 0.0
+	v.measureUse()
+	return v.use.reserving
+}
+
+// fillerUse returns the processor use of the fillers at their current pace, in
+// millicores.
+func (v *vm) fillerUse() int {
+	v.measureUse()
+	return v.use.fillers
+}
+
+// adjustUse follows a change of the runs, where it is known what that changes.
+func (v *vm) adjustUse(spec *work.Step, sign int) {
+	switch {
+	case spec.LatencyTarget > 0 || spec.Filler && sign < 0:
+		v.use.known = false
+	case !v.use.known:
+	case spec.Filler:
+		v.use.fillers += spec.Size.Millicores
+		v.use.fillerShares[spec.Image] += float64(spec.Size.Millicores) / float64(max(v.workerStatus.Capacity.Millicores, 1))
+	default:
+		v.use.reserving += sign * spec.Size.Millicores
+	}
+}
+
+func (v *vm) measureUse() {
+	if v.use.known {
+		return
+	}
+	unused, fillers := 0.0, 0
+	shares, serving, seen := map[string]float64{}, []*placement(nil), map[*step]bool{}
 	for _, p := range v.runs {
 		if p.step.spec.LatencyTarget > 0 {
 			load := p.step.load
@@ -174,27 +298,23 @@
 				load = assumedServingLoad
 			}
 			unused += (1 - min(load+loadMargin, 1)) * float64(p.step.spec.Size.Millicores)
+			if !seen[p.step] {
+				seen[p.step] = true
+				serving = append(serving, p)
+			}
+		}
+		if p.step.spec.Filler {
+			fillers += p.step.spec.Size.Millicores * p.pace / fullPace
+			shares[p.step.spec.Image] += float64(p.step.spec.Size.Millicores) / float64(max(v.workerStatus.Capacity.Millicores, 1))
 		}
 	}
-	return v.reserved.Millicores - int(unused)
+	v.use = processorUse{known: true, reserving: v.reserved.Millicores - int(unused), fillers: fillers, fillerShares: shares, serving: serving}
 }
 
 // loadMargin is added to the current load of a serving task because the load
 // varies.
 const loadMargin = 0.05
 
-// fillerUse returns the processor use of the fillers at their current pace, in
-// millicores.
-func (v *vm) fillerUse() int {
-	sum := 0
-	for _, p := range v.runs {
-		if p.step.spec.Filler {
-			sum += p.step.spec.Size.Millicores * p.pace / fullPace
-		}
-	}
-	return sum
-}
-
 // usable reports whether the VM may get work at all.
 func (v *vm) usable(now time.Time) bool { return v.whyUnusable(now) == "" }
 
@@ -207,6 +327,7 @@
 
 // examineVMs is chooseVM, and passes to against why each VM that is left out is.
 func (pl *Planner) examineVMs(s *step, t *work.Task, now time.Time, against func(Reason)) *vm {
+	pl.searches++
 	spreadsGaps := reservesForLong(s.spec) && pl.crowdedPools[s.job.record.Queue.Pool]
 	crowded := spreadsGaps && mayWait(s, t) && !pl.leavesRoom(s.job.record.Queue.Pool, s.spec.Size.Millicores, now)
 	var best *vm
@@ -263,7 +384,7 @@
 // waitedTooLong reports whether a step has waited so long that it accepts any
 // cost.
 func (pl *Planner) waitedTooLong(s *step, now time.Time) bool {
-	return now.Sub(s.job.dueAt(s.key.Occurrence)) > time.Duration(maxFillerWaitFactor*float64(pl.timeObjective(s.job, s.key.Occurrence)))
+	return now.Sub(s.job.dueAt(s.key.Occurrence)) > time.Duration(maxFillerWaitFactor*float64(pl.timeObjective(s)))
 }
 
 // countRuns counts the runs of a step on the VM.
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -11,6 +11,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"knapweedspur/internal/job/copier"
@@ -111,7 +112,16 @@
 
 	outlook outlook
 
+	// pass counts the passes: what is computed once in each is kept with its number.
+	pass int64
+	// searches counts the searches for a VM in this pass, candidateTurn is the turn of the
+	// steps that it may look at beyond the most urgent ones, moveTurn that of the VMs from
+	// which fillers may be moved.
+	searches, candidateTurn, moveTurn int
+
 	records []journal.Record
+	// tombstones are the records that remove ended jobs and have not been written yet.
+	tombstones []journal.Record
 	// dirtyTasks holds the tasks, by step and index, whose changes the next Flush
 	// writes.
 	dirtyTasks  map[*step]map[int]bool
@@ -212,7 +222,7 @@
 // New returns a planner with the state that the log holds.
 func New(settings Settings, state *jobreducer.State, now time.Time, log func(string, ...any)) *Planner {
 	pl := &Planner{
-		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, lastArrivals: map[string]time.Time{}, termStart: now, logDecision: log,
+		Settings: settings, jobs: map[string]*job{}, vms: map[string]*vm{}, lastArrivals: map[string]time.Time{}, termStart: now, logDecision: log, pass: 1,
 		dirtyTasks: map[*step]map[int]bool{}, commands: map[string]*work.Commands{}, grants: map[string]*work.Grant{},
 		copyBudget: copier.Budget{MaxWaste: settings.MaxWaste}, interference: estimator.NewInterference(), durations: durationestimator.New(),
 		speeds:    estimator.NewSpeeds(),
@@ -246,7 +256,7 @@
 func (pl *Planner) restoreJob(id string, stored *jobreducer.Job, now time.Time) {
 	if stored.Description == nil {
 		if stored.Outcome != nil {
-			pl.jobs[id] = &job{id: id, outcome: stored.Outcome, dropped: true, steps: map[jobreducer.StepKey]*step{}}
+			pl.jobs[id] = &job{id: id, outcome: stored.Outcome, dropped: true}
 		}
 		return
 	}
@@ -254,11 +264,36 @@
 	pl.noteArrival(stored.Description.Queue.Pool, stored.Description.AcceptedAt)
 	j.outcome = stored.Outcome
 	j.canceled = stored.Cancel != nil
-	for key, t := range stored.Tasks {
-		if key.Step >= len(j.record.Steps) || key.Index >= j.record.Steps[key.Step].Tasks {
-			continue
+	byOccurrence := map[int][]jobreducer.TaskKey{}
+	for key := range stored.Tasks {
+		if key.Step < len(j.record.Steps) && key.Index < j.record.Steps[key.Step].Tasks {
+			byOccurrence[key.Occurrence] = append(byOccurrence[key.Occurrence], key)
+			j.startedOccurrences = max(j.startedOccurrences, key.Occurrence+1)
+		}
+	}
+	for number := range j.startedOccurrences {
+		if keys := byOccurrence[number]; j.record.Occurrences > 0 && j.isOver(keys, stored.Tasks) {
+			j.over = append(j.over, number)
+		} else {
+			pl.restoreOccurrence(j.ensureOccurrence(number), keys, stored.Tasks, now)
 		}
-		s := j.ensureStep(key.StepKey)
+	}
+}
+
+// isOver reports whether all tasks of an occurrence are done and have no runs, given those
+// that were ever placed.
+func (j *job) isOver(keys []jobreducer.TaskKey, tasks map[jobreducer.TaskKey]*work.Task) bool {
+	count := 0
+	for i := range j.record.Steps {
+		count += j.record.Steps[i].Tasks
+	}
+	return len(keys) == count && !slices.ContainsFunc(keys, func(key jobreducer.TaskKey) bool { return !tasks[key].Done || len(tasks[key].Runs) > 0 })
+}
+
+// restoreOccurrence restores the tasks of an occurrence that were ever placed.
+func (pl *Planner) restoreOccurrence(o *occurrence, keys []jobreducer.TaskKey, tasks map[jobreducer.TaskKey]*work.Task, now time.Time) {
+	for _, key := range keys {
+		s, t := o.steps[key.Step], tasks[key]
 		s.tasks[key.Index] = copyTask(t)
 		if isSuspect(t) {
 			pl.crashes.suspects[taskRef{s, key.Index}] = suspicion{}
@@ -268,13 +303,7 @@
 			// A suspect starts only in quarantine, but for the run that made it one.
 			pl.vms[r.VM].runs[runKey{s.taskName(key.Index), r.Run}].quarantined = isSuspect(t) && r.Run > t.Crashes.Run
 		}
-		s.recount()
-		j.startedOccurrences = max(j.startedOccurrences, key.Occurrence+1)
-	}
-	for occurrence := range j.startedOccurrences {
-		for i := range j.record.Steps {
-			j.ensureStep(jobreducer.StepKey{Occurrence: occurrence, Step: i})
-		}
+		s.recount(key.Index)
 	}
 }
 
@@ -289,6 +318,9 @@
 	return c
 }
 
+// maxTombstones bounds the tombstones of one pass, so that its records stay a few appends.
+const maxTombstones = 4000
+
 // Flush returns the records, commands and grants that were produced since the
 // last call.
 func (pl *Planner) Flush() *Batch {
@@ -297,6 +329,9 @@
 			pl.records = append(pl.records, jobreducer.TaskRecord(s.job.id, s.taskKey(i), &s.tasks[i]))
 		}
 	}
+	removed := min(len(pl.tombstones), maxTombstones)
+	pl.records = append(pl.records, pl.tombstones[:removed]...)
+	pl.tombstones = pl.tombstones[removed:]
 	batch := &Batch{Records: pl.records, Commands: pl.commands, Grants: pl.grants, onConfirm: pl.onConfirm}
 	pl.records, pl.onConfirm = nil, nil
 	pl.dirtyTasks = map[*step]map[int]bool{}
@@ -310,10 +345,8 @@
 func (pl *Planner) Summary() string {
 	running, waiting := 0, 0
 	for _, j := range pl.jobs {
-		for _, s := range j.steps {
-			running += s.running
-			waiting += s.waiting
-		}
+		running += j.running
+		waiting += j.waiting
 	}
 	return fmt.Sprintf("%d jobs, %d runs, %d tasks without a run, %d VMs", len(pl.jobs), running, waiting, len(pl.vms))
 }
@@ -329,11 +362,7 @@
 		}
 		switch {
 		case j.outcome != nil:
-			for _, s := range j.steps {
-				for i := range s.tasks {
-					pl.stopTaskRuns(s, i, j.outcome.State, now)
-				}
-			}
+			pl.stopAllRuns(j, j.outcome.State, now)
 			pl.dropEndedJob(j)
 		case stored.Cancel != nil:
 			pl.finishJob(j, jobreducer.Canceled, now)
--- a/internal/job/planner/planner_test.go
+++ b/internal/job/planner/planner_test.go
@@ -212,7 +212,7 @@
 		s.endAllRuns("failed")
 		s.advance(3 * time.Second)
 	}
-	if excluded := s.planner.jobs[jobID(1)].steps[jobreducer.StepKey{}].tasks[0].ExcludedVMs; len(excluded) > jobreducer.MaxExcludedVMs {
+	if excluded := s.planner.jobs[jobID(1)].step(jobreducer.StepKey{}).tasks[0].ExcludedVMs; len(excluded) > jobreducer.MaxExcludedVMs {
 		t.Errorf("%d excluded VMs are kept, the limit is %d", len(excluded), jobreducer.MaxExcludedVMs)
 	}
 }
--- a/internal/job/planner/promise.go
+++ b/internal/job/planner/promise.go
@@ -16,6 +16,9 @@
 	promiseInterval = 100 * time.Millisecond
 	// maxDemands bounds the steps of a pool to which room is promised.
 	maxDemands = 16
+	// maxDemandChecks bounds the steps that are considered for a promise in a pass, or for
+	// which others give way.
+	maxDemandChecks = 512
 	// maxHeldBack is how long a promise may hold back a step that fits nowhere else.
 	// It is a third of the time for which a job may have nothing running although
 	// there is room.
@@ -149,12 +152,17 @@
 	pl.promises.renewedAt = now
 	pl.logHeldBack(now)
 	demands := map[string][]reserver.Demand{}
+	checks := 0
 	for i := range candidates {
 		s := candidates[i].step
 		pool := s.job.record.Queue.Pool
-		if s.waiting == 0 || len(demands[pool]) >= maxDemands {
+		if checks >= maxDemandChecks {
+			break
+		}
+		if s.waiting == 0 || s.spec.Filler || len(demands[pool]) >= maxDemands {
 			continue
 		}
+		checks++
 		if d := pl.demand(s, now); d.Tasks > 0 {
 			demands[pool] = append(demands[pool], d)
 		}
--- a/internal/job/planner/rank.go
+++ b/internal/job/planner/rank.go
@@ -96,12 +96,12 @@
 func (pl *Planner) rank(s *step, now time.Time) candidate {
 	j := s.job
 	start := j.dueAt(s.key.Occurrence)
-	objective := pl.timeObjective(j, s.key.Occurrence)
-	c := candidate{step: s, deadline: start.Add(objective), remainingWork: pl.remainingWork(j, s.key.Occurrence)}
+	objective := pl.timeObjective(s)
+	c := candidate{step: s, deadline: start.Add(objective), remainingWork: pl.remainingWork(j, s.occurrence)}
 	if s.spec.LongRunning {
 		return c
 	}
-	remaining := pl.chains(j, s.key.Occurrence)[s.key.Step]
+	remaining := pl.chains(j, s.occurrence)[s.key.Step]
 	switch expectedEnd := now.Add(remaining); {
 	case !expectedEnd.After(c.deadline):
 		c.lateness = 0
@@ -147,8 +147,8 @@
 		if j.outcome != nil || j.record == nil {
 			continue
 		}
-		for _, s := range j.steps {
-			if s.waiting == 0 || !s.newServing() {
+		for _, s := range j.ready {
+			if !s.newServing() {
 				continue
 			}
 			if first.IsZero() || s.startedAt.Before(first) {
--- a/internal/job/planner/relocate.go
+++ b/internal/job/planner/relocate.go
@@ -28,6 +28,9 @@
 	// maxMovesPerPass bounds the fillers that are moved in one pass, so that
 	// later decisions see where the first ones went.
 	maxMovesPerPass = 10
+	// maxMoveChecks bounds the fillers for which a better VM is looked for in one pass. The
+	// VMs take turns.
+	maxMoveChecks = 400
 	// minStay bounds how often a filler is moved: it may be moved once it has
 	// been on its VM for half of this time.
 	minStay = 2 * time.Second
@@ -70,10 +73,11 @@
 		return
 	}
 	pl.lastMoveCheck = now
-	moves := 0
-	for _, v := range pl.sortedVMs {
-		for _, p := range pl.movableFillers(v, now) {
-			if moves >= maxMovesPerPass {
+	moves, checks := 0, 0
+	for range pl.sortedVMs {
+		pl.moveTurn = (pl.moveTurn + 1) % len(pl.sortedVMs)
+		for _, p := range pl.movableFillers(pl.sortedVMs[pl.moveTurn], now) {
+			if checks++; moves >= maxMovesPerPass || checks > maxMoveChecks {
 				return
 			}
 			if pl.moveIfBetter(p, now) {
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -28,7 +28,7 @@
 	v.noteSilence(r, now)
 	v.unacceptedSessions = 0
 	v.lastContact, v.synced, v.workerStatus, v.workerSilence, v.sessionConfirmed = now, v.synced || !r.MoreEnds, r.WorkerStatus, r.WorkerSilence, r.SessionConfirmed
-	v.mayLeaveAt, v.hasUnknownRuns, v.workerDown = time.Time{}, false, r.WorkerDown
+	v.mayLeaveAt, v.hasUnknownRuns, v.workerDown, v.use.known = time.Time{}, false, r.WorkerDown, false
 	pl.withdrawCrash(v, r)
 	if r.WorkerStatus.Draining {
 		v.mayLeaveAt = now.Add(r.WorkerStatus.DrainRemaining)
@@ -97,7 +97,7 @@
 		pl.pendingCommands(v).AdoptedRuns = append(pl.pendingCommands(v).AdoptedRuns, p.kindDescription())
 	}
 	if p.pace != a.Pace {
-		p.pace, p.paceChangedAt = a.Pace, now
+		p.pace, p.paceChangedAt, v.use.known = a.Pace, now, false
 	}
 	task := &p.step.tasks[p.index]
 	if a.Checkpoint != "" && a.Checkpoint != task.Checkpoint && task.LastRun == a.Run {
--- a/internal/job/planner/urgency.go
+++ b/internal/job/planner/urgency.go
@@ -25,8 +25,8 @@
 	}
 	duration := pl.expectedDuration(s)
 	rest := time.Duration(float64(duration) * float64(fullProgress-p.progressPercent) / float64(max(p.pace, minPacePercent)))
-	following := pl.chains(s.job, s.key.Occurrence)[s.key.Step] - duration
-	deadline := s.job.dueAt(s.key.Occurrence).Add(pl.timeObjective(s.job, s.key.Occurrence))
+	following := pl.chains(s.job, s.occurrence)[s.key.Step] - duration
+	deadline := s.job.dueAt(s.key.Occurrence).Add(pl.timeObjective(s))
 	return now.Add(rest + following).After(deadline)
 }
 
--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -84,6 +84,7 @@
 	fillerMillicores      int
 	servingRuns           int
 	longRunningMillicores int
+	use                   processorUse
 
 	// fillerPeaks holds the highest shares that fillers used within the window
 	// that a latency covers.
@@ -145,6 +146,7 @@
 }
 
 func (v *vm) adjustReserved(spec *work.Step, sign int) {
+	v.adjustUse(spec, sign)
 	v.reserved.Memory += sign * spec.Size.Memory
 	v.reserved.Accelerators += sign * spec.Size.Accelerators
 	if spec.Filler {
@@ -257,10 +259,10 @@
 // markDirty recounts the tasks of a step and marks one of them to be written to
 // the log, unless its job was dropped.
 func (pl *Planner) markDirty(s *step, index int) {
-	s.recount()
 	if s.job.dropped {
 		return
 	}
+	s.recount(index)
 	if pl.dirtyTasks[s] == nil {
 		pl.dirtyTasks[s] = map[int]bool{}
 	}
--- a/internal/job/planner/yield.go
+++ b/internal/job/planner/yield.go
@@ -29,7 +29,7 @@
 	}
 	pl.lastYield = now
 	left, leastUrgent := maxYieldsPerPass, pl.leastUrgentRuns()
-	for i := range candidates {
+	for i := range candidates[:min(len(candidates), maxDemandChecks)] {
 		if left <= 0 {
 			return
 		}
@@ -57,11 +57,8 @@
 		if j.record == nil || j.outcome != nil || j.record.Queue.Priority <= priorities[j.record.Queue.Pool] {
 			continue
 		}
-		for _, s := range j.steps {
-			if s.running > 0 {
-				priorities[j.record.Queue.Pool] = j.record.Queue.Priority
-				break
-			}
+		if j.running > 0 {
+			priorities[j.record.Queue.Pool] = j.record.Queue.Priority
 		}
 	}
 	return priorities
--- a/internal/job/sequencer/sequencer.go
+++ b/internal/job/sequencer/sequencer.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 )
@@ -83,7 +84,9 @@
 	index int
 	// density is the worth per remaining work.
 	density float64
-	result  *Result
+	// turn is its place by the limit that jobs are chosen by.
+	turn   int
+	result *Result
 }
 
 // Decide returns the decision about each job, given the cores that they can use. It
@@ -163,7 +166,11 @@
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), limit(a).Compare(limit(b)), cmp.Compare(a.Number, b.Number))
 	})
 	seconds := busy
-	for _, x := range byLimit {
+	// Those that wait, the first to leave out on top.
+	waiting := &worstFirst{}
+	isLeft := map[*item]bool{}
+	for turn, x := range byLimit {
+		x.turn = turn
 		shortest := time.Duration(chainFactor * float64(x.Shortest))
 		if now.Add(shortest).After(limit(x)) {
 			left = append(left, x)
@@ -173,17 +180,19 @@
 		if x.Waiting <= 0 {
 			continue // all that is left of it runs, so it waits for no other
 		}
+		heap.Push(waiting, x)
 		// Running tasks end all the time, so what waits begins at the rate of the cores;
 		// the last tasks of the job then take their whole time.
 		seconds += x.Waiting / cores
 		for in := true; in && seconds+x.Shortest.Seconds() > limit(x).Sub(now).Seconds(); {
-			worst := worstOf(chosen)
-			seconds -= chosen[worst].Waiting / cores
-			left = append(left, chosen[worst])
-			in = chosen[worst] != x // without it, the others have time enough
-			chosen = slices.Delete(chosen, worst, worst+1)
+			worst := heap.Pop(waiting).(*item)
+			seconds -= worst.Waiting / cores
+			left = append(left, worst)
+			isLeft[worst] = true
+			in = worst != x // without it, the others have time enough
 		}
 	}
+	chosen = slices.DeleteFunc(chosen, func(x *item) bool { return isLeft[x] })
 	seconds = busy
 	for _, x := range chosen {
 		seconds += x.Waiting / cores
@@ -192,19 +201,27 @@
 	return chosen, left
 }
 
-// worstOf returns the position of the job to leave out: of the least urgent priority
-// of those that wait, that with the least worth for its work.
-func worstOf(chosen []*item) int {
-	worst := -1
-	for i, x := range chosen {
-		if x.Waiting <= 0 {
-			continue // without it, the others begin no sooner
-		}
-		if worst < 0 || x.Priority > chosen[worst].Priority || x.Priority == chosen[worst].Priority && x.density <= chosen[worst].density {
-			worst = i
-		}
-	}
-	return worst
+// worstFirst is a heap of the chosen jobs that wait, in the order in which they are left
+// out: of the least urgent priority, those with the least worth for their work, the last
+// first. Without those that don't wait the others would begin no sooner.
+type worstFirst []*item
+
+func (w worstFirst) Len() int      { return len(w) }
+func (w worstFirst) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
+func (w worstFirst) Less(i, j int) bool {
+	a, b := w[i], w[j]
+	return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.density, b.density), cmp.Compare(b.turn, a.turn)) < 0
+}
+
+// Push and Pop implement heap.Interface.
+func (w *worstFirst) Push(x any) { *w = append(*w, x.(*item)) }
+
+// Pop removes the last element.
+func (w *worstFirst) Pop() any {
+	last := len(*w) - 1
+	x := (*w)[last]
+	*w = (*w)[:last]
+	return x
 }
 
 // arrange orders the jobs of a class: those that can end in time, or be of use, by
--- a/internal/job/sequencer/sequencer_test.go
+++ b/internal/job/sequencer/sequencer_test.go
@@ -1,10 +1,13 @@
 package sequencer
 
 import (
+	stdcmp "cmp"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 )
 
 var start = time.Unix(1000, 0)
@@ -183,3 +186,69 @@
 	results, _ := Decide(jobs, 10, start)
 	wantEqual(t, "classes", []Class{InTime, InTime, Late, InTime}, classes(results))
 }
+
+// chooseByScan is the rule of choose, with a search through all chosen jobs for the one to
+// leave out.
+func chooseByScan(items []*item, limit func(*item) time.Time, cores, busy float64, now time.Time) (chosen, left []*item) {
+	byLimit := slices.Clone(items)
+	slices.SortFunc(byLimit, func(a, b *item) int {
+		return stdcmp.Or(stdcmp.Compare(a.Priority, b.Priority), limit(a).Compare(limit(b)), stdcmp.Compare(a.Number, b.Number))
+	})
+	seconds := busy
+	for _, x := range byLimit {
+		if now.Add(time.Duration(chainFactor * float64(x.Shortest))).After(limit(x)) {
+			left = append(left, x)
+			continue
+		}
+		chosen = append(chosen, x)
+		if x.Waiting <= 0 {
+			continue
+		}
+		seconds += x.Waiting / cores
+		for in := true; in && seconds+x.Shortest.Seconds() > limit(x).Sub(now).Seconds(); {
+			worst := -1
+			for i, y := range chosen {
+				if y.Waiting > 0 && (worst < 0 || y.Priority > chosen[worst].Priority || y.Priority == chosen[worst].Priority && y.density <= chosen[worst].density) {
+					worst = i
+				}
+			}
+			seconds -= chosen[worst].Waiting / cores
+			left = append(left, chosen[worst])
+			in = chosen[worst] != x
+			chosen = slices.Delete(chosen, worst, worst+1)
+		}
+	}
+	return chosen, left
+}
+
+// Guards against another decision than that of the plain rule, which takes time that grows
+// with the square of the jobs.
+func TestChoiceFollowsPlainRule(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		jobs := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Job {
+			work := float64(rapid.IntRange(0, 8).Draw(t, "work"))
+			return Job{
+				Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Work: work, TotalWork: work + 1, Waiting: work * float64(rapid.IntRange(0, 1).Draw(t, "waits")),
+				Deadline: now.Add(time.Duration(rapid.IntRange(-2, 20).Draw(t, "deadline")) * time.Second), Shortest: time.Duration(rapid.IntRange(0, 5).Draw(t, "shortest")) * time.Second,
+			}
+		}), 0, 60).Draw(t, "jobs")
+		var items []*item
+		for i := range jobs {
+			jobs[i].Number = i
+			items = append(items, &item{Job: &jobs[i], index: i, result: &Result{}, density: density(&jobs[i], meanWork(jobs))})
+		}
+		numbers := func(items []*item) (list []int) {
+			for _, x := range items {
+				list = append(list, x.Number)
+			}
+			return list
+		}
+		cores := float64(rapid.IntRange(1, 4).Draw(t, "cores"))
+		wantChosen, wantLeft := chooseByScan(items, deadline, cores, 0, now)
+		chosen, left := choose(items, deadline, cores, 0, now)
+		if diff := cmp.Diff([][]int{numbers(wantChosen), numbers(wantLeft)}, [][]int{numbers(chosen), numbers(left)}); diff != "" {
+			t.Fatalf("chosen and left (-want +got):\n%s", diff)
+		}
+	})
+}
