The record of the interference estimates is bounded by bytes

What callers would see: with long names of images nothing starts any more. The record was bounded by pairs (2,000), not by bytes; beyond 262,144 bytes the log refuses it, the leader repeats the append until another entry takes over, and that one does the same.

Change: Pairs leaves out the weakest pairs beyond 192 KB, and those whose names alone are longer. Test: TestPairsWithLongNamesFitInRecord; before, 52 pairs with names of 1,200,200 bytes.

--- a/internal/job/estimator/interference.go
+++ b/internal/job/estimator/interference.go
@@ -78,22 +78,28 @@
 	}
 }
 
-// maxPairs limits the pairs that are stored, so that they fit in one record.
-const maxPairs = 2000
+const (
+	// maxPairs and maxPairBytes limit the pairs that are stored, so that they fit in one
+	// record of the log.
+	maxPairs     = 2000
+	maxPairBytes = 192 << 10
+	// pairOverhead is more than the encoded size of a pair beyond its names, in bytes.
+	pairOverhead = 64
+)
 
 // Pairs returns the estimated weights in a fixed order. If there are more than
-// maxPairs, it returns those that differ most from defaultWeight, the weight
+// the limits allow, it returns those that differ most from defaultWeight, the weight
 // assumed for an unknown pair.
 func (e *Interference) Pairs() []work.InterferenceEstimate {
 	pairs := make([]work.InterferenceEstimate, 0, len(e.weights))
 	for p, w := range e.weights {
 		pairs = append(pairs, work.InterferenceEstimate{FillerImage: p.filler, ServingImage: p.serving, LoadIncrease: math.Round(w.weight*100) / 100})
 	}
-	if len(pairs) > maxPairs {
+	if len(pairs) > maxPairs || pairBytes(pairs) > maxPairBytes {
 		slices.SortFunc(pairs, func(a, b work.InterferenceEstimate) int {
 			return cmp.Compare(math.Abs(b.LoadIncrease-defaultWeight), math.Abs(a.LoadIncrease-defaultWeight))
 		})
-		pairs = pairs[:maxPairs]
+		pairs = limitPairs(pairs)
 	}
 	slices.SortFunc(pairs, func(a, b work.InterferenceEstimate) int {
 		return cmp.Or(strings.Compare(a.FillerImage, b.FillerImage), strings.Compare(a.ServingImage, b.ServingImage))
@@ -101,6 +107,27 @@
 	return pairs
 }
 
+func pairBytes(pairs []work.InterferenceEstimate) int {
+	size := 0
+	for _, p := range pairs {
+		size += pairOverhead + len(p.FillerImage) + len(p.ServingImage)
+	}
+	return size
+}
+
+// limitPairs returns the first pairs that fit in a record, without those whose names are
+// too long.
+func limitPairs(pairs []work.InterferenceEstimate) []work.InterferenceEstimate {
+	var kept []work.InterferenceEstimate
+	size := 0
+	for i := range pairs {
+		if bytes := pairBytes(pairs[i : i+1]); len(kept) < maxPairs && size+bytes <= maxPairBytes {
+			kept, size = append(kept, pairs[i]), size+bytes
+		}
+	}
+	return kept
+}
+
 // Weight returns by how much the load of the serving kind rises per VM's worth
 // of capacity that the filler kind uses.
 func (e *Interference) Weight(filler, serving string) float64 {
--- a/internal/job/estimator/interference_test.go
+++ b/internal/job/estimator/interference_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -109,3 +110,21 @@
 		t.Errorf("weight %.2f, want 2", w)
 	}
 }
+
+// Guards against a record that the log refuses: a leader repeats its append until another
+// entry takes over, and so does that one.
+func TestPairsWithLongNamesFitInRecord(t *testing.T) {
+	e := NewInterference()
+	for i := range 50 {
+		e.Observe(strings.Repeat("s", 10_000)+fmt.Sprint(i), 0.9, 0.5, map[string]float64{strings.Repeat("f", 10_000) + fmt.Sprint(i): 0.5})
+	}
+	e.Observe("serving", 0.9, 0.5, map[string]float64{"filler": 0.5, strings.Repeat("g", 200_000): 0.5})
+	pairs := e.Pairs()
+	size := 0
+	for _, p := range pairs {
+		size += len(p.FillerImage) + len(p.ServingImage)
+	}
+	if size > 200_000 || len(pairs) < 2 {
+		t.Errorf("%d pairs with names of %d bytes", len(pairs), size)
+	}
+}
