The view is updated during a pass; commands fit in frames

Two ways in which a long pass, or large accepted input, cost more than its own time.

View: the follower passed each record to the leader under the lock that a pass holds, and the answers to heartbeats asked for the lead under it. During a long pass the view of that entry aged, so it read none of its own records, refused clients and confirmed no session. Records now go to an inbox with a lock of its own, which the next pass empties, and the epoch is read without a lock. A planner begins with the view, so what was read before the term is dropped from the inbox. Test: TestViewIsUpdatedDuringPass, before: the record waits (10 s, the limit of the test).

Commands: 400 starts of a pass with long names of images (or thousands that are sent again after a reconnect) exceed the limit of a frame, 16 MB; the connection is closed, the agent connects again and the same commands are built. Starts are divided into packets of 1 MB; only the last has the number, so the agent counts none as handled before all have come. Test: TestCommandsWithLargeStartsFitInFrames; 400 starts with names of 200,000 bytes are 84 MB in one packet by arithmetic (the function is new).

--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -108,9 +109,12 @@
 	// Done is closed when Run has returned.
 	Done chan struct{}
 
+	// inbox holds what the follower has applied; leading is the epoch in which this entry
+	// leads, 0 if it does not. Neither waits for a pass, which holds the lock.
+	inbox   inbox
+	leading atomic.Int64
+
 	mu sync.Mutex
-	// lastLeaderRecord is when this entry last read a record of the leader.
-	lastLeaderRecord time.Time
 	// claimedEpoch is the epoch of the newest claim of this process.
 	claimedEpoch int64
 	// planner is nil unless this entry leads.
@@ -136,66 +140,58 @@
 		l.Evacuation = func() *work.Evacuation { return nil }
 	}
 	l.wakeup = make(chan struct{}, 1)
-	l.lastLeaderRecord = now
+	l.inbox.noteLeader(now)
 	l.Done = make(chan struct{})
 }
 
 // Leading returns the epoch in which this entry leads, or 0 if it does not.
-func (l *Leader) Leading() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.planner == nil {
-		return 0
-	}
-	return l.epoch
-}
+func (l *Leader) Leading() int64 { return l.leading.Load() }
 
 // Applied handles a record that the follower has applied to the view. Jobs,
 // cancellations and announcements of entries can come from any entry; all other
 // records show that the leader is alive.
 func (l *Leader) Applied(r journal.Record) {
-	now := time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	switch {
 	case strings.HasPrefix(r.Key, "j/"), strings.HasPrefix(r.Key, "c/"):
-		l.applyClientRecord(r, now)
+		if len(r.Value) > 0 {
+			l.inbox.addJob(r.Key[len("j/"):])
+			l.wake()
+		}
 	case strings.HasPrefix(r.Key, "m/"):
 	default:
-		l.lastLeaderRecord = now
+		l.inbox.noteLeader(time.Now())
 	}
 }
 
-// applyClientRecord passes a job or cancellation, which another entry may have
-// written, to the planner if this entry leads.
-func (l *Leader) applyClientRecord(r journal.Record, now time.Time) {
-	if l.planner == nil || len(r.Value) == 0 {
+// applyClientRecords passes the jobs and cancellations that were read since the last
+// pass, which other entries may have written, to the planner. The caller holds the lock.
+func (l *Leader) applyClientRecords(now time.Time) {
+	ids := l.inbox.takeJobs()
+	if len(ids) == 0 {
 		return
 	}
-	id := r.Key[len("j/"):]
 	l.Follower.View(func(state *jobreducer.State, _ time.Duration) {
-		j := state.Jobs[id]
-		if j == nil {
-			return
-		}
-		l.guard(func() {
+		for _, id := range ids {
+			j := state.Jobs[id]
+			if j == nil {
+				continue
+			}
 			if j.Description != nil && j.Outcome == nil {
 				l.planner.AddJob(j.Description, now)
 			}
 			if j.Cancel != nil {
 				l.planner.CancelJob(id, now)
 			}
-		})
+		}
 	})
-	l.wake()
 }
 
 // Rebuilt handles a rebuild of the view. The planner of a leader may have missed
 // records, so the leader steps down and a new term must be claimed.
 func (l *Leader) Rebuilt() {
+	l.inbox.noteLeader(time.Now())
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lastLeaderRecord = time.Now()
 	if l.planner != nil {
 		l.stepDown("the log was cut before it was read", 0)
 	}
@@ -246,6 +242,8 @@
 func (l *Leader) Run(ctx context.Context) {
 	defer close(l.Done)
 	for ctx.Err() == nil {
+		// A planner begins with what is in the view by then.
+		l.inbox.takeJobs()
 		if !l.shouldClaim(time.Now()) {
 			l.probe(ctx, time.Now())
 			waiter.Sleep(ctx, checkInterval)
@@ -270,7 +268,7 @@
 			}
 		}
 	})
-	recoveredAt := l.Follower.RecoveredAt()
+	recoveredAt, lastLeaderRecord := l.Follower.RecoveredAt(), l.inbox.leaderRecordAt()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if age > maxViewAge || l.resigned || now.Before(l.noClaimBefore) {
@@ -280,9 +278,10 @@
 		// No entry has ever led: wait until all have had time to announce
 		// themselves.
 		if !announced {
-			l.lastLeaderRecord = now
+			l.inbox.noteLeader(now)
+			lastLeaderRecord = now
 		}
-		return now.Sub(l.lastLeaderRecord) > announcePause+time.Duration((maxCPUShare-l.CPUShare)*float64(delayPerCore))
+		return now.Sub(lastLeaderRecord) > announcePause+time.Duration((maxCPUShare-l.CPUShare)*float64(delayPerCore))
 	}
 	if term.Incarnation == l.Incarnation && term.Epoch == l.claimedEpoch {
 		// A claim of this entry took effect although its answer was lost.
@@ -297,7 +296,7 @@
 		// entry, or a probe of its address has shown it.
 		timeout = 0
 	}
-	silentSince := l.lastLeaderRecord
+	silentSince := lastLeaderRecord
 	if recoveredAt.After(silentSince) {
 		silentSince = recoveredAt
 	}
@@ -357,6 +356,7 @@
 // startTerm starts to lead if the claim of this entry is the newest in the view.
 func (l *Leader) startTerm() bool {
 	now := time.Now()
+	l.inbox.takeJobs() // they are in the view that the planner begins with
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.Follower.View(func(state *jobreducer.State, _ time.Duration) {
@@ -373,6 +373,7 @@
 	if l.planner == nil {
 		return false
 	}
+	l.leading.Store(l.epoch)
 	l.Logger.Info("lead begins", "epoch", l.epoch, "book", l.planner.Summary())
 	// An agent that connects after this call waits for the lock to be registered.
 	l.guard(func() {
--- a/internal/job/leader/loop.go
+++ b/internal/job/leader/loop.go
@@ -92,6 +92,7 @@
 	l.proposals = nil
 	var batch *planner.Batch
 	l.guard(func() {
+		l.applyClientRecords(now)
 		records := l.planProposals(proposals, now)
 		l.planner.SetEvacuation(l.Evacuation(), now)
 		l.planner.Tick(now)
@@ -136,8 +137,37 @@
 	}
 	for vm, commands := range batch.Commands {
 		commands.Epoch = l.epoch
-		l.Agents.SendCommands(vm, commands)
+		for _, part := range splitCommands(commands) {
+			l.Agents.SendCommands(vm, part)
+		}
+	}
+}
+
+const (
+	// maxStartBytes bounds the starts of one packet, unless a single one is larger: far
+	// below the limit of a frame.
+	maxStartBytes = 1 << 20
+	// startOverhead is more than the encoded size of a start beyond its strings, in bytes.
+	startOverhead = 300
+)
+
+// splitCommands divides commands whose starts are large. The parts before the last one
+// have no number, so that the agent counts the commands as handled only after all.
+func splitCommands(c *work.Commands) []*work.Commands {
+	var parts []*work.Commands
+	size, first := 0, 0
+	for i := range c.Starts {
+		s := &c.Starts[i]
+		bytes := startOverhead + len(s.Task) + len(s.Spec) + len(s.Image) + len(s.Ticket) + len(s.Checkpoint)
+		if i > first && size+bytes > maxStartBytes {
+			parts = append(parts, &work.Commands{Epoch: c.Epoch, Fence: c.Fence, VM: c.VM, Starts: c.Starts[first:i]})
+			size, first = 0, i
+		}
+		size += bytes
 	}
+	last := *c
+	last.Starts = c.Starts[first:]
+	return append(parts, &last)
 }
 
 // write appends records, split into appends of up to half of MaxAppendBytes, and
@@ -187,6 +217,7 @@
 	}
 	l.Logger.Warn("lead ends", "epoch", l.epoch, "reason", reason)
 	l.planner = nil
+	l.leading.Store(0)
 	l.claimedEpoch = 0
 	l.noClaimBefore = time.Now().Add(claimPause)
 	l.wake()
--- a/internal/job/leader/probe.go
+++ b/internal/job/leader/probe.go
@@ -30,8 +30,9 @@
 func (l *Leader) probe(ctx context.Context, now time.Time) {
 	var term *work.Term
 	l.Follower.View(func(state *jobreducer.State, _ time.Duration) { term = state.Term })
+	silent := now.Sub(l.inbox.leaderRecordAt())
 	l.mu.Lock()
-	shouldProbe := l.planner == nil && term != nil && term.Leader != "" && term.Incarnation != l.Incarnation && l.endedIncarnation != term.Incarnation && now.Sub(l.lastLeaderRecord) > probeAfter
+	shouldProbe := l.planner == nil && term != nil && term.Leader != "" && term.Incarnation != l.Incarnation && l.endedIncarnation != term.Incarnation && silent > probeAfter
 	l.mu.Unlock()
 	if !shouldProbe {
 		return
