Agents bound the stop calls in flight

The cancellation of a job with thousands of runs on a VM opened a connection for each stop at once; an agent has 4,096 descriptors, of which it needs some to reach entries. Starts were bounded already (16). Bound: 64 calls.

--- a/internal/sidecar/supervisor/order.go
+++ b/internal/sidecar/supervisor/order.go
@@ -314,8 +314,10 @@
 // context has ended.
 func (s *Supervisor) stop(ctx context.Context, call workercontroller.Call, run work.RunRef) bool {
 	for tries := 0; ctx.Err() == nil; tries++ {
+		s.stopSlots <- struct{}{}
 		sent := s.Steady()
 		err := s.Worker.Stop(ctx, call, run)
+		<-s.stopSlots
 		s.recordOutcome(call, sent, err)
 		if err == nil {
 			s.wake()
--- a/internal/sidecar/supervisor/supervisor.go
+++ b/internal/sidecar/supervisor/supervisor.go
@@ -38,8 +38,9 @@
 	// unresponsiveLimit is how long a worker may leave calls unanswered and
 	// still have its lease extended: four polls.
 	unresponsiveLimit = time.Second
-	// maxParallelStarts limits the start calls in flight.
+	// maxParallelStarts limits the start calls in flight, maxParallelStops the stop calls.
 	maxParallelStarts = 16
+	maxParallelStops  = 64
 )
 
 // Supervisor manages the lease and the runs of the worker of one VM.
@@ -127,6 +128,7 @@
 
 	wakeup     chan struct{}
 	startSlots chan struct{}
+	stopSlots  chan struct{}
 	// pacingMu serializes the calls that set paces.
 	pacingMu sync.Mutex
 	group    sync.WaitGroup
@@ -164,6 +166,7 @@
 	}
 	s.wakeup = make(chan struct{}, 1)
 	s.startSlots = make(chan struct{}, maxParallelStarts)
+	s.stopSlots = make(chan struct{}, maxParallelStops)
 	s.reset()
 }
 
