Tombstones of a job end with its description; bounds for damaged keys

A leader that ends between two appends left records of tasks for good, since the next one finds no description to resume from. Occurrence numbers beyond those of the job are skipped on restoring (a damaged key made the loop run up to it), and a hello with another capacity makes the use of the VM unknown. The bound of examined VMs is 120,000, so that a pass at 160 VMs looks for places of 750 tasks.

--- a/internal/job/jobreducer/jobreducer.go
+++ b/internal/job/jobreducer/jobreducer.go
@@ -335,13 +335,14 @@
 func OutcomeTombstone(id string) journal.Record { return journal.Record{Key: outcomePrefix + id} }
 
 // JobTombstones returns the records that remove the description, cancellation
-// and tasks of a job.
+// and tasks of a job. The description comes last: a leader that finds it beside an outcome
+// removes what is left.
 func JobTombstones(id string, tasks []TaskKey) []journal.Record {
-	records := []journal.Record{{Key: jobPrefix + id}, {Key: cancelPrefix + id}}
+	var records []journal.Record
 	for _, key := range tasks {
 		records = append(records, journal.Record{Key: taskRecordKey(id, key)})
 	}
-	return records
+	return append(records, journal.Record{Key: cancelPrefix + id}, journal.Record{Key: jobPrefix + id})
 }
 
 func taskRecordKey(id string, key TaskKey) string {
--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -20,7 +20,7 @@
 	minCandidates = 2
 	// maxExaminedVMs bounds the VMs that a pass examines for tasks, minSearches is the
 	// least number of tasks for which it looks for a VM.
-	maxExaminedVMs = 60_000
+	maxExaminedVMs = 120_000
 	minSearches    = 200
 )
 
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -266,7 +266,7 @@
 	j.canceled = stored.Cancel != nil
 	byOccurrence := map[int][]jobreducer.TaskKey{}
 	for key := range stored.Tasks {
-		if key.Step < len(j.record.Steps) && key.Index < j.record.Steps[key.Step].Tasks {
+		if key.Occurrence < max(j.record.Occurrences, 1) && key.Step < len(j.record.Steps) && key.Index < j.record.Steps[key.Step].Tasks {
 			byOccurrence[key.Occurrence] = append(byOccurrence[key.Occurrence], key)
 			j.startedOccurrences = max(j.startedOccurrences, key.Occurrence+1)
 		}
--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -167,6 +167,7 @@
 	v := pl.ensureVM(h.WorkerStatus.VM)
 	v.connected, v.synced, v.lastContact, v.workerStatus = true, false, now, h.WorkerStatus
 	v.agentID, v.host, v.grantSentAt, v.sentWeights = h.AgentIncarnation, h.Host, now, nil
+	v.use.known = false
 	for _, p := range v.runs {
 		p.startCommandsNumber = 0
 	}
