Soak: jobs as large as the interface allows, beside single faults

Ordinary jobs must end, and while they come one of their tasks must start at least every 10 s: the longest fault and a lease.

--- a/internal/standin/soaktester/checker.go
+++ b/internal/standin/soaktester/checker.go
@@ -43,8 +43,13 @@
 	completedAt map[string]time.Time
 	// crashing are the tasks that crash their workers, crashingJobs their jobs.
 	crashing, crashingJobs map[string]*crashHistory
-	violations             []string
-	startedAt              time.Time
+	// heavy are the heavy jobs, lasting those whose tasks run until they are canceled.
+	heavy, lasting map[string]bool
+	// ordinaryStartAt is when a task of an ordinary job last started, zero while none is
+	// awaited.
+	ordinaryStartAt time.Time
+	violations      []string
+	startedAt       time.Time
 }
 
 // size is an amount of processors, in millicores, and memory. Violations print the
@@ -71,7 +76,7 @@
 		lastStartedAt: map[string]time.Time{}, doneAt: map[completion]time.Time{}, completedAt: map[string]time.Time{}, acknowledgedRun: map[string]int{},
 		jobSizes: map[string]size{}, workerUsage: map[string]size{}, workerCapacity: map[string][]capacityChange{}, workerDomain: map[string]string{}, evacuatedAt: map[string]time.Time{},
 		acceptedAt: map[string]time.Time{}, canceledAt: map[string]time.Time{}, refused: map[string]bool{}, cancelRequested: map[string]bool{}, lastState: map[string]string{}, startedAt: now,
-		crashing: map[string]*crashHistory{}, crashingJobs: map[string]*crashHistory{},
+		crashing: map[string]*crashHistory{}, crashingJobs: map[string]*crashHistory{}, heavy: map[string]bool{}, lasting: map[string]bool{},
 	}
 }
 
@@ -115,6 +120,9 @@
 		c.addViolation(now, "unknown job started: %s on %s", task, worker)
 	}
 	c.checkCrashBound(worker, task, run, now)
+	if len(c.heavy) > 0 && !c.heavy[jobOf(task)] {
+		c.noteOrdinaryStart(now)
+	}
 	if c.running[task] == nil {
 		c.running[task] = map[string]int{}
 	}
--- a/internal/standin/soaktester/soaktester.go
+++ b/internal/standin/soaktester/soaktester.go
@@ -44,6 +44,8 @@
 	SingleFaults, Pairs bool
 	// Crashes enables tasks that crash their workers, and crashes of other causes.
 	Crashes bool
+	// Heavy enables jobs that are as large as the interface allows, beside single faults.
+	Heavy bool
 	// LogDir is the directory for the logs and settings of the processes.
 	LogDir string
 }
@@ -136,6 +138,9 @@
 	defer cancel()
 	time.Sleep(warmUpTime)
 	s.group.Go(func() { s.submitJobs(ctx) })
+	if s.config.Heavy {
+		s.group.Go(func() { s.submitHeavyJobs(ctx) })
+	}
 	s.group.Go(s.changeSettings)
 	evacuationsDone := make(chan struct{})
 	go s.evacuateDomains(evacuationsDone)
@@ -222,6 +227,9 @@
 // taskDuration derives the duration of a task from a hash of its name: between 0.2
 // and 1.5 s, or longTaskDuration.
 func (s *soak) taskDuration(task string) time.Duration {
+	if s.checker.lasts(task) {
+		return lastingDuration
+	}
 	hash := 0
 	for _, c := range task {
 		hash = hash*31 + int(c)
