Soak of very large jobs: a stall counts only while there is room

Nothing could start; no lead was lost by a pass.

The time without a start now begins anew while no worker outside evacuated domains has room for the largest ordinary task.

--- a/internal/standin/soaktester/heavy.go
+++ b/internal/standin/soaktester/heavy.go
@@ -29,9 +29,41 @@
 	firstHeavyDelay = time.Second
 )
 
-// maxStall is how long no task of an ordinary job may start while such jobs are submitted:
-// the longest fault and a lease.
-const maxStall = 10 * time.Second
+const (
+	// maxStall is how long no task of an ordinary job may start while such jobs are
+	// submitted and there is room: the longest fault and a lease.
+	maxStall = 10 * time.Second
+	// roomCheckInterval is the interval at which the room of the workers is checked.
+	roomCheckInterval = 100 * time.Millisecond
+)
+
+// largestOrdinary is the size of the largest task of an ordinary job.
+var largestOrdinary = size{millis: 600, memory: 50}
+
+// watchRoom lets the time without a start begin anew while no worker that may get tasks
+// has room for one of an ordinary job, until the end of the faults.
+func (c *checker) watchRoom(ctx context.Context, end time.Time) {
+	for ; time.Now().Before(end) && ctx.Err() == nil; waiter.Sleep(ctx, roomCheckInterval) {
+		c.mu.Lock()
+		if !c.ordinaryStartAt.IsZero() && !c.hasRoom(largestOrdinary) {
+			c.ordinaryStartAt = time.Now()
+		}
+		c.mu.Unlock()
+	}
+}
+
+// hasRoom reports whether a worker outside the evacuated domains has room for a task. The
+// caller holds the lock.
+func (c *checker) hasRoom(task size) bool {
+	for worker, changes := range c.workerCapacity {
+		capacity, usage := changes[len(changes)-1].capacity, c.workerUsage[worker]
+		_, evacuated := c.evacuatedAt[c.workerDomain[worker]]
+		if !evacuated && usage.millis+task.millis <= capacity.millis && usage.memory+task.memory <= capacity.memory {
+			return true
+		}
+	}
+	return false
+}
 
 // noteOrdinaryStart checks how long no task of an ordinary job has started. The caller
 // holds the lock.
@@ -71,10 +103,14 @@
 	return c.lasting[jobOf(task)]
 }
 
-// submitHeavyJobs submits heavy jobs while faults are injected.
+// submitHeavyJobs submits heavy jobs while faults are injected, if they are enabled.
 func (s *soak) submitHeavyJobs(ctx context.Context) {
+	if !s.config.Heavy {
+		return
+	}
 	random := rand.New(rand.NewPCG(s.config.Seed, heavyStream))
 	end := time.Now().Add(s.config.FaultDuration)
+	s.group.Go(func() { s.checker.watchRoom(ctx, end) })
 	for waiter.Sleep(ctx, firstHeavyDelay); time.Now().Before(end); waiter.Sleep(ctx, randomBetween(random, 0, 2*meanHeavyInterval)) {
 		shape := heavyShape(random, time.Now())
 		c := &client{soak: s, http: &http.Client{Transport: &http.Transport{}}, random: rand.New(rand.NewPCG(random.Uint64(), heavyStream)), job: fmt.Sprintf("%016x", random.Uint64())}
--- a/internal/standin/soaktester/soaktester.go
+++ b/internal/standin/soaktester/soaktester.go
@@ -138,9 +138,7 @@
 	defer cancel()
 	time.Sleep(warmUpTime)
 	s.group.Go(func() { s.submitJobs(ctx) })
-	if s.config.Heavy {
-		s.group.Go(func() { s.submitHeavyJobs(ctx) })
-	}
+	s.group.Go(func() { s.submitHeavyJobs(ctx) })
 	s.group.Go(s.changeSettings)
 	evacuationsDone := make(chan struct{})
 	go s.evacuateDomains(evacuationsDone)
@@ -162,13 +160,18 @@
 	time.Sleep(settleTime)
 	cancel()
 	s.checker.checkFinal(time.Now())
+	return s.result(), nil
+}
+
+// result returns the outcome after the last check.
+func (s *soak) result() *Result {
 	s.checker.mu.Lock()
 	defer s.checker.mu.Unlock()
 	result := &Result{Jobs: len(s.checker.acceptedAt), Faults: int(s.faultCount.Load()), Violations: s.checker.violations}
 	for _, n := range s.checker.startCounts {
 		result.Starts += n
 	}
-	return result, nil
+	return result
 }
 
 // address returns the loopback address of one kind (0 log service, 1 entry,
