--- a/internal/job/planner/heavyinput_test.go
+++ b/internal/job/planner/heavyinput_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/wire/work"
 )
@@ -232,3 +234,87 @@
 		}
 	}
 }
+
+// Guards against steps that wait behind others for which there is no place: a pass looks at
+// a part of what waits.
+func TestStepsWithoutPlaceHoldUpNoOthers(t *testing.T) {
+	tests := map[string][]*work.Job{
+		"steps of the same job": manySteps(1500, func(i int) work.Step {
+			s := smallStep(1)
+			if i < 1490 {
+				s.Label = "missing"
+			}
+			return s
+		})(30, time.Unix(1000, 0)),
+		"jobs": manySteps(1, func(int) work.Step {
+			// Less work than the job that can start, so that they come first.
+			s := smallStep(1)
+			s.Size = work.Size{Millicores: 1, Memory: 1, Accelerators: 1000}
+			return s
+		})(12_000, time.Unix(1000, 0)),
+	}
+	for name, jobs := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := startHeavy(t, 12, jobs)
+			s.submitJob(jobID(1), smallStep(1))
+			// Few enough passes that the order of the jobs stays as it is.
+			want, passes := 1, 10
+			if len(jobs[0].Steps) > 1 {
+				want, passes = want+10*len(jobs), 60
+			}
+			for pass := 0; len(s.starts) < want && pass < passes; pass++ {
+				s.now = s.now.Add(50 * time.Millisecond)
+				for _, name := range s.vmNames() {
+					s.planner.RecordHeartbeat(name, s.now)
+				}
+				s.runPass()
+			}
+			s.wantStarts(want, "after the passes")
+		})
+	}
+}
+
+// Guards against occurrences that are lost or run twice, since they begin as earlier ones
+// find room and are forgotten once they are over.
+func TestOccurrencesOfLargeScheduleRunOnce(t *testing.T) {
+	const occurrences = 1500
+	s := newSimulation(t)
+	for n := range 3 {
+		s.addVM(fmt.Sprintf("vm-%d", n), 16_000, 62_500)
+	}
+	s.acceptJob(schedule(occurrences, s.now, smallStep(1), smallStep(2, 0)))
+	j := s.planner.jobs[jobID(1_000_000)]
+	if len(j.occurrences) > maxPlacements {
+		t.Errorf("%d occurrences begin at once, the limit is %d", len(j.occurrences), maxPlacements)
+	}
+	for round := 0; s.outcome(j.id) == "" && round < 200; round++ {
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.endAllRuns(endDone)
+		if j := s.planner.jobs[j.id]; j != nil && len(j.occurrences) > 2*maxPlacements {
+			t.Fatalf("%d occurrences are kept in round %d", len(j.occurrences), round)
+		}
+		if round%7 == 6 {
+			s.restart()
+		}
+	}
+	if diff := cmp.Diff(jobreducer.Completed, s.outcome(j.id)); diff != "" {
+		t.Fatalf("outcome (-want +got):\n%s", diff)
+	}
+	seen := map[string]int{}
+	for _, start := range s.starts {
+		seen[start.Task]++
+	}
+	for task, count := range seen {
+		if count != 1 {
+			t.Errorf("%s was started %d times", task, count)
+		}
+	}
+	if diff := cmp.Diff(3*occurrences, len(seen)); diff != "" {
+		t.Errorf("tasks that ran (-want +got):\n%s", diff)
+	}
+	s.runPass()
+	s.runPass()
+	if left := s.state.Jobs[j.id]; left == nil || left.Description != nil || len(left.Tasks) > 0 {
+		t.Errorf("the log still holds the job: %+v", left)
+	}
+}
