Many images of serving tasks and fillers, and spread limits, keep a pass short

Cause, by profile and reading: the weights sent to agents are searched for each pair of runs (fillers x serving runs x pairs), the cost of a filler looks at each serving step with each image, the cost of a serving task at each run, and each placed serving run makes the use of its VM be added up anew. Agents pace by each serving task with each filler. - a spread limit (antiAffinity): the runs of a VM are counted for each step that is looked at, so 1,500 small runs a VM make each search of a VM as long.

--- a/internal/job/planner/cost.go
+++ b/internal/job/planner/cost.go
@@ -100,13 +100,8 @@
 	if !pl.Settings.Gates.On(gatekeeper.Grouping) {
 		return cost
 	}
-	others := 0
-	for _, p := range v.runs {
-		if p.step.spec.LatencyTarget > 0 && p.step.spec.Image != s.spec.Image {
-			others++
-		}
-	}
 	if v.servingRuns > 0 {
+		others := v.servingRuns - v.servingImages[s.spec.Image]
 		cost += mixedImagesCost * float64(others) / float64(v.servingRuns)
 	} else {
 		cost += firstServingCost
--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -122,8 +122,7 @@
 	return e, placed
 }
 
-// takeOff undoes addPlacement.
+// takeOff takes a run off its VM that was placed for an explanation.
 func (pl *Planner) takeOff(p *placement) {
-	delete(p.vm.runs, runKey{p.step.taskName(p.index), p.run})
-	p.vm.adjustReserved(p.step.spec, -1)
+	p.vm.removeRun(p, p.step.taskName(p.index))
 }
--- a/internal/job/planner/heavyinput_test.go
+++ b/internal/job/planner/heavyinput_test.go
@@ -110,6 +110,16 @@
 		})), 1, 30, false},
 		{"jobs of 1,500 steps of fillers", manySteps(1500, changed(func(_ int, s *work.Step) { s.Filler = true })), 1, 30, false},
 		{"jobs of 1,500 steps of serving tasks", manySteps(1500, changed(func(_ int, s *work.Step) { s.LongRunning, s.LatencyTarget = true, time.Second })), 1, 30, false},
+		{"jobs of 1,500 steps with a spread limit", manySteps(1500, changed(func(_ int, s *work.Step) {
+			s.MaxPerVM, s.Size = 1, work.Size{Millicores: 1, Memory: 1}
+			s.LongRunning = true
+		})), 1, 30, true},
+		{"jobs of 1,500 steps that serve and fill, each with an image", manySteps(1500, changed(func(i int, s *work.Step) {
+			s.Image, s.LongRunning, s.Size = fmt.Sprint("image", i), true, work.Size{Millicores: 10, Memory: 10}
+			if s.Filler = i%2 == 0; !s.Filler {
+				s.LatencyTarget = time.Second
+			}
+		})), 1, 4, true},
 		{"jobs of a chain of 1,500 steps", manySteps(1500, changed(func(i int, s *work.Step) {
 			if i > 0 {
 				s.DependsOn = []int{i - 1}
@@ -202,6 +212,9 @@
 							s.endRun(v, a.Task, endDone)
 						}
 					}
+					for i := range v.active {
+						v.active[i].ProgressPercent, v.active[i].Measurement = 100, 300
+					}
 					report := &work.Report{Fence: v.fence, WorkerStatus: v.workerStatus, CommandsHandled: v.handled, SessionConfirmed: true, Ends: v.ends, ActiveRuns: v.active}
 					w.time("report", func() { s.planner.HandleReport(name, report, s.now) })
 				}
--- a/internal/job/planner/interference.go
+++ b/internal/job/planner/interference.go
@@ -104,7 +104,7 @@
 	shares := map[string]float64{}
 	for _, p := range v.runs {
 		if p.step.spec.Filler && p.active {
-			shares[p.step.spec.Image] += p.measurement / float64(max(v.workerStatus.Capacity.Millicores, 1))
+			addShare(shares, p.step.spec.Image, p.measurement/float64(max(v.workerStatus.Capacity.Millicores, 1)))
 		}
 	}
 	return shares
--- a/internal/job/planner/relocate.go
+++ b/internal/job/planner/relocate.go
@@ -173,19 +173,17 @@
 // serving image on a VM.
 func (pl *Planner) interferenceWeights(v *vm) []work.Interference {
 	var weights []work.Interference
-	for _, filler := range v.runs {
-		if !filler.step.spec.Filler {
+	seen := map[string]bool{}
+	v.measureUse()
+	for _, serving := range v.use.serving {
+		servingImage := serving.step.spec.Image
+		if seen[servingImage] {
 			continue
 		}
-		for _, serving := range v.runs {
-			if serving.step.spec.LatencyTarget <= 0 {
-				continue
-			}
-			fillerImage, servingImage := filler.step.spec.Image, serving.step.spec.Image
+		seen[servingImage] = true
+		for fillerImage := range v.use.fillerShares {
 			weight := math.Round(pl.interference.Weight(fillerImage, servingImage)/weightStep) * weightStep
-			if p := (work.Interference{FillerImage: fillerImage, ServingImage: servingImage, LoadIncrease: weight}); !slices.Contains(weights, p) {
-				weights = append(weights, p)
-			}
+			weights = append(weights, work.Interference{FillerImage: fillerImage, ServingImage: servingImage, LoadIncrease: weight})
 		}
 	}
 	return weights
--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -76,6 +76,8 @@
 	keptSince, keptInVainUntil time.Time
 
 	runs map[runKey]*placement
+	// stepRuns counts the runs by step.
+	stepRuns map[*step]int
 	// reserved is what the runs reserve, and fillerMillicores the processor size
 	// of the runs that reserve no processors. servingRuns counts the runs with a
 	// latency objective, and longRunningMillicores is the processor size that
@@ -84,7 +86,9 @@
 	fillerMillicores      int
 	servingRuns           int
 	longRunningMillicores int
-	use                   processorUse
+	// servingImages counts the serving runs by image.
+	servingImages map[string]int
+	use           processorUse
 
 	// fillerPeaks holds the highest shares that fillers used within the window
 	// that a latency covers.
@@ -117,7 +121,7 @@
 func (pl *Planner) ensureVM(name string) *vm {
 	v := pl.vms[name]
 	if v == nil {
-		v = &vm{name: name, runs: map[runKey]*placement{}, processedEnds: map[int64]bool{}, unknownRunStoppedAt: map[runKey]time.Time{}}
+		v = &vm{name: name, runs: map[runKey]*placement{}, stepRuns: map[*step]int{}, servingImages: map[string]int{}, processedEnds: map[int64]bool{}, unknownRunStoppedAt: map[runKey]time.Time{}}
 		pl.vms[name] = v
 		i, _ := slices.BinarySearchFunc(pl.sortedVMs, name, func(v *vm, name string) int { return strings.Compare(v.name, name) })
 		pl.sortedVMs = slices.Insert(pl.sortedVMs, i, v)
@@ -142,7 +146,13 @@
 	}
 	s.job.takesAnyRoom, s.job.overcommits = false, false
 	v.runs[runKey{s.taskName(index), r.Run}] = p
+	v.stepRuns[s]++
+	useKnown := v.use.known
 	v.adjustReserved(s.spec, 1)
+	if useKnown && s.spec.LatencyTarget > 0 {
+		v.use.known = true
+		v.use.addServing(p, v.stepRuns[s] == 1)
+	}
 }
 
 func (v *vm) adjustReserved(spec *work.Step, sign int) {
@@ -159,6 +169,10 @@
 	}
 	if spec.LatencyTarget > 0 {
 		v.servingRuns += sign
+		v.servingImages[spec.Image] += sign
+		if v.servingImages[spec.Image] == 0 {
+			delete(v.servingImages, spec.Image)
+		}
 	}
 }
 
@@ -280,8 +294,16 @@
 	if i := runIndex(t, p.run); i >= 0 {
 		t.Runs = slices.Delete(t.Runs, i, i+1)
 	}
-	delete(p.vm.runs, runKey{task, p.run})
-	p.vm.adjustReserved(p.step.spec, -1)
+	p.vm.removeRun(p, task)
+}
+
+// removeRun undoes addPlacement.
+func (v *vm) removeRun(p *placement, task string) {
+	delete(v.runs, runKey{task, p.run})
+	if v.stepRuns[p.step]--; v.stepRuns[p.step] <= 0 {
+		delete(v.stepRuns, p.step)
+	}
+	v.adjustReserved(p.step.spec, -1)
 }
 
 // discardRun removes a run that is known not to be running and not to have
--- a/internal/sidecar/pacer/pacer.go
+++ b/internal/sidecar/pacer/pacer.go
@@ -4,6 +4,8 @@
 package pacer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"knapweedspur/internal/job/estimator"
@@ -159,13 +161,27 @@
 		shares[fillers[i].image] += fillers[i].usedShare
 	}
 	peaks := p.peaks.Observe(shares, now)
-	for _, s := range servingTasks {
+	for _, s := range mostLoaded(servingTasks) {
 		budget := max(maxLoad-p.ownLoad(s, peaks, now), loaddivider.MinBudget)
 		p.limitPaces(fillers, s.image, budget*p.trust)
 	}
 	return p.changes(fillers, now)
 }
 
+// maxServingTasks bounds the serving tasks by which fillers are paced.
+const maxServingTasks = 32
+
+// mostLoaded returns the serving tasks by which fillers are paced: if there are many, those
+// with the highest latencies beside their objectives.
+func mostLoaded(tasks []servingTask) []servingTask {
+	if len(tasks) <= maxServingTasks {
+		return tasks
+	}
+	sorted := slices.Clone(tasks)
+	slices.SortStableFunc(sorted, func(a, b servingTask) int { return cmp.Compare(b.latencyRatio, a.latencyRatio) })
+	return sorted[:maxServingTasks]
+}
+
 // classify splits the active runs into fillers and serving tasks, and drops the
 // state of those that are no longer active.
 func (p *Pacer) classify(active []work.RunStatus, starts map[string]work.Start, capacity float64) ([]filler, []servingTask) {
