--- a/internal/job/planner/vm.go
+++ b/internal/job/planner/vm.go
@@ -155,27 +155,6 @@
 	}
 }
 
-func (v *vm) adjustReserved(spec *work.Step, sign int) {
-	v.adjustUse(spec, sign)
-	v.reserved.Memory += sign * spec.Size.Memory
-	v.reserved.Accelerators += sign * spec.Size.Accelerators
-	if spec.Filler {
-		v.fillerMillicores += sign * spec.Size.Millicores
-	} else {
-		v.reserved.Millicores += sign * spec.Size.Millicores
-	}
-	if reservesForLong(spec) {
-		v.longRunningMillicores += sign * spec.Size.Millicores
-	}
-	if spec.LatencyTarget > 0 {
-		v.servingRuns += sign
-		v.servingImages[spec.Image] += sign
-		if v.servingImages[spec.Image] == 0 {
-			delete(v.servingImages, spec.Image)
-		}
-	}
-}
-
 // RegisterAgent processes the hello of an agent and grants it a session.
 func (pl *Planner) RegisterAgent(h *work.Hello, now time.Time) {
 	v := pl.ensureVM(h.WorkerStatus.VM)
--- a/internal/job/sequencer/sequencer.go
+++ b/internal/job/sequencer/sequencer.go
@@ -84,7 +84,7 @@
 	index int
 	// density is the worth per remaining work.
 	density float64
-	// turn is its place by the limit that jobs are chosen by.
+	// turn is its place in the order of deadlines.
 	turn   int
 	result *Result
 }
