Review case 7: one end that is left aside hides all ends after the next 500

Tried: a worker is cut off for 9 s while a task of 40 s ends done on it; when it is back, it and another worker get many short tasks.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -13,8 +13,9 @@
 	// shortDuration is how long a task takes that ends by itself, longDuration one of
 	// laterID where it is to be at work for longer.
 	shortDuration, longDuration = 300 * time.Millisecond, 8 * time.Second
-	// special is the label that only worker 0 has.
-	special = "special"
+	// special is the label that only worker 0 has, shared that of the first sharedWorkers.
+	special, shared = "special", "shared"
+	sharedWorkers   = 2
 )
 
 // setDurations lets all tasks end by themselves but those of lastingID.
@@ -100,8 +101,8 @@
 	}
 	// The rule gives a task that lasts 6 s, of which the last are calm.
 	time.Sleep(contactTime + 2*idleTime)
-	_, lastingState := f.state(1, lastingID)
-	_, laterState := f.state(1, laterID)
+	lastingState := f.state(1, lastingID)
+	laterState := f.state(1, laterID)
 	idle := f.idleFor(lastingID, idleTime)
 	f.note("lasting submission %q, nothing running for %s; other submission %q; no run has ended failed", lastingState, idle, laterState)
 	switch {
@@ -162,12 +163,12 @@
 	}
 	completed := waitUntil(finishTime, func() bool {
 		time.Sleep(time.Second)
-		_, state := f.state(last[0], laterID)
+		state := f.state(last[0], laterID)
 		return state == "completed"
 	})
 	idle := f.idleFor(lastingID, idleTime)
-	_, state := f.state(last[0], laterID)
-	_, lastingState := f.state(last[1], lastingID)
+	state := f.state(last[0], laterID)
+	lastingState := f.state(last[1], lastingID)
 	f.note("later submission %q; lasting one %q, nothing running for %s; all workers are up", state, lastingState, idle)
 	switch {
 	case !completed:
@@ -222,3 +223,116 @@
 	}
 	return "", nil
 }
+
+const (
+	// rebuildDuration is how long the long task takes. Its worker is cut off cutLead before
+	// its end, for cutTime.
+	rebuildDuration = 40 * time.Second
+	cutLead         = time.Second
+	cutTime         = 9 * time.Second
+	// quickSubmissions submissions of two steps of quickWidth tasks follow, one each
+	// quickEvery.
+	quickSubmissions = 40
+	quickWidth       = 36
+	quickEvery       = 150 * time.Millisecond
+)
+
+func quickID(n int) string { return fmt.Sprintf("%016x", 0xc000+n) }
+
+// submitQuick submits the quick submissions. The workers with the label take their tasks.
+func (f *fleet) submitQuick() error {
+	s := step{Count: quickWidth, CPU: 100, MemMb: 50, EstimateMs: int(shortDuration.Milliseconds()), Requires: shared}
+	second := s
+	second.DependsOn = []int{0}
+	for n := range quickSubmissions {
+		if _, err := f.submit([]int{n % entryCount, (n + 1) % entryCount}, quickID(n), s, second); err != nil {
+			return err
+		}
+		time.Sleep(quickEvery)
+	}
+	return nil
+}
+
+// stuck returns the quick submissions of which nothing runs, while all tasks of the first
+// step have ended done and some of the second have not started.
+func (f *fleet) stuck() map[string]bool {
+	ids := map[string]bool{}
+	for n := range quickSubmissions {
+		id := quickID(n)
+		firstDone := f.countTasks(id+".0.0.", func(w *worker) map[string]int { return w.done })
+		secondStarted := f.countTasks(id+".0.1.", func(w *worker) map[string]int { return w.starts })
+		if !f.runsNow(id) && firstDone == quickWidth && secondStarted < quickWidth {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
+// noteUnackedEnds records which ends the workers list that were not taken note of.
+func (f *fleet) noteUnackedEnds() {
+	for _, w := range f.workers {
+		w.mu.Lock()
+		count, first := 0, ""
+		if w.life != nil {
+			if count = len(w.life.ended); count > 0 {
+				e := &w.life.ended[0]
+				first = fmt.Sprintf(", the first of them %s run %d %s", e.task, e.run, e.how)
+			}
+		}
+		w.mu.Unlock()
+		f.note("worker %d: %d ends not taken note of%s", w.number, count, first)
+	}
+}
+
+// workerOf returns the worker on which a task of a submission runs, nil if none does.
+func (f *fleet) workerOf(id string) *worker {
+	for _, w := range f.workers {
+		if (&fleet{workers: []*worker{w}}).runsNow(id) {
+			return w
+		}
+	}
+	return nil
+}
+
+// playBlockedEnds cuts a worker off while a long task ends on it, for longer than its
+// lease, and lets quick tasks follow that it shares with another worker.
+func playBlockedEnds(f *fleet, trouble bool) (string, error) {
+	if _, err := f.startWatched(workerCount, "", rebuildDuration); err != nil {
+		return "", err
+	}
+	if _, err := f.submit([]int{1, 2}, laterID, step{Count: 1, CPU: 2000, MemMb: 4000, EstimateMs: int(rebuildDuration.Milliseconds()), Requires: shared}); err != nil {
+		return "", err
+	}
+	var host *worker
+	if !waitUntil(readyTimeout, func() bool { host = f.workerOf(laterID); return host != nil }) {
+		return "", fmt.Errorf("the long task does not start")
+	}
+	time.Sleep(rebuildDuration - cutLead)
+	if trouble {
+		host.setCut(true)
+	}
+	time.Sleep(cutTime)
+	host.setCut(false)
+	time.Sleep(contactTime)
+	if err := f.submitQuick(); err != nil {
+		return "", err
+	}
+	time.Sleep(finishTime)
+	f.noteUnackedEnds()
+	before := f.stuck()
+	time.Sleep(idleTime)
+	all := 0
+	var example string
+	for id := range f.stuck() {
+		if before[id] {
+			all++
+			example = id
+		}
+	}
+	if all == 0 {
+		return "", nil
+	}
+	state := f.state(0, example)
+	return fmt.Sprintf("LOST: %s after the last of them was accepted, %d of %d submissions have nothing running for %s, although all tasks of their first step have ended done and the workers have room; %s is %q",
+		finishTime, all, quickSubmissions, idleTime, example, state), nil
+}
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -28,6 +28,7 @@
 	EstimateMs  int    `json:"estDurationMs,omitempty"`
 	Requires    string `json:"requires,omitempty"`
 	LongRunning bool   `json:"longRunning,omitempty"`
+	DependsOn   []int  `json:"dependsOn,omitempty"`
 }
 
 // send sends a request about a submission to an entry. It returns status 0 without an
@@ -74,15 +75,15 @@
 }
 
 // state returns the state of a submission, empty without an answer that has one.
-func (f *fleet) state(entry int, id string) (int, string) {
-	status, answer := f.send(entry, http.MethodGet, id, "")
+func (f *fleet) state(entry int, id string) string {
+	_, answer := f.send(entry, http.MethodGet, id, "")
 	var v struct {
 		State string `json:"state"`
 	}
 	if json.Unmarshal([]byte(answer), &v) != nil {
-		return status, ""
+		return ""
 	}
-	return status, v.State
+	return v.State
 }
 
 // pending returns the number of submissions without a start that an entry tells.
@@ -128,6 +129,21 @@
 	return true
 }
 
+// countTasks counts the tasks whose names have a prefix, by what each worker has counted.
+func (f *fleet) countTasks(prefix string, counted func(*worker) map[string]int) int {
+	tasks := map[string]bool{}
+	for _, w := range f.workers {
+		w.mu.Lock()
+		for task := range counted(w) {
+			if strings.HasPrefix(task, prefix) {
+				tasks[task] = true
+			}
+		}
+		w.mu.Unlock()
+	}
+	return len(tasks)
+}
+
 // begun reports whether a task of a submission has started anywhere.
 func (f *fleet) begun(id string) bool {
 	for _, w := range f.workers {
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -186,8 +186,8 @@
 	<-p.ended
 }
 
-// startFleet starts entries, and agents with a worker each. Worker 0 has one label
-// more.
+// startFleet starts entries, and agents with a worker each. Some workers have
+// labels of their own.
 func (f *fleet) startFleet(entries, agents int) ([]*process, error) {
 	var started []*process
 	for i := range entries {
@@ -202,6 +202,9 @@
 		if i == 0 {
 			w.labels = append(w.labels, special)
 		}
+		if i < sharedWorkers {
+			w.labels = append(w.labels, shared)
+		}
 		f.workers = append(f.workers, w)
 		if err := w.startLife(); err != nil {
 			return nil, err
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,7 @@
 	"crashloop": playCrashLoop,
 	"replaced":  playReplacedEntries,
 	"pending":   playPending,
+	"blocked":   playBlockedEnds,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -22,6 +22,8 @@
 	callTimeout = time.Second
 	// maxHoldWait is the longest wait of a hold call.
 	maxHoldWait = 2 * time.Second
+	// maxListedEnds is how many ends are listed at a time.
+	maxListedEnds = 500
 )
 
 // worker stands in for a worker as the pages describe it. Each of its lives has an id, a
@@ -35,9 +37,9 @@
 
 	mu   sync.Mutex
 	life *life
-	// lives counts the lives, starts the starts of tasks.
-	lives  int
-	starts map[string]int
+	// lives counts the lives, starts the starts of tasks, done their ends done.
+	lives        int
+	starts, done map[string]int
 }
 
 // life is one life of a worker.
@@ -82,7 +84,7 @@
 
 func newWorker(f *fleet, number int) *worker {
 	return &worker{
-		fleet: f, number: number, labels: []string{"a", fmt.Sprintf("r%d", number/3)}, starts: map[string]int{},
+		fleet: f, number: number, labels: []string{"a", fmt.Sprintf("r%d", number/3)}, starts: map[string]int{}, done: map[string]int{},
 		duration: func(string) time.Duration { return 0 },
 	}
 }
@@ -205,6 +207,9 @@
 	delete(l.running, task)
 	l.highest[task] = max(l.highest[task], r.run)
 	l.lastEnd++
+	if how == "done" {
+		l.worker.done[task]++
+	}
 	l.ended = append(l.ended, endRow{number: l.lastEnd, task: task, run: r.run, how: how})
 	l.worker.fleet.note("worker %d: %s run %d ends %s", l.worker.number, task, r.run, how)
 }
@@ -311,7 +316,9 @@
 	for _, e := range l.ended {
 		if e.number > seenUpto {
 			kept = append(kept, e)
-			ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
+			if len(ended) < maxListedEnds {
+				ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
+			}
 		}
 	}
 	l.ended = kept
