Review case 6: a cancelled submission starts when its entry leads again

Tried: the log turns the leading entry away for 7 s; a submission handed in there gets 504, its cancellation at another entry 410. Then the other two entries are stopped and started in turn.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -28,7 +28,6 @@
 	EstimateMs  int    `json:"estDurationMs,omitempty"`
 	Requires    string `json:"requires,omitempty"`
 	LongRunning bool   `json:"longRunning,omitempty"`
-	DependsOn   []int  `json:"dependsOn,omitempty"`
 }
 
 // send sends a request about a submission to an entry. It returns status 0 without an
@@ -129,21 +128,6 @@
 	return true
 }
 
-// countTasks counts the tasks whose names have a prefix, by what each worker has counted.
-func (f *fleet) countTasks(prefix string, counted func(*worker) map[string]int) int {
-	tasks := map[string]bool{}
-	for _, w := range f.workers {
-		w.mu.Lock()
-		for task := range counted(w) {
-			if strings.HasPrefix(task, prefix) {
-				tasks[task] = true
-			}
-		}
-		w.mu.Unlock()
-	}
-	return len(tasks)
-}
-
 // begun reports whether a task of a submission has started anywhere.
 func (f *fleet) begun(id string) bool {
 	for _, w := range f.workers {
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -31,10 +31,8 @@
 	pendingSlack = 2 * time.Second
 	// contactTime is the bound contactMs: how long after a disturbance all are calm.
 	contactTime = 3 * time.Second
-	// finishTime is the bound finish_s, idleTime how long a submission may have nothing
-	// running beside room.
-	finishTime = 14 * time.Second
-	idleTime   = 3 * time.Second
+	// idleTime is how long a submission may have nothing running beside room.
+	idleTime = 3 * time.Second
 )
 
 // fleet is the processes under test and what stands around them.
@@ -50,13 +48,16 @@
 	processes []*process
 	servers   []*http.Server
 	workers   []*worker
+	// entries holds the newest process of each entry, gates what stands between it and the
+	// log, if anything does.
+	entries map[int]*process
+	gates   []*gate
 }
 
 // process is one program under test.
 type process struct {
-	name, ip string
-	cmd      *exec.Cmd
-	ended    chan struct{}
+	cmd   *exec.Cmd
+	ended chan struct{}
 }
 
 // newFleet opens the record and starts the platform's log with a configuration.
@@ -69,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{program: program, folder: folder, start: time.Now(), record: file, log: platformemulator.NewLogServer()}
+	f := &fleet{program: program, folder: folder, start: time.Now(), record: file, log: platformemulator.NewLogServer(), entries: map[int]*process{}}
 	if f.slot, err = freeSlot(); err != nil {
 		return nil, err
 	}
@@ -92,7 +93,7 @@
 	return 0, errors.New("no free loopback addresses")
 }
 
-// address returns the address and port of one kind (0 log, 1 entry, 2 agent, 3 worker).
+// address returns the address and port of one kind (0 log, 1 entry, 2 agent, 3 worker, 4 gate).
 func (f *fleet) address(kind, number int) string {
 	return fmt.Sprintf("%s:%d", f.ip(kind, number), firstPort)
 }
@@ -123,14 +124,14 @@
 }
 
 // startEntry starts the entry with a number, startAgent the agent beside a worker.
-func (f *fleet) startEntry(number int) (*process, error) {
+func (f *fleet) startEntry(number int) error {
 	ip := f.ip(1, number)
 	return f.startProcess(fmt.Sprintf("front-%d", number), "entry", ip, number, map[string]any{
 		"listen": map[string]string{"front": fmt.Sprintf("%s:%d", ip, firstPort), "ready": fmt.Sprintf("%s:%d", ip, firstPort+1)},
 	})
 }
 
-func (f *fleet) startAgent(number int) (*process, error) {
+func (f *fleet) startAgent(number int) error {
 	ip := f.ip(2, number)
 	return f.startProcess(fmt.Sprintf("side-%d", number), "agent", ip, number, map[string]any{
 		"listen": map[string]string{"control": fmt.Sprintf("%s:%d", ip, firstPort)}, "app": f.address(3, number),
@@ -142,10 +143,14 @@
 
 // startProcess writes the settings of a process and starts it with the command of the
 // deploy file.
-func (f *fleet) startProcess(name, role, ip string, number int, settings map[string]any) (*process, error) {
+func (f *fleet) startProcess(name, role, ip string, number int, settings map[string]any) error {
 	settings["node"], settings["role"], settings["ip"], settings["zone"] = name, role, ip, zoneOf(number)
 	settings["portRange"], settings["heartbeatMs"], settings["orders"] = []int{firstPort + 10, firstPort + 25}, heartbeatEvery.Milliseconds(), "call"
-	settings["platform"] = map[string]any{"addr": f.address(0, 0), "form": "log", "writesPerS": 800, "readsPerS": 2000, "recordBytes": 262144, "callBytes": 2097152, "keep_s": 300}
+	log := f.address(0, 0)
+	if role == "entry" && number < len(f.gates) {
+		log = f.address(4, number)
+	}
+	settings["platform"] = map[string]any{"addr": log, "form": "log", "writesPerS": 800, "readsPerS": 2000, "recordBytes": 262144, "callBytes": 2097152, "keep_s": 300}
 	settings["limits"] = map[string]any{"cpuShare": 0.4, "cores": 1}
 	settings["bounds"] = map[string]any{
 		"contactMs": 3000, "ackMs": 4000, "drainMs": 2000, "graceS": 6, "holdMaxMs": maxLease.Milliseconds(), "stopMs": 200, "cancel_ms": 3000, "visible_ms": 3000,
@@ -153,22 +158,22 @@
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	path := filepath.Join(f.folder, name+".json")
 	if err := os.WriteFile(path, data, 0o600); err != nil {
-		return nil, err
+		return err
 	}
 	output, err := os.Create(filepath.Join(f.folder, name+".log"))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer output.Close()
-	p := &process{name: name, ip: ip, cmd: exec.Command(f.program, "site", role), ended: make(chan struct{})}
+	p := &process{cmd: exec.Command(f.program, "site", role), ended: make(chan struct{})}
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "KNAPWEEDSPUR_NODE_FILE=" + path}
 	p.cmd.Stdout, p.cmd.Stderr = output, output
 	if err := p.cmd.Start(); err != nil {
-		return nil, err
+		return err
 	}
 	go func() {
 		_ = p.cmd.Wait() // how it ends is in its log
@@ -176,8 +181,11 @@
 	}()
 	f.mu.Lock()
 	f.processes = append(f.processes, p)
+	if role == "entry" {
+		f.entries[number] = p
+	}
 	f.mu.Unlock()
-	return p, nil
+	return nil
 }
 
 // kill kills a process and waits for its end.
@@ -186,34 +194,27 @@
 	<-p.ended
 }
 
-// startFleet starts entries, and agents with a worker each. Some workers have
-// labels of their own.
-func (f *fleet) startFleet(entries, agents int) ([]*process, error) {
-	var started []*process
+// startFleet starts entries, and agents with a worker each. Worker 0 has one label more.
+func (f *fleet) startFleet(entries, agents int) error {
 	for i := range entries {
-		p, err := f.startEntry(i)
-		if err != nil {
-			return nil, err
+		if err := f.startEntry(i); err != nil {
+			return err
 		}
-		started = append(started, p)
 	}
 	for i := range agents {
 		w := newWorker(f, i)
 		if i == 0 {
 			w.labels = append(w.labels, special)
 		}
-		if i < sharedWorkers {
-			w.labels = append(w.labels, shared)
-		}
 		f.workers = append(f.workers, w)
 		if err := w.startLife(); err != nil {
-			return nil, err
+			return err
 		}
-		if _, err := f.startAgent(i); err != nil {
-			return nil, err
+		if err := f.startAgent(i); err != nil {
+			return err
 		}
 	}
-	return started, nil
+	return nil
 }
 
 // stopAll ends all processes and servers, and removes the temporary folder unless it is
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,10 +18,9 @@
 
 // cases holds the cases by name. Each returns what broke the rule, empty if it held.
 var cases = map[string]func(f *fleet, trouble bool) (string, error){
-	"crashloop": playCrashLoop,
-	"replaced":  playReplacedEntries,
-	"pending":   playPending,
-	"blocked":   playBlockedEnds,
+	"quarantines": playQuarantines,
+	"pending":     playPending,
+	"zombie":      playZombie,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -37,9 +37,9 @@
 
 	mu   sync.Mutex
 	life *life
-	// lives counts the lives, starts the starts of tasks, done their ends done.
-	lives        int
-	starts, done map[string]int
+	// lives counts the lives, starts the starts of tasks.
+	lives  int
+	starts map[string]int
 }
 
 // life is one life of a worker.
@@ -49,7 +49,7 @@
 	born     time.Time
 	server   *http.Server
 	done     chan struct{}
-	cut      bool
+	lost     bool
 	seq      int64
 	fence    int64
 	leaseEnd time.Duration
@@ -84,7 +84,7 @@
 
 func newWorker(f *fleet, number int) *worker {
 	return &worker{
-		fleet: f, number: number, labels: []string{"a", fmt.Sprintf("r%d", number/3)}, starts: map[string]int{}, done: map[string]int{},
+		fleet: f, number: number, labels: []string{"a", fmt.Sprintf("r%d", number/3)}, starts: map[string]int{},
 		duration: func(string) time.Duration { return 0 },
 	}
 }
@@ -125,15 +125,16 @@
 	w.fleet.note("worker %d: life %s crashes", w.number, l.id)
 }
 
-// setCut makes the worker dark: no call reaches it, no answer and no heartbeat leaves it,
-// and its connections stay open.
-func (w *worker) setCut(cut bool) {
+// lose loses the worker for good and silently: no call reaches it, no answer and no
+// heartbeat leaves it, and its connections stay open.
+func (w *worker) lose() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	if w.life != nil {
-		w.life.cut = cut
+		w.life.lost = true
+		w.life.running = map[string]*taskRun{}
 	}
-	w.fleet.note("worker %d: cut off %v", w.number, cut)
+	w.mu.Unlock()
+	w.fleet.note("worker %d: lost for good", w.number)
 }
 
 func (l *life) clock(now time.Time) time.Duration { return now.Sub(l.born) }
@@ -158,9 +159,9 @@
 		"capacity": map[string]int{"cpu": workerCPU, "memMb": workerMemory, "gpu": 0}, "labels": w.labels, "clockMs": l.clock(time.Now()).Milliseconds(),
 		"seq": l.seq, "born": l.born.UnixMilli(),
 	})
-	cut := l.cut
+	lost := l.lost
 	w.mu.Unlock()
-	if err == nil && !cut {
+	if err == nil && !lost {
 		_, _ = w.fleet.post(fmt.Sprintf("http://%s:%d/-/instances/%s/heartbeat", w.fleet.ip(2, w.number), firstPort, l.id), body) // the next heartbeat follows
 	}
 }
@@ -207,9 +208,6 @@
 	delete(l.running, task)
 	l.highest[task] = max(l.highest[task], r.run)
 	l.lastEnd++
-	if how == "done" {
-		l.worker.done[task]++
-	}
 	l.ended = append(l.ended, endRow{number: l.lastEnd, task: task, run: r.run, how: how})
 	l.worker.fleet.note("worker %d: %s run %d ends %s", l.worker.number, task, r.run, how)
 }
@@ -221,7 +219,7 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if l.isCut() {
+	if l.isLost() {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
@@ -231,7 +229,7 @@
 	}
 	if r.URL.Path == "/-/hold" {
 		l.waitForEnd(min(time.Duration(o.WaitMs)*time.Millisecond, maxHoldWait))
-		if l.isCut() {
+		if l.isLost() {
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
@@ -243,10 +241,10 @@
 	_ = json.NewEncoder(rw).Encode(fields) // the caller may be gone
 }
 
-func (l *life) isCut() bool {
+func (l *life) isLost() bool {
 	l.worker.mu.Lock()
 	defer l.worker.mu.Unlock()
-	return l.cut
+	return l.lost
 }
 
 func (l *life) waitForEnd(limit time.Duration) {
