Review case 6: large submissions that wait exhaust the memory of all entries

Tried: 450 submissions of 1,000 steps of two tasks that wait for a kind of worker; the stand-in of the platform kills an entry above its 284 MB and starts it again. The log of the stand-ins keeps the limits of an answer now.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -28,6 +28,7 @@
 	EstimateMs  int    `json:"estDurationMs,omitempty"`
 	Requires    string `json:"requires,omitempty"`
 	LongRunning bool   `json:"longRunning,omitempty"`
+	DependsOn   []int  `json:"dependsOn,omitempty"`
 }
 
 // send sends a request about a submission to an entry. It returns status 0 without an
@@ -128,6 +129,21 @@
 	return true
 }
 
+// countDone counts the tasks of a submission that have ended done anywhere.
+func (f *fleet) countDone(id string) int {
+	tasks := map[string]bool{}
+	for _, w := range f.workers {
+		w.mu.Lock()
+		for task := range w.done {
+			if strings.HasPrefix(task, id) {
+				tasks[task] = true
+			}
+		}
+		w.mu.Unlock()
+	}
+	return len(tasks)
+}
+
 // begun reports whether a task of a submission has started anywhere.
 func (f *fleet) begun(id string) bool {
 	for _, w := range f.workers {
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -79,7 +79,7 @@
 	if _, err := f.log.Stream("keyed.op").Append(context.Background(), []journal.Record{{Key: "config", Value: []byte(config)}}, nil); err != nil {
 		return nil, err
 	}
-	return f, f.serve(f.address(0, 0), f.log.Handler())
+	return f, f.serve(f.address(0, 0), logHandler(f.log))
 }
 
 // freeSlot returns the second number of loopback addresses that no other case uses.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 // cases holds the cases by name. Each returns what broke the rule, empty if it held.
 var cases = map[string]func(f *fleet, trouble bool) (string, error){
 	"quarantines": playQuarantines,
+	"memory":      playMemory,
 	"pending":     playPending,
 	"zombie":      playZombie,
 }
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -37,9 +37,9 @@
 
 	mu   sync.Mutex
 	life *life
-	// lives counts the lives, starts the starts of tasks.
-	lives  int
-	starts map[string]int
+	// lives counts the lives, starts the starts of tasks, done their ends done.
+	lives        int
+	starts, done map[string]int
 }
 
 // life is one life of a worker.
@@ -84,7 +84,7 @@
 
 func newWorker(f *fleet, number int) *worker {
 	return &worker{
-		fleet: f, number: number, labels: []string{"a", fmt.Sprintf("r%d", number/3)}, starts: map[string]int{},
+		fleet: f, number: number, labels: []string{"a", fmt.Sprintf("r%d", number/3)}, starts: map[string]int{}, done: map[string]int{},
 		duration: func(string) time.Duration { return 0 },
 	}
 }
@@ -208,6 +208,9 @@
 	delete(l.running, task)
 	l.highest[task] = max(l.highest[task], r.run)
 	l.lastEnd++
+	if how == "done" {
+		l.worker.done[task]++
+	}
 	l.ended = append(l.ended, endRow{number: l.lastEnd, task: task, run: r.run, how: how})
 	l.worker.fleet.note("worker %d: %s run %d ends %s", l.worker.number, task, r.run, how)
 }
--- a/review/standin-2/zombie.go
+++ b/review/standin-2/zombie.go
@@ -27,7 +27,7 @@
 // addGates gives each entry a gate of its own.
 func (f *fleet) addGates() error {
 	for i := range entryCount {
-		g := &gate{log: f.log.Handler()}
+		g := &gate{log: logHandler(f.log)}
 		f.gates = append(f.gates, g)
 		if err := f.serve(f.address(4, i), g); err != nil {
 			return err
@@ -84,7 +84,7 @@
 	// busyTime is how long the log turns the leader away, submitAge the age of that at
 	// which the submission comes, cancelAge that at which the client cancels.
 	busyTime  = 7 * time.Second
-	submitAge = 600 * time.Millisecond
+	submitAge = 750 * time.Millisecond
 	cancelAge = 5 * time.Second
 	// rollGap is the time between two planned stops.
 	rollGap = 1300 * time.Millisecond
