--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -52,8 +52,13 @@
 	// log, if anything does.
 	entries map[int]*process
 	gates   []*gate
+	// stopped is set once no process may start any more.
+	stopped bool
 }
 
+// errStopped is returned for a process that is to start after the end of the case.
+var errStopped = errors.New("the case has ended")
+
 // process is one program under test.
 type process struct {
 	cmd   *exec.Cmd
@@ -169,6 +174,11 @@
 		return err
 	}
 	defer output.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped {
+		return errStopped
+	}
 	p := &process{cmd: exec.Command(f.program, "site", role), ended: make(chan struct{})}
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "KNAPWEEDSPUR_NODE_FILE=" + path}
 	p.cmd.Stdout, p.cmd.Stderr = output, output
@@ -179,12 +189,10 @@
 		_ = p.cmd.Wait() // how it ends is in its log
 		close(p.ended)
 	}()
-	f.mu.Lock()
 	f.processes = append(f.processes, p)
 	if role == "entry" {
 		f.entries[number] = p
 	}
-	f.mu.Unlock()
 	return nil
 }
 
@@ -220,7 +228,11 @@
 // stopAll ends all processes and servers, and removes the temporary folder unless it is
 // to be kept.
 func (f *fleet) stopAll() {
-	for _, p := range f.processes {
+	f.mu.Lock()
+	f.stopped = true
+	processes := f.processes
+	f.mu.Unlock()
+	for _, p := range processes {
 		p.kill()
 	}
 	for _, w := range f.workers {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -39,6 +41,13 @@
 		return exitCannotRun
 	}
 	defer f.stopAll()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		f.stopAll()
+		os.Exit(exitCannotRun)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	f.note("case %s, trouble %v", args[0], trouble)
 	broken, err := cases[args[0]](f, trouble)
--- a/review/standin-2/zombie.go
+++ b/review/standin-2/zombie.go
@@ -68,7 +68,9 @@
 
 // roll stops an entry as planned and starts it again once it has ended.
 func (f *fleet) roll(entry int) {
+	f.mu.Lock()
 	p := f.entries[entry]
+	f.mu.Unlock()
 	f.note("front-%d: SIGTERM", entry)
 	_ = p.cmd.Process.Signal(syscall.SIGTERM) // it may have ended already
 	go func() {
