--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -18,6 +19,9 @@
 	exitCannotRun = 2
 )
 
+// maxDuration is the longest time that a case may take.
+const maxDuration = 115 * time.Second
+
 // cases holds the cases by name. Each returns what broke the rule, empty if it held.
 var cases = map[string]func(f *fleet, trouble bool) (string, error){
 	"quarantines": playQuarantines,
@@ -44,7 +48,11 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	go func() {
-		<-signals
+		select {
+		case <-signals:
+		case <-time.After(maxDuration):
+			f.note("could not run: not done after %s", maxDuration)
+		}
 		f.stopAll()
 		os.Exit(exitCannotRun)
 	}()
