Jobs: what arrived before a 410 no longer takes effect

Cause: Leader.proposals outlasted the lead. A pass that waits for an append leaves what comes meanwhile in the list; stepDown kept it, the entry's next lead wrote it. Of the same class, found by a drawn test: the entry's own appends after the leader did not answer, suspended entries, proposals on their way, appends that the log carries out late.

Change: a leader completes its list when it steps down, and callers that give up withdraw their proposals. Before a 410 the leader writes a report of the absence under its epoch; a submission carries the offset its entry had read when it arrived, and leaders and the fold ignore it past a report at or after that. Only leaders write j/; entries without a leader append candidates under keys of their own, which leaders replace. A POST that arrived after the report is stamped anew by the offset and the age of the report, so it is not refused. The follower waits for a complete view, not for one that reached the end.

TestAbsenceRequiresRecentView asks for the leader's record in addition: without a leader the answer is 503 with Retry-After, and with one 410 as before. The other checks of it are unchanged.

--- a/internal/frontend/jobacceptor/jobacceptor.go
+++ b/internal/frontend/jobacceptor/jobacceptor.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -12,13 +11,11 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/fault/verdict"
 	"knapweedspur/internal/frontend/admissiondecider"
 	"knapweedspur/internal/frontend/queuecataloger"
 	"knapweedspur/internal/job/jobmeasurer"
 	"knapweedspur/internal/job/jobreducer"
-	"knapweedspur/internal/job/leader"
 	"knapweedspur/internal/job/logfollower"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/metric/exporter"
@@ -110,6 +107,9 @@
 // Draining reports whether the entry is about to stop.
 func (a *Acceptor) Draining() bool { return a.draining.Load() }
 
+// Position returns the offset of the first record of the log that this entry has not read.
+func (a *Acceptor) Position() int64 { return a.Follower.Position() }
+
 // Ready reports whether the entry can serve clients.
 func (a *Acceptor) Ready() bool {
 	return !a.draining.Load() && a.Cataloger.Current() != nil && a.Follower.Age() < maxViewAge
@@ -145,6 +145,7 @@
 // Submit accepts a job. A job that is known already is accepted without a new
 // record.
 func (a *Acceptor) Submit(ctx context.Context, q *queuecataloger.Queue, version int64, job *work.Job, now time.Time) error {
+	arrived := a.Follower.Clock() - time.Since(now)
 	if a.acceptRepeat(q, job.ID) {
 		return nil
 	}
@@ -171,7 +172,7 @@
 	}
 	a.countAppend(record.Key, 1)
 	defer a.countAppend(record.Key, -1)
-	err := a.resolve(record.Key, a.appendRecord(ctx, record), now)
+	err := a.resolve(record.Key, a.appendJob(ctx, job, arrived), now)
 	if err == nil {
 		a.acceptRefused(job.ID)
 	}
@@ -232,44 +233,6 @@
 	return known
 }
 
-// appendRecord appends one record. It repeats an append that was refused or got no
-// answer, which is safe because a second record has the same key and value.
-func (a *Acceptor) appendRecord(ctx context.Context, record journal.Record) error {
-	if a.Follower.Unanswered() > maxUnanswered {
-		return a.unavailable("the log is out of reach from here")
-	}
-	start, mayBeWritten, refusals := time.Now(), false, 0
-	defer func() {
-		if a.AcceptLatency != nil {
-			a.AcceptLatency.Observe(time.Since(start))
-		}
-	}()
-	switch err := a.writeViaLeader(ctx, record); {
-	case err == nil:
-		return nil
-	case !leader.NotWritten(err):
-		mayBeWritten = true
-	}
-	for {
-		_, err := a.Journal.Append(ctx, []journal.Record{record}, nil)
-		if err == nil {
-			return nil
-		}
-		if errors.Is(err, journal.ErrRefused) {
-			refusals++
-			if refusals >= maxRefusals && !mayBeWritten {
-				return a.unavailable("the log refuses appends")
-			}
-		} else {
-			mayBeWritten = true
-		}
-		if ctx.Err() != nil || time.Since(start) > unansweredTimeout {
-			return &verdict.Error{Verdict: verdict.Unknown, Cause: verdict.DeadlineExceeded, Reason: "the log gave no answer"}
-		}
-		waiter.Sleep(ctx, retryPause)
-	}
-}
-
 // countAppend counts the appends in progress of a key.
 func (a *Acceptor) countAppend(key string, change int) {
 	a.mu.Lock()
@@ -283,26 +246,16 @@
 	}
 }
 
-// writeViaLeader writes a record through the leader. Whatever the outcome, the
-// record may be appended again, since a second one has the same key and value.
-func (a *Acceptor) writeViaLeader(ctx context.Context, record journal.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, leaderWriteTimeout)
-	defer cancel()
-	return a.Leader.Write(ctx, []journal.Record{record})
-}
-
 // State returns the state of a job.
 func (a *Acceptor) State(ctx context.Context, id string) (string, error) {
 	if state := a.lookup(id); state != "" {
 		return state, nil
 	}
-	if err := a.catchUp(ctx); err != nil {
-		return "", err
-	}
-	if state := a.lookup(id); state != "" {
-		return state, nil
+	state, err := a.confirmAbsent(ctx, id)
+	if err == nil && state == "" {
+		return "", noSuchJob()
 	}
-	return "", noSuchJob()
+	return state, err
 }
 
 func noSuchJob() error {
@@ -347,10 +300,10 @@
 func (a *Acceptor) Cancel(ctx context.Context, id string, now time.Time) error {
 	state := a.lookup(id)
 	if state == "" {
-		if err := a.catchUp(ctx); err != nil {
+		var err error
+		if state, err = a.confirmAbsent(ctx, id); err != nil {
 			return err
 		}
-		state = a.lookup(id)
 	}
 	switch state {
 	case "":
@@ -360,7 +313,7 @@
 		return nil
 	}
 	record := jobreducer.CancelRecord(id, &work.Cancel{RequestedAt: now})
-	err := a.resolve(record.Key, a.appendRecord(ctx, record), now)
+	err := a.resolve(record.Key, a.appendCancel(ctx, record), now)
 	a.Logger.Info("cancellation handled", "job", id, "outcome", outcomeText(err), "took", time.Since(now).String())
 	return err
 }
--- a/internal/frontend/jobacceptor/jobacceptor_test.go
+++ b/internal/frontend/jobacceptor/jobacceptor_test.go
@@ -129,11 +129,23 @@
 	})
 }
 
+// logWriter writes as a leader does that knows no job.
+type logWriter struct{ log *keyedlogemulator.Stream }
+
+func (w logWriter) Write(ctx context.Context, records []journal.Record) error {
+	_, err := w.log.Append(ctx, records, nil)
+	return err
+}
+
 func TestAbsenceRequiresRecentView(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := keyedlogemulator.New()
 		a, stop := startAcceptor(t, log)
 		var e *verdict.Error
+		if _, err := a.State(t.Context(), jobID); !errors.As(err, &e) || e.Cause != verdict.LogUnavailable || e.RetryAfter == 0 {
+			t.Errorf("an absent job without a leader: %v", err)
+		}
+		a.Leader = logWriter{log}
 		if _, err := a.State(t.Context(), jobID); !errors.As(err, &e) || e.Cause != verdict.NotFound {
 			t.Errorf("an absent job: %v", err)
 		}
--- a/internal/frontend/queuecataloger/watcher.go
+++ b/internal/frontend/queuecataloger/watcher.go
@@ -103,7 +103,7 @@
 func (w *Watcher) reload(ctx context.Context) error {
 	former := w.requests
 	rebuilt := newRequests()
-	next, err := journal.ReadNewest(ctx, w.Journal, func(r journal.Record) { w.apply(rebuilt, former, r) })
+	next, _, err := journal.ReadNewest(ctx, w.Journal, func(r journal.Record) { w.apply(rebuilt, former, r) })
 	if err != nil {
 		return err
 	}
--- a/internal/job/jobreducer/jobreducer.go
+++ b/internal/job/jobreducer/jobreducer.go
@@ -63,12 +63,15 @@
 // Job is the state of one job in the log. Description is nil once the job has
 // ended and the record of its description was removed. Tasks holds the tasks that
 // were ever placed; each has a record of its own, since the tasks of a wide step
-// change one by one.
+// change one by one. Candidates are the appends of the job without the leader.
 type Job struct {
 	Description *work.Job
+	Candidates  []Candidate
 	Tasks       map[TaskKey]*work.Task
 	Outcome     *work.Outcome
 	Cancel      *work.Cancel
+	// written is the description that a leader wrote.
+	written *work.Job
 }
 
 // Accepted reports whether the log holds the job or its outcome.
@@ -89,6 +92,8 @@
 	Jobs     map[string]*Job
 	Sessions map[string]*work.Session
 	Members  map[string]*work.Member
+	// Absences are the reports that a job does not exist, by the ID of the job.
+	Absences map[string][]Absence
 	Term     *work.Term
 	// Estimates are the interference estimates that leaders have stored, nil if
 	// there are none.
@@ -106,7 +111,7 @@
 
 // New returns the state of an empty log.
 func New() *State {
-	return &State{Jobs: map[string]*Job{}, Sessions: map[string]*work.Session{}, Members: map[string]*work.Member{}}
+	return &State{Jobs: map[string]*Job{}, Sessions: map[string]*work.Session{}, Members: map[string]*work.Member{}, Absences: map[string][]Absence{}}
 }
 
 // Apply applies one record. If the record cannot be read, it returns an error
@@ -138,6 +143,10 @@
 		return applyValue(r, func(v *work.WorkRecord) { setOrDelete(s.Members, name, v.Member) })
 	case jobPrefix:
 		return s.applyJob(r, name)
+	case candidatePrefix:
+		return s.applyCandidate(r, name)
+	case absencePrefix:
+		return s.applyAbsence(r, name)
 	case outcomePrefix:
 		return applyValue(r, func(v *work.WorkRecord) { s.update(name, func(j *Job) { j.Outcome = v.Outcome }) })
 	case cancelPrefix:
@@ -160,7 +169,7 @@
 	var invalid error
 	err := applyValue(r, func(v *work.WorkRecord) {
 		if invalid = validateJob(v.Job); invalid == nil {
-			s.update(id, func(j *Job) { j.Description = v.Job })
+			s.update(id, func(j *Job) { j.written = v.Job })
 		}
 	})
 	if err != nil {
@@ -200,7 +209,8 @@
 		s.Jobs[id] = j
 	}
 	update(j)
-	if j.Description == nil && j.Outcome == nil && j.Cancel == nil && len(j.Tasks) == 0 {
+	s.describe(id, j)
+	if j.Description == nil && j.Outcome == nil && j.Cancel == nil && len(j.Tasks) == 0 && len(j.Candidates) == 0 {
 		delete(s.Jobs, id)
 	}
 }
@@ -250,27 +260,38 @@
 	return journal.Record{Key: key, Value: data}
 }
 
-// DecodeClientRecord decodes a record written for a client: a job or a
-// cancellation.
-func DecodeClientRecord(r journal.Record) (id string, job *work.Job, cancel bool, err error) {
+// ClientRecord is a decoded record that is written for a client. Exactly one of the
+// pointers is set.
+type ClientRecord struct {
+	JobID   string
+	Job     *work.Job
+	Cancel  *work.Cancel
+	Absence *work.Absence
+}
+
+// DecodeClientRecord decodes a record that a leader writes for a client: a job, a
+// cancellation or a report that a job does not exist.
+func DecodeClientRecord(r journal.Record) (ClientRecord, error) {
 	if len(r.Key) <= len(jobPrefix) {
-		return "", nil, false, trace.BadParameter("key %q is not that of a job or cancellation", r.Key)
+		return ClientRecord{}, trace.BadParameter("key %q is not that of a client's record", r.Key)
 	}
 	var v work.WorkRecord
 	if err := codec.Decode(r.Value, &v); err != nil {
-		return "", nil, false, trace.Wrap(err)
+		return ClientRecord{}, trace.Wrap(err)
 	}
-	id = r.Key[len(jobPrefix):]
+	prefix, name := r.Key[:len(jobPrefix)], r.Key[len(jobPrefix):]
 	switch {
-	case strings.HasPrefix(r.Key, jobPrefix) && v.Job != nil && v.Job.ID == id:
+	case prefix == jobPrefix && v.Job != nil && v.Job.ID == name:
 		if err := validateJob(v.Job); err != nil {
-			return "", nil, false, trace.Wrap(err, "record %q", r.Key)
+			return ClientRecord{}, trace.Wrap(err, "record %q", r.Key)
 		}
-		return id, v.Job, false, nil
-	case strings.HasPrefix(r.Key, cancelPrefix) && v.Cancel != nil:
-		return id, nil, true, nil
+		return ClientRecord{JobID: name, Job: v.Job}, nil
+	case prefix == cancelPrefix && v.Cancel != nil:
+		return ClientRecord{JobID: name, Cancel: v.Cancel}, nil
+	case prefix == absencePrefix && v.Absence != nil:
+		return ClientRecord{JobID: jobOfKey(name), Absence: v.Absence}, nil
 	}
-	return "", nil, false, trace.BadParameter("key %q is not that of a job or cancellation", r.Key)
+	return ClientRecord{}, trace.BadParameter("key %q is not that of a client's record", r.Key)
 }
 
 // EstimatesRecord returns the record of the interference estimates of a leader.
--- a/internal/job/leader/append.go
+++ b/internal/job/leader/append.go
@@ -14,12 +14,14 @@
 	// an append.
 	minRetryPause = 15 * time.Millisecond
 	maxRetryPause = 200 * time.Millisecond
+	// unknownOffset is returned instead of an offset that the log did not tell.
+	unknownOffset = -1
 )
 
 // append retries an append under the current number until the log answers. A
 // repeat of the same number has no effect if an earlier attempt succeeded. It
-// returns the offset of the first record, and false if another leader took over
-// or the deadline passed. A zero deadline means none.
+// returns the offset of the first record, unknownOffset if the log did not tell it, and
+// false if another leader took over or the deadline passed. A zero deadline means none.
 func (l *Leader) append(ctx context.Context, records []journal.Record, deadline time.Time) (int64, bool) {
 	pause, lost, began := minRetryPause, false, time.Now()
 	for ctx.Err() == nil {
@@ -41,7 +43,7 @@
 			// If the log expects the next number, it has these records already.
 			// Otherwise another claim with the same epoch won.
 			l.Logger.Warn("append out of sequence", "number", l.writer.Number, "expected", sequence.ExpectedNumber)
-			return 0, sequence.ExpectedNumber == l.writer.Number+1
+			return unknownOffset, sequence.ExpectedNumber == l.writer.Number+1
 		}
 		if !lost {
 			lost = true
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -124,6 +124,7 @@
 	wakeup    chan struct{}
 	resigned  bool
 	proposals []*proposal
+	absences  absences
 	// endedIncarnation is the incarnation of a leader process that is known to
 	// have ended.
 	endedIncarnation string
@@ -151,10 +152,11 @@
 // cancellations and announcements of entries can come from any entry; all other
 // records show that the leader is alive.
 func (l *Leader) Applied(r journal.Record) {
+	id, ofClient := jobreducer.ClientJobID(r.Key)
 	switch {
-	case strings.HasPrefix(r.Key, "j/"), strings.HasPrefix(r.Key, "c/"):
+	case ofClient:
 		if len(r.Value) > 0 {
-			l.inbox.addJob(r.Key[len("j/"):])
+			l.inbox.addJob(id)
 			l.wake()
 		}
 	case strings.HasPrefix(r.Key, "m/"):
@@ -164,12 +166,14 @@
 }
 
 // applyClientRecords passes the jobs and cancellations that were read since the last
-// pass, which other entries may have written, to the planner. The caller holds the lock.
-func (l *Leader) applyClientRecords(now time.Time) {
+// pass, which other entries may have written, to the planner. It returns the records that
+// replace candidates. The caller holds the lock.
+func (l *Leader) applyClientRecords(now time.Time) []journal.Record {
 	ids := l.inbox.takeJobs()
 	if len(ids) == 0 {
-		return
+		return nil
 	}
+	var records []journal.Record
 	l.Follower.View(func(state *jobreducer.State, _ time.Duration) {
 		for _, id := range ids {
 			j := state.Jobs[id]
@@ -179,11 +183,15 @@
 			if j.Description != nil && j.Outcome == nil {
 				l.planner.AddJob(j.Description, now)
 			}
+			if len(j.Candidates) > 0 {
+				records = append(records, l.adoptCandidates(id, j)...)
+			}
 			if j.Cancel != nil {
 				l.planner.CancelJob(id, now)
 			}
 		}
 	})
+	return records
 }
 
 // Rebuilt handles a rebuild of the view. The planner of a leader may have missed
@@ -364,6 +372,12 @@
 			return
 		}
 		l.epoch = l.claimedEpoch
+		l.absences = absences{lastSweep: now}
+		for id, j := range state.Jobs {
+			if len(j.Candidates) > 0 {
+				l.inbox.addJob(id)
+			}
+		}
 		l.guard(func() {
 			l.planner = planner.New(l.Settings, state, now, l.logDecision)
 			l.planner.SetEvacuation(l.Evacuation(), now)
--- a/internal/job/leader/loop.go
+++ b/internal/job/leader/loop.go
@@ -30,7 +30,7 @@
 		now := time.Now()
 		batch, proposals := l.planOnce(now)
 		if batch == nil {
-			completeProposals(proposals, ErrLeadershipLost)
+			completeProposals(proposals, ErrNotLeading)
 			return
 		}
 		if l.isResigned() {
@@ -42,10 +42,14 @@
 		}
 		if len(batch.Records) > 0 {
 			l.addForecast(batch, now)
-			if !l.write(ctx, batch.Records) {
+			offset, ok := l.write(ctx, batch.Records)
+			if !ok {
 				completeProposals(proposals, ErrLeadershipLost)
 				return
 			}
+			l.mu.Lock()
+			l.absences.written(offset, time.Now())
+			l.mu.Unlock()
 			lastWrite = now
 		}
 		completeProposals(proposals, nil)
@@ -72,28 +76,26 @@
 // after which the leader would revoke their sessions.
 const isolationLimit = 1000 * time.Millisecond
 
-// planOnce runs one pass of the planner. It returns a nil batch if this entry no
-// longer leads.
+// planOnce runs one pass of the planner. It returns the batch to write with the proposals
+// in it, and a nil batch if this entry no longer leads.
 func (l *Leader) planOnce(now time.Time) (*planner.Batch, []*proposal) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.planner == nil {
-		proposals := l.proposals
-		l.proposals = nil
-		return nil, proposals
+		return nil, nil
 	}
 	if unresponsive, total := l.planner.CountUnresponsiveVMs(now, isolationLimit); total > 2 && 2*unresponsive > total {
 		l.stepDown("most agents are not heard here", isolatedPause)
-		proposals := l.proposals
-		l.proposals = nil
-		return nil, proposals
+		return nil, nil
 	}
 	proposals := l.proposals
 	l.proposals = nil
 	var batch *planner.Batch
 	l.guard(func() {
-		l.applyClientRecords(now)
-		records := l.planProposals(proposals, now)
+		records := append(l.expireAbsences(now), l.applyClientRecords(now)...)
+		var proposed []journal.Record
+		proposals, proposed = l.planProposals(proposals, now)
+		records = append(records, proposed...)
 		l.planner.SetEvacuation(l.Evacuation(), now)
 		l.planner.Tick(now)
 		planned := l.planner.Flush()
@@ -113,7 +115,7 @@
 // another entry can claim the leadership at once, and steps down.
 func (l *Leader) handOver(ctx context.Context, batch *planner.Batch, proposals []*proposal) {
 	term := jobreducer.TermRecord(&work.Term{Epoch: l.epoch})
-	if l.write(ctx, append(batch.Records, term)) {
+	if _, ok := l.write(ctx, append(batch.Records, term)); ok {
 		completeProposals(proposals, nil)
 		l.sendBatch(batch)
 	} else {
@@ -171,8 +173,10 @@
 }
 
 // write appends records, split into appends of up to half of MaxAppendBytes, and
-// retries until the log has them. It returns false when the leadership is lost.
-func (l *Leader) write(ctx context.Context, records []journal.Record) bool {
+// retries until the log has them. It returns the offset of the last record, pendingOffset
+// if it is not known, and false when the leadership is lost.
+func (l *Leader) write(ctx context.Context, records []journal.Record) (int64, bool) {
+	last := int64(pendingOffset)
 	for len(records) > 0 {
 		count, size := 0, 0
 		for count < len(records) && (count == 0 || size+recordSize(records[count]) <= l.MaxAppendBytes/2) {
@@ -180,15 +184,19 @@
 			count++
 		}
 		l.writer.Number++
-		if _, ok := l.append(ctx, records[:count], time.Time{}); !ok {
+		offset, ok := l.append(ctx, records[:count], time.Time{})
+		if !ok {
 			l.mu.Lock()
 			l.stepDown("the log took no record", 0)
 			l.mu.Unlock()
-			return false
+			return 0, false
+		}
+		if last = pendingOffset; offset != unknownOffset {
+			last = offset + int64(count) - 1
 		}
 		records = records[count:]
 	}
-	return true
+	return last, true
 }
 
 // recordOverhead is the encoded size of a record beyond its key and value, in
@@ -218,6 +226,9 @@
 	l.Logger.Warn("lead ends", "epoch", l.epoch, "reason", reason)
 	l.planner = nil
 	l.leading.Store(0)
+	// Their callers look for another way to write them.
+	completeProposals(l.proposals, ErrNotLeading)
+	l.proposals = nil
 	l.claimedEpoch = 0
 	l.noClaimBefore = time.Now().Add(claimPause)
 	l.wake()
--- a/internal/job/leader/offer.go
+++ b/internal/job/leader/offer.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"time"
 
 	"knapweedspur/internal/job/jobreducer"
@@ -20,8 +22,14 @@
 // entries: records that it is to write to the log.
 const ProposalPath = "/internal/offer"
 
-// maxProposalBytes is the size limit of a proposal.
-const maxProposalBytes = 1 << 20
+const (
+	// maxProposalBytes is the size limit of a proposal.
+	maxProposalBytes = 1 << 20
+	// offsetHeader and elapsedHeader carry the fields of a ContradictedError, the time in
+	// milliseconds.
+	offsetHeader  = "Knapweedspur-Offset"
+	elapsedHeader = "Knapweedspur-Elapsed-Ms"
+)
 
 // Errors returned for a proposal.
 var (
@@ -30,13 +38,35 @@
 	// ErrLeadershipLost means that the leadership was lost while the records
 	// were being written; they may be in the log.
 	ErrLeadershipLost = errors.New("the lead was lost while records were written")
+	// ErrWithdrawn means that the caller gave up before the records were taken for an
+	// append. They are never written.
+	ErrWithdrawn = errors.New("the proposal was withdrawn before it was written")
+	// ErrTooManyAbsences means that the log holds as many reports of absent jobs as it may.
+	ErrTooManyAbsences = errors.New("too many jobs were reported absent recently")
 )
 
+// ContradictedError means that the leader wrote nothing, since it knows better: a job that
+// was reported absent after it was submitted, or an absent job that exists.
+type ContradictedError struct {
+	// Offset is that of the last report of the absence, and Elapsed a lower bound of the
+	// time since it was in the log; 0 if that is not known.
+	Offset  int64
+	Elapsed time.Duration
+}
+
+// Error says that the proposal was rejected.
+func (e *ContradictedError) Error() string {
+	return fmt.Sprintf("the log rules the record out since %s or longer", e.Elapsed)
+}
+
 // NotWritten reports whether the error of a write proves that the records are not
-// in the log: the entry did not lead, or could not be connected to.
+// in the log and never will be: the entry did not lead or rejected them, or could not be
+// connected to.
 func NotWritten(err error) bool {
 	var network *net.OpError
-	return errors.Is(err, ErrNotLeading) || errors.As(err, &network) && network.Op == "dial"
+	var contradicted *ContradictedError
+	return errors.Is(err, ErrNotLeading) || errors.Is(err, ErrWithdrawn) || errors.Is(err, ErrTooManyAbsences) ||
+		errors.As(err, &contradicted) || errors.As(err, &network) && network.Op == "dial"
 }
 
 // proposal holds records of clients that wait to be written with the next batch
@@ -46,6 +76,14 @@
 	done    chan error
 }
 
+// complete tells the caller the result, unless it has one already.
+func (p *proposal) complete(err error) {
+	select {
+	case p.done <- err:
+	default:
+	}
+}
+
 // Propose writes records of clients together with the leader's own. All records
 // that arrive while an append is in progress are written with the next one.
 func (l *Leader) Propose(ctx context.Context, records []journal.Record) error {
@@ -62,41 +100,109 @@
 	case err := <-p.done:
 		return err
 	case <-ctx.Done():
+		return l.withdraw(ctx, p)
+	}
+}
+
+// withdraw removes a proposal whose caller has given up, unless it was taken already.
+func (l *Leader) withdraw(ctx context.Context, p *proposal) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if i := slices.Index(l.proposals, p); i >= 0 {
+		l.proposals = slices.Delete(l.proposals, i, i+1)
+		return ErrWithdrawn
+	}
+	select {
+	case err := <-p.done:
+		return err
+	default:
 		return ctx.Err()
 	}
 }
 
-// planProposals passes proposals to the planner and returns their records. The
-// caller holds the lock.
-func (l *Leader) planProposals(proposals []*proposal, now time.Time) []journal.Record {
+// planProposals passes proposals to the planner. It returns those that are written with
+// this batch, and their records. The caller holds the lock.
+func (l *Leader) planProposals(proposals []*proposal, now time.Time) ([]*proposal, []journal.Record) {
+	var accepted []*proposal
 	var records []journal.Record
 	for _, p := range proposals {
-		for _, r := range p.records {
-			records = append(records, r)
-			l.planClientRecord(r, now)
+		written, err := l.planClientRecords(p.records, now)
+		if err != nil {
+			p.complete(err)
+			continue
+		}
+		accepted = append(accepted, p)
+		records = append(records, written...)
+	}
+	return accepted, records
+}
+
+// planClientRecords passes clients' records to the planner before they are in the log,
+// and returns those to write. Commands that follow are sent only after they and their own
+// records are in the log. An error means that no record is written.
+func (l *Leader) planClientRecords(records []journal.Record, now time.Time) ([]journal.Record, error) {
+	var decoded []jobreducer.ClientRecord
+	var accepted []journal.Record
+	for _, r := range records {
+		c, err := jobreducer.DecodeClientRecord(r)
+		if err != nil {
+			l.Logger.Error("skipped unreadable record of a proposal", "key", r.Key, "error", err.Error())
+			continue
+		}
+		if err := l.contradiction(c, now); err != nil {
+			l.Logger.Warn("proposal rejected", "key", r.Key, "error", err.Error())
+			return nil, err
+		}
+		if known, _ := l.planner.FindJob(c.JobID); known && c.Job != nil {
+			continue // the log has it, or this batch
+		}
+		decoded, accepted = append(decoded, c), append(accepted, r)
+	}
+	for _, c := range decoded {
+		switch {
+		case c.Job != nil:
+			l.planner.AddJob(c.Job, now)
+		case c.Cancel != nil:
+			l.planner.CancelJob(c.JobID, now)
+		case c.Absence != nil:
+			l.absences.report(c.JobID)
 		}
 	}
-	return records
+	return accepted, nil
 }
 
-// planClientRecord passes a client's record to the planner before it is in the
-// log. Commands that follow from it are sent only after it and their own records
-// are in the log.
-func (l *Leader) planClientRecord(r journal.Record, now time.Time) {
-	id, job, cancel, err := jobreducer.DecodeClientRecord(r)
+// contradiction returns why a client's record must not be written, or nil. The caller
+// holds the lock.
+func (l *Leader) contradiction(c jobreducer.ClientRecord, now time.Time) error {
+	known, _ := l.planner.FindJob(c.JobID)
 	switch {
-	case err != nil:
-		l.Logger.Error("skipped unreadable record of a proposal", "key", r.Key, "error", err.Error())
-	case job != nil:
-		l.planner.AddJob(job, now)
-	case cancel:
-		l.planner.CancelJob(id, now)
+	case c.Job != nil && !known:
+		var inView bool
+		l.Follower.View(func(state *jobreducer.State, _ time.Duration) {
+			inView = state.ReportedAbsentSince(c.JobID, c.Job.Since)
+		})
+		if report, ruledOut := l.absences.since(c.JobID, c.Job.Since); ruledOut || inView {
+			contradicted := &ContradictedError{}
+			if ruledOut && report.offset != pendingOffset {
+				contradicted.Offset, contradicted.Elapsed = report.offset, now.Sub(report.at)
+			}
+			return contradicted
+		}
+	case c.Absence != nil && known:
+		return &ContradictedError{}
+	case c.Absence != nil:
+		var count int
+		l.Follower.View(func(state *jobreducer.State, _ time.Duration) { count = len(state.Absences) })
+		if count >= maxAbsences {
+			return ErrTooManyAbsences
+		}
 	}
+	return nil
 }
 
 func completeProposals(proposals []*proposal, err error) {
 	for _, p := range proposals {
-		p.done <- err
+		p.complete(err)
 	}
 }
 
@@ -116,11 +222,18 @@
 	for _, e := range v.Proposal.Records {
 		records = append(records, journal.Record{Key: e.Key, Value: e.Value})
 	}
+	var contradicted *ContradictedError
 	switch err := l.Propose(r.Context(), records); {
 	case err == nil:
 		w.WriteHeader(http.StatusOK)
 	case errors.Is(err, ErrNotLeading):
 		w.WriteHeader(http.StatusMisdirectedRequest)
+	case errors.Is(err, ErrTooManyAbsences):
+		w.WriteHeader(http.StatusTooManyRequests)
+	case errors.As(err, &contradicted):
+		w.Header().Set(offsetHeader, strconv.FormatInt(contradicted.Offset, 10))
+		w.Header().Set(elapsedHeader, strconv.FormatInt(contradicted.Elapsed.Milliseconds(), 10))
+		w.WriteHeader(http.StatusConflict)
 	default:
 		http.Error(w, err.Error(), http.StatusGatewayTimeout)
 	}
@@ -160,6 +273,24 @@
 		return nil
 	case http.StatusMisdirectedRequest:
 		return ErrNotLeading
+	case http.StatusTooManyRequests:
+		return ErrTooManyAbsences
+	case http.StatusConflict:
+		return contradictedFrom(resp.Header)
 	}
 	return ErrLeadershipLost
 }
+
+// contradictedFrom reads the error from the header of a response. Without its fields
+// nothing is known.
+func contradictedFrom(h http.Header) *ContradictedError {
+	offset, err := strconv.ParseInt(h.Get(offsetHeader), 10, 64)
+	if err != nil {
+		return &ContradictedError{}
+	}
+	ms, err := strconv.ParseInt(h.Get(elapsedHeader), 10, 64)
+	if err != nil {
+		return &ContradictedError{}
+	}
+	return &ContradictedError{Offset: offset, Elapsed: time.Duration(ms) * time.Millisecond}
+}
--- a/internal/job/logfollower/logfollower.go
+++ b/internal/job/logfollower/logfollower.go
@@ -5,13 +5,13 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"knapweedspur/internal/clock/bootclock"
-	"knapweedspur/internal/clock/waiter"
 	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/log/journal"
 )
@@ -60,6 +60,9 @@
 	// caughtUpAt is when the last read that reached the end of the log was
 	// sent, on the boot clock; 0 before the first.
 	caughtUpAt time.Duration
+	// completeFrom is the offset from which the view is one that the log had: the newest
+	// records are read in pages, and those written meanwhile follow from the tail.
+	completeFrom int64
 	// answeredAt is when the last read that the log answered was sent, on the boot
 	// clock.
 	answeredAt time.Duration
@@ -70,6 +73,8 @@
 	forecastAfter time.Duration
 	// changed is closed and replaced after each read.
 	changed chan struct{}
+	// awaited has an element while somebody waits for a record that the log has.
+	awaited chan struct{}
 }
 
 // View calls read with the state and the age of the view, under a read lock.
@@ -128,6 +133,13 @@
 	read(f.state, f.forecastAge())
 }
 
+// Position returns the offset of the first record that is not in the view.
+func (f *Follower) Position() int64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.state.Next
+}
+
 // CatchUp waits until the view includes everything that was in the log at the
 // time of the call. It returns an error if the context ends first.
 func (f *Follower) CatchUp(ctx context.Context) error {
@@ -135,10 +147,14 @@
 	return f.waitUntil(ctx, func() bool { return f.caughtUpAt > now })
 }
 
-// WaitForOffset waits until the record at an offset is in the view. It returns
-// an error if the context ends first.
+// WaitForOffset waits until the record at an offset, which the log has, is in the view.
+// It returns an error if the context ends first.
 func (f *Follower) WaitForOffset(ctx context.Context, offset int64) error {
-	return f.waitUntil(ctx, func() bool { return f.state.Next > offset && f.caughtUpAt > 0 })
+	select {
+	case f.awaited <- struct{}{}:
+	default:
+	}
+	return f.waitUntil(ctx, func() bool { return f.state.Next > offset && f.state.Next >= f.completeFrom })
 }
 
 func (f *Follower) waitUntil(ctx context.Context, condition func() bool) error {
@@ -162,9 +178,10 @@
 	if f.Clock == nil {
 		f.Clock = bootclock.Now
 	}
-	f.state = jobreducer.New()
+	f.state, f.completeFrom = jobreducer.New(), math.MaxInt64
 	f.answeredAt = f.Clock()
 	f.changed = make(chan struct{})
+	f.awaited = make(chan struct{}, 1)
 	f.Done = make(chan struct{})
 }
 
@@ -190,9 +207,9 @@
 				f.Logger.Info("log regained")
 			}
 			if f.Observer.Leading() != 0 {
-				waiter.Sleep(ctx, leaderReadPause)
+				f.pause(ctx, leaderReadPause)
 			} else {
-				waiter.Sleep(ctx, followerReadPause)
+				f.pause(ctx, followerReadPause)
 			}
 		case errors.As(err, &cut):
 			f.Logger.Warn("log was truncated before it was read; rebuilding the view", "first", cut.OldestOffset)
@@ -202,22 +219,33 @@
 				lost = true
 				f.Logger.Warn("log lost", "error", err.Error(), "age", f.Age().String())
 			}
-			waiter.Sleep(ctx, backoff)
+			f.pause(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
 		}
 	}
 }
 
+// pause waits before the next read, unless a record is awaited.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.awaited:
+	case <-ctx.Done():
+	}
+}
+
 // rebuild replaces the view by one built from the newest record of each key.
 func (f *Follower) rebuild(ctx context.Context) error {
 	state := jobreducer.New()
-	next, err := journal.ReadNewest(ctx, f.Journal, func(r journal.Record) { f.apply(state, r) })
+	next, end, err := journal.ReadNewest(ctx, f.Journal, func(r journal.Record) { f.apply(state, r) })
 	if err != nil {
 		return err
 	}
 	state.Next = next
 	f.mu.Lock()
-	f.state, f.caughtUpAt, f.forecastAfter = state, 0, 0
+	f.state, f.completeFrom, f.caughtUpAt, f.forecastAfter = state, end, 0, 0
 	f.mu.Unlock()
 	f.Logger.Info("view built from the log", "jobs", len(state.Jobs), "sessions", len(state.Sessions), "offset", next)
 	if err := f.poll(ctx); err != nil {
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -125,6 +125,12 @@
 	pl.startDueOccurrences(j, now)
 }
 
+// FindJob reports whether a job is known, and whether it has not ended.
+func (pl *Planner) FindJob(id string) (known, open bool) {
+	j := pl.jobs[id]
+	return j != nil, j != nil && j.outcome == nil
+}
+
 // CancelJob cancels a job whose cancellation is in the log.
 func (pl *Planner) CancelJob(id string, now time.Time) {
 	j := pl.jobs[id]
--- a/internal/site/sitebuilder/entry.go
+++ b/internal/site/sitebuilder/entry.go
@@ -114,6 +114,7 @@
 	exporter.Publish("without", func() any { return gates.Off() })
 	exporter.Publish("evacuated", func() any { return e.watcher.Evacuation() })
 	exporter.Publish("unserved_requests", func() any { return e.watcher.Unserved() })
+	exporter.Publish("reported_absent", func() any { return e.acceptor.ReportedAbsent() })
 	exporter.Publish("refused_for_room", func() any { return e.acceptor.RefusedForRoom() })
 	exporter.Publish("forecast_age_us", func() any { return e.forecastAge() })
 	exporter.Publish("work", func() any { return e.workCounts() })
--- a/internal/wire/work/work.go
+++ b/internal/wire/work/work.go
@@ -5,6 +5,13 @@
 import "net/netip"
 import "time"
 
+// A report to a client that a job does not exist. Submissions that arrived before
+// it have no effect after it.
+type Absence struct {
+	// When the absence was reported.
+	ReportedAt time.Time `json:"at" cbor:"at" yaml:"at"`
+}
+
 // Policy service that must approve the VMs that run the tasks of a queue.
 type ApprovalPolicy struct {
 	// Fixed part of the time of one call.
@@ -220,6 +227,9 @@
 	// Queue corresponds to the JSON schema field "queue".
 	Queue Queue `json:"queue" cbor:"queue" yaml:"queue"`
 
+	// Offset up to which the entry had read the work log when the submission arrived.
+	Since int64 `json:"since" cbor:"since" yaml:"since"`
+
 	// Passed to the worker without being interpreted.
 	Spec string `json:"spec" cbor:"spec" yaml:"spec"`
 
@@ -731,6 +741,9 @@
 
 // One record of the work log. Exactly one of the pointers is set.
 type WorkRecord struct {
+	// Absence corresponds to the JSON schema field "absence".
+	Absence *Absence `json:"absence,omitempty,omitzero" cbor:"absence,omitempty" yaml:"absence,omitempty"`
+
 	// Cancel corresponds to the JSON schema field "cancel".
 	Cancel *Cancel `json:"cancel,omitempty,omitzero" cbor:"cancel,omitempty" yaml:"cancel,omitempty"`
 
