Agent: a start that waits for a slot is not sent once it is obsolete

Cause: executeStart waits for one of 16 slots while the worker leaves starts unanswered, and then sent the start whatever had come meanwhile. A worker that had confirmed a stop rejects it; another process under the same name has seen neither the stop nor the new session and carries it out.

Change: a stop takes the run out of the starts that wait; a start of another session is not sent. Both are void at once, without a call.

Evidence: TestHeldStartIsNotSentOnceItIsObsolete failed before (one start sent in both cases).

--- a/internal/sidecar/supervisor/order.go
+++ b/internal/sidecar/supervisor/order.go
@@ -68,6 +68,7 @@
 		return
 	}
 	s.stopping[run] = call
+	delete(s.heldStarts, run)
 	unknown := !s.isListed(run)
 	if unknown {
 		// Its start was lost. It is pending until a list that is read after the
@@ -158,7 +159,7 @@
 		return
 	}
 	s.index().reserve(start, 1)
-	s.pending[run] = true
+	s.pending[run], s.heldStarts[run] = true, true
 	s.starts[start.Task] = start
 	call := workercontroller.StartCall{Call: s.call(), Start: start, LeaseEnd: leaseEnd}
 	s.group.Go(func() { s.executeStart(ctx, call, run) })
@@ -189,6 +190,20 @@
 // worker refused the connection.
 const voidReasonUnreachable = "unreachable"
 
+// releaseStart returns why a start that waited for a slot must not be sent any more, or ""
+// if it may: another session, or a stop of the run meanwhile. Another worker process
+// would carry it out, since it has seen neither.
+func (s *Supervisor) releaseStart(call workercontroller.Call, run work.RunRef) string {
+	if call != s.call() {
+		return "superseded"
+	}
+	if !s.heldStarts[run] {
+		return "stopped"
+	}
+	delete(s.heldStarts, run)
+	return ""
+}
+
 // executeStart sends a start to the worker and handles the result. If the call
 // fails after it may have been sent, the worker may still start the run later, so the
 // run is stopped first.
@@ -196,7 +211,10 @@
 	s.startSlots <- struct{}{}
 	defer func() { <-s.startSlots }()
 	s.mu.Lock()
-	refusal := s.checkStart(run)
+	refusal := s.releaseStart(call.Call, run)
+	if refusal == "" {
+		refusal = s.checkStart(run)
+	}
 	if refusal == "" {
 		refusal = s.checkRoom(run)
 	}
--- a/internal/sidecar/supervisor/order_test.go
+++ b/internal/sidecar/supervisor/order_test.go
@@ -153,3 +153,44 @@
 		}
 	})
 }
+
+// A start that waited for a free slot was sent to the worker after its run had been
+// stopped, or under a session that was over; another worker process carries it out.
+func TestHeldStartIsNotSentOnceItIsObsolete(t *testing.T) {
+	run := work.RunRef{Task: "t", Run: 1}
+	for name, overtake := range map[string]func(*testing.T, *Supervisor){
+		"stopped": func(t *testing.T, s *Supervisor) {
+			sendCommands(s, t, &work.Commands{Number: 2, Stops: []work.RunRef{run}})
+		},
+		"next worker process": func(_ *testing.T, s *Supervisor) {
+			s.HandleHeartbeat(work.WorkerStatus{VM: "vm", Incarnation: 2, Pool: "pool", Capacity: work.Size{Millicores: 1000}}, 1, time.Now())
+			s.AcceptGrant(&work.Grant{VM: "vm", WorkerIncarnation: 2, Fence: 4})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithSession(t, func(t *testing.T, s *Supervisor, w *fakeWorker) {
+				confirmSession(s)
+				for range maxParallelStarts {
+					s.startSlots <- struct{}{}
+				}
+				sendCommands(s, t, &work.Commands{Number: 1, Starts: []work.Start{{Task: run.Task, Run: run.Run}}})
+				time.Sleep(100 * time.Millisecond)
+				overtake(t, s)
+				time.Sleep(time.Second)
+				for range maxParallelStarts {
+					<-s.startSlots
+				}
+				time.Sleep(time.Second)
+				w.mu.Lock()
+				calls := w.startCalls
+				w.mu.Unlock()
+				if calls != 0 {
+					t.Errorf("%d starts sent", calls)
+				}
+				for _, pending := range s.Report(1).PendingStarts {
+					t.Errorf("%v is reported as pending", pending)
+				}
+			})
+		})
+	}
+}
--- a/internal/sidecar/supervisor/poll.go
+++ b/internal/sidecar/supervisor/poll.go
@@ -255,7 +255,7 @@
 	}
 	s.Logger.Info("worker accepted session", "vm", s.session.vm, "born", s.session.workerIncarnation, "fence", fence)
 	s.session.accepted, s.session.acceptedAt = fence, s.Clock()
-	s.pending, s.runs.built = map[work.RunRef]bool{}, false
+	s.pending, s.heldStarts, s.runs.built = map[work.RunRef]bool{}, map[work.RunRef]bool{}, false
 	s.voids = map[work.RunRef]string{}
 	s.leaseExpired = false
 	s.confirmedAt = 0
--- a/internal/sidecar/supervisor/supervisor.go
+++ b/internal/sidecar/supervisor/supervisor.go
@@ -98,9 +98,11 @@
 	listSentAt time.Duration
 	// pending holds the runs that were to start and that the worker has not listed.
 	pending map[work.RunRef]bool
-	voids   map[work.RunRef]string
-	starts  map[string]work.Start
-	paces   map[work.RunRef]int
+	// heldStarts are the pending runs whose starts wait for a slot.
+	heldStarts map[work.RunRef]bool
+	voids      map[work.RunRef]string
+	starts     map[string]work.Start
+	paces      map[work.RunRef]int
 	// stopping holds the calls that are stopping a run.
 	stopping    map[work.RunRef]workercontroller.Call
 	lastReading clockReading
@@ -175,7 +177,7 @@
 // known of its crash.
 func (s *Supervisor) reset() {
 	s.active, s.ends, s.runs.built = nil, nil, false
-	s.pending = map[work.RunRef]bool{}
+	s.pending, s.heldStarts = map[work.RunRef]bool{}, map[work.RunRef]bool{}
 	s.voids = map[work.RunRef]string{}
 	s.starts = map[string]work.Start{}
 	s.paces = map[work.RunRef]int{}
--- a/internal/sidecar/supervisor/supervisor_test.go
+++ b/internal/sidecar/supervisor/supervisor_test.go
@@ -32,6 +32,7 @@
 	fence       int64
 	stopped     map[work.RunRef]bool
 	stopCalls   int
+	startCalls  int
 	active      []work.RunStatus
 	ends        []work.RunEnd
 	endsAcked   int64
@@ -51,6 +52,7 @@
 func (w *fakeWorker) Start(ctx context.Context, c workercontroller.StartCall) (workercontroller.StartResult, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.startCalls++
 	run := work.RunRef{Task: c.Start.Task, Run: c.Start.Run}
 	switch {
 	case w.unresponsive || w.ignoreStarts:
