Product's log: a record whose caller gave up is left out of retries

Cause: the appender repeats a batch until the log answers, with all its records, also those whose callers had been told 'unknown' long before. After an outage of any length such a submission, cancellation or change of configuration took effect.

Change: Withdraw marks a record that was sent; each repeat of the batch leaves marked ones out. The number of the batch stays, so the reducer drops whichever comes second. What the log carries out late by itself can still count; 'unknown' says so.

Evidence: TestAbandonedRecordIsLeftOutOfRetries failed before (the record was in the log a minute after its caller had given up).

--- a/internal/log/appender/appender.go
+++ b/internal/log/appender/appender.go
@@ -51,6 +51,8 @@
 	record message.Record
 	state  RecordState
 	offset uint64
+	// abandoned is set if the caller gave up after the record was sent.
+	abandoned bool
 }
 
 // Appender appends records to one stream. Set the exported fields, then call
@@ -119,11 +121,12 @@
 }
 
 // Withdraw removes a record from the queue if it has not been sent yet, and
-// returns its state.
+// returns its state. One that was sent may be in the log, but is not sent again.
 func (a *Appender) Withdraw(pending *PendingRecord) RecordState {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if pending.state != Queued {
+		pending.abandoned = true
 		return pending.state
 	}
 	pending.state = Withdrawn
@@ -193,17 +196,14 @@
 // false if the context ended first.
 func (a *Appender) writeBatch(ctx context.Context, now time.Time, pending []*PendingRecord) bool {
 	a.lastNumber++
-	batch := message.Batch{Writer: a.Writer, Number: a.lastNumber, Time: now, Records: make([]message.Record, len(pending))}
-	for i, p := range pending {
-		batch.Records[i] = p.record
-	}
-	value, err := codec.Encode(&batch)
-	if err != nil {
-		a.Logger.Error("cannot encode a batch; dropping its records", "error", err)
-		return true
-	}
 	backoff := initialBackoff
 	for {
+		batch := a.batchWithoutAbandoned(now, pending)
+		value, err := codec.Encode(&batch)
+		if err != nil {
+			a.Logger.Error("cannot encode a batch; dropping its records", "error", err)
+			return true
+		}
 		offset, err := a.appendOnce(ctx, value)
 		if err == nil {
 			a.markWritten(pending, offset, len(value))
@@ -223,6 +223,21 @@
 	}
 }
 
+// batchWithoutAbandoned returns the batch under the last number, without abandoned records. If an
+// earlier attempt with them is in the log, the reducer drops this one as its duplicate;
+// if not, it drops that one should it come later.
+func (a *Appender) batchWithoutAbandoned(now time.Time, pending []*PendingRecord) message.Batch {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	batch := message.Batch{Writer: a.Writer, Number: a.lastNumber, Time: now, Records: []message.Record{}}
+	for _, p := range pending {
+		if !p.abandoned {
+			batch.Records = append(batch.Records, p.record)
+		}
+	}
+	return batch
+}
+
 func (a *Appender) appendOnce(ctx context.Context, value []byte) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
