Jobs: a submission read after a suspension may be as old as it

Cause: an entry stamps a submission with what it had read of the log when it begins to handle it. A request that waited in a connection while the process was suspended may have arrived before a 410 that was given meanwhile elsewhere; read within the round trip after the resume it was stamped anew as newer than the report, unless the closed connection was noticed first.

Change: the follower looks at the boot clock ten times a second. After a gap of 0.4 s the position and the time of arrival are those from before it, for half a second.

Evidence: TestRequestReadAfterSuspensionMayBeAsOldAsIt; without the change there is no function to test, the former one returned the newest position. Gaps on a busy VM only make stamps older, which matters for IDs that were reported absent.

--- a/internal/frontend/jobacceptor/held_test.go
+++ b/internal/frontend/jobacceptor/held_test.go
@@ -234,9 +234,10 @@
 	a := s.acceptors[entry]
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	now, since := time.Now(), a.Position()
+	now := time.Now()
+	since, arrived := a.Arrival()
 	s.faults[entry].current() // a suspended process goes on with what it has read
-	return a.Submit(ctx, a.Cataloger.Current().Find("h", "/q/x"), 1, &work.Job{ID: id, Since: since, Steps: []work.Step{{Tasks: 1}}}, now)
+	return a.Submit(ctx, a.Cataloger.Current().Find("h", "/q/x"), 1, &work.Job{ID: id, Since: since, Steps: []work.Step{{Tasks: 1}}}, arrived, now)
 }
 
 // remove cancels a job, and reports whether it was said not to exist.
--- a/internal/frontend/jobacceptor/jobacceptor.go
+++ b/internal/frontend/jobacceptor/jobacceptor.go
@@ -107,8 +107,9 @@
 // Draining reports whether the entry is about to stop.
 func (a *Acceptor) Draining() bool { return a.draining.Load() }
 
-// Position returns the offset of the first record of the log that this entry has not read.
-func (a *Acceptor) Position() int64 { return a.Follower.Position() }
+// Arrival returns the position of the view when a request arrived that is being read, and
+// when that was on the boot clock, at the earliest.
+func (a *Acceptor) Arrival() (position int64, at time.Duration) { return a.Follower.Arrival() }
 
 // Ready reports whether the entry can serve clients.
 func (a *Acceptor) Ready() bool {
@@ -142,10 +143,9 @@
 	return min(max(roundedUp, minRetryAfter), maxRetryAfter)
 }
 
-// Submit accepts a job. A job that is known already is accepted without a new
-// record.
-func (a *Acceptor) Submit(ctx context.Context, q *queuecataloger.Queue, version int64, job *work.Job, now time.Time) error {
-	arrived := a.Follower.Clock() - time.Since(now)
+// Submit accepts a job whose submission arrived, at the earliest, at a time on the boot
+// clock. A job that is known already is accepted without a new record.
+func (a *Acceptor) Submit(ctx context.Context, q *queuecataloger.Queue, version int64, job *work.Job, arrived time.Duration, now time.Time) error {
 	if a.acceptRepeat(q, job.ID) {
 		return nil
 	}
--- a/internal/frontend/jobacceptor/jobacceptor_test.go
+++ b/internal/frontend/jobacceptor/jobacceptor_test.go
@@ -48,7 +48,7 @@
 
 func submit(a *Acceptor, id string) error {
 	q := a.Cataloger.Current().Find("h", "/q/x")
-	return a.Submit(context.Background(), q, 1, &work.Job{ID: id, Steps: []work.Step{{Tasks: 1}}}, time.Now())
+	return a.Submit(context.Background(), q, 1, &work.Job{ID: id, Steps: []work.Step{{Tasks: 1}}}, a.Follower.Clock(), time.Now())
 }
 
 const jobID = "0000000000000001"
@@ -168,7 +168,7 @@
 		a, stop := startAcceptor(t, log)
 		q := a.Cataloger.Current().Find("h", "/q/x")
 		oversized := &work.Job{ID: jobID, Steps: []work.Step{{Tasks: 1}, {Tasks: a.MaxRecordBytes/jobreducer.MaxSoundTaskBytes + 1}}}
-		if got := verdictOf(a.Submit(t.Context(), q, 1, oversized, time.Now())); got != verdict.Unrun {
+		if got := verdictOf(a.Submit(t.Context(), q, 1, oversized, a.Follower.Clock(), time.Now())); got != verdict.Unrun {
 			t.Errorf("verdict %v", got)
 		}
 		stop()
--- a/internal/frontend/jobacceptor/room_test.go
+++ b/internal/frontend/jobacceptor/room_test.go
@@ -37,7 +37,7 @@
 	q := *a.Cataloger.Current().Find("h", "/q/x")
 	q.Pool, q.Stretch, q.Target = "p", 2, 4*time.Second
 	job := &work.Job{ID: id, Steps: []work.Step{{Tasks: 1, EstimatedDuration: time.Second, Size: work.Size{Millicores: 1000, Memory: 100}}}}
-	return a.Submit(context.Background(), &q, 1, job, time.Now())
+	return a.Submit(context.Background(), &q, 1, job, a.Follower.Clock(), time.Now())
 }
 
 func TestUselessJobIsRefusedAtOnce(t *testing.T) {
--- a/internal/job/logfollower/logfollower.go
+++ b/internal/job/logfollower/logfollower.go
@@ -73,6 +73,8 @@
 	forecastAfter time.Duration
 	// changed is closed and replaced after each read.
 	changed chan struct{}
+	// suspension tells what this process may have slept through.
+	suspension suspension
 	// awaited has an element while somebody waits for a record that the log has.
 	awaited chan struct{}
 }
@@ -133,13 +135,6 @@
 	read(f.state, f.forecastAge())
 }
 
-// Position returns the offset of the first record that is not in the view.
-func (f *Follower) Position() int64 {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return f.state.Next
-}
-
 // CatchUp waits until the view includes everything that was in the log at the
 // time of the call. It returns an error if the context ends first.
 func (f *Follower) CatchUp(ctx context.Context) error {
@@ -188,6 +183,12 @@
 // Run follows the log until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	defer close(f.Done)
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		f.watchClock(ctx)
+	}()
+	defer func() { <-watched }()
 	backoff, lost := minBackoff, false
 	rebuild := true
 	for ctx.Err() == nil {
@@ -272,6 +273,7 @@
 		return err
 	}
 	f.mu.Lock()
+	f.suspension.look(f.Clock(), f.state.Next)
 	f.answeredAt = sent
 	forecast := f.state.Forecast
 	for _, r := range page.Records {
