Soak: clients that give up what had no answer, and what runs of it later

Change: after a submission without an answer a client asks for the job or cancels it in half of the cases, and gives it up or submits it again. A job that starts after a 410 and without another submission breaks a promise. The decisions have a random source of their own, so all other draws of a seed stay as they were.

--- a/internal/standin/soaktester/checker.go
+++ b/internal/standin/soaktester/checker.go
@@ -36,6 +36,9 @@
 	acceptedAt map[string]time.Time
 	canceledAt map[string]time.Time
 	refused    map[string]bool
+	// absentAt is when a client was told that a job does not exist, after its last
+	// submission was sent.
+	absentAt map[string]time.Time
 	// cancelRequested are jobs that a client asked to cancel, answered or not.
 	cancelRequested map[string]bool
 	lastState       map[string]string
@@ -75,7 +78,7 @@
 		running: map[string]map[string]int{}, startCounts: map[string]int{}, lastStartedRun: map[string]int{},
 		lastStartedAt: map[string]time.Time{}, doneAt: map[completion]time.Time{}, completedAt: map[string]time.Time{}, acknowledgedRun: map[string]int{},
 		jobSizes: map[string]size{}, workerUsage: map[string]size{}, workerCapacity: map[string][]capacityChange{}, workerDomain: map[string]string{}, evacuatedAt: map[string]time.Time{},
-		acceptedAt: map[string]time.Time{}, canceledAt: map[string]time.Time{}, refused: map[string]bool{}, cancelRequested: map[string]bool{}, lastState: map[string]string{}, startedAt: now,
+		acceptedAt: map[string]time.Time{}, canceledAt: map[string]time.Time{}, refused: map[string]bool{}, absentAt: map[string]time.Time{}, cancelRequested: map[string]bool{}, lastState: map[string]string{}, startedAt: now,
 		crashing: map[string]*crashHistory{}, crashingJobs: map[string]*crashHistory{}, heavy: map[string]bool{}, lasting: map[string]bool{},
 	}
 }
@@ -110,6 +113,9 @@
 	if c.refused[jobOf(task)] {
 		c.addViolation(now, "refused job started: %s on %s", task, worker)
 	}
+	if at, ok := c.absentAt[jobOf(task)]; ok {
+		c.addViolation(now, "absent job started: %s on %s, %s after it was reported not to exist", task, worker, arrivedAt.Sub(at))
+	}
 	if at, ok := c.canceledAt[jobOf(task)]; ok && arrivedAt.Sub(at) > cancelGrace {
 		c.addViolation(now, "canceled job started: %s on %s, %s after the cancel", task, worker, arrivedAt.Sub(at))
 	}
@@ -182,6 +188,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, accepted := c.acceptedAt[job]
+	if status == 410 && !accepted {
+		c.absentAt[job] = now
+	}
 	switch {
 	case operation == "submit" && status == 200:
 		delete(c.refused, job)
@@ -197,6 +206,14 @@
 	}
 }
 
+// recordSubmission records that a client is about to submit a job, maybe once more after it
+// was told that there is none.
+func (c *checker) recordSubmission(job string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.absentAt, job)
+}
+
 // recordCancelRequest records that a client is about to request a cancel. The
 // answer may be lost.
 func (c *checker) recordCancelRequest(job string) {
--- a/internal/standin/soaktester/checker_test.go
+++ b/internal/standin/soaktester/checker_test.go
@@ -50,6 +50,16 @@
 			c.recordState("j", platformemulator.StateCompleted, nil, now)
 			c.Started("a", "j.0.0.0", 1, now.Add(time.Minute), now.Add(time.Minute))
 		}},
+		{"absent job started", "absent job started", func(c *checker) {
+			c.recordSubmission("j")
+			c.recordResponse("j", "state", 410, now)
+			c.Started("a", "j.0.0.0", 1, now, now)
+		}},
+		{"absent job submitted again", "", func(c *checker) {
+			c.recordResponse("j", "cancel", 410, now)
+			c.recordSubmission("j")
+			c.Started("a", "j.0.0.0", 1, now, now)
+		}},
 		{"canceled job, order delayed", "", func(c *checker) {
 			c.recordResponse("j", "cancel", 200, now)
 			c.Started("a", "j.0.0.0", 1, now, now.Add(time.Minute))
--- a/internal/standin/soaktester/client.go
+++ b/internal/standin/soaktester/client.go
@@ -29,10 +29,25 @@
 	soak   *soak
 	http   *http.Client
 	random *rand.Rand
+	// doubts decides what the client does when a submission had no answer. It has a source
+	// of its own, so that the other draws of a seed stay the same.
+	doubts *rand.Rand
 	job    string
 	tasks  []string
 }
 
+// clientStream and doubtStream tell the random sources of clients apart.
+const clientStream, doubtStream = 3, 7
+
+// newClient returns a client with a random job.
+func (s *soak) newClient(random *rand.Rand, stream uint64) *client {
+	seed, job := random.Uint64(), random.Uint64()
+	return &client{
+		soak: s, http: &http.Client{Transport: &http.Transport{}}, job: fmt.Sprintf("%016x", job),
+		random: rand.New(rand.NewPCG(seed, stream)), doubts: rand.New(rand.NewPCG(job, doubtStream)),
+	}
+}
+
 func (c *client) run(ctx context.Context) {
 	taskCount := 1 + c.random.IntN(4)
 	for i := range taskCount {
@@ -76,12 +91,17 @@
 func (c *client) submit(ctx context.Context, body string) bool {
 	refusals := 0
 	for range maxSubmitAttempts {
+		c.soak.checker.recordSubmission(c.job)
 		status, _ := c.send(ctx, http.MethodPost, "submit", body)
 		switch status {
 		case http.StatusOK:
 			return true
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 			refusals++
+		default:
+			if c.abandon(ctx) {
+				return false
+			}
 		}
 		waiter.Sleep(ctx, time.Duration(200+c.random.IntN(400))*time.Millisecond)
 	}
@@ -91,6 +111,21 @@
 	return false
 }
 
+// abandon asks for the job, or cancels it, after a submission without an answer. It
+// reports whether the client gives the job up.
+func (c *client) abandon(ctx context.Context) bool {
+	if c.doubts.IntN(2) == 0 {
+		return false
+	}
+	if c.doubts.IntN(2) == 0 {
+		c.send(ctx, http.MethodGet, "state", "")
+	} else {
+		c.soak.checker.recordCancelRequest(c.job)
+		c.send(ctx, http.MethodDelete, "cancel", "")
+	}
+	return c.doubts.IntN(2) == 0
+}
+
 // send calls a random entry and returns the status and the body. The status is 0
 // if there was no complete answer.
 func (c *client) send(ctx context.Context, method, operation, body string) (int, []byte) {
--- a/internal/standin/soaktester/heavy.go
+++ b/internal/standin/soaktester/heavy.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -113,7 +112,7 @@
 	s.group.Go(func() { s.checker.watchRoom(ctx, end) })
 	for waiter.Sleep(ctx, firstHeavyDelay); time.Now().Before(end); waiter.Sleep(ctx, randomBetween(random, 0, 2*meanHeavyInterval)) {
 		shape := heavyShape(random, time.Now())
-		c := &client{soak: s, http: &http.Client{Transport: &http.Transport{}}, random: rand.New(rand.NewPCG(random.Uint64(), heavyStream)), job: fmt.Sprintf("%016x", random.Uint64())}
+		c := s.newClient(random, heavyStream)
 		s.logFault("heavy: %s has %d steps of %d tasks, %d occurrences", c.job, shape.Steps, shape.Tasks, shape.Occurrences)
 		s.group.Go(func() { c.runHeavy(ctx, shape, end) })
 	}
--- a/internal/standin/soaktester/soaktester.go
+++ b/internal/standin/soaktester/soaktester.go
@@ -326,7 +326,7 @@
 			waiter.Sleep(ctx, pauseCheckInterval)
 			continue
 		}
-		c := &client{soak: s, http: &http.Client{Transport: &http.Transport{}}, random: rand.New(rand.NewPCG(random.Uint64(), 3)), job: fmt.Sprintf("%016x", random.Uint64())}
+		c := s.newClient(random, clientStream)
 		s.group.Go(func() { c.run(ctx) })
 		waiter.Sleep(ctx, time.Duration(random.Int64N(int64(2*meanJobInterval))))
 	}
