--- a/internal/job/jobreducer/candidate_test.go
+++ b/internal/job/jobreducer/candidate_test.go
@@ -1,6 +1,7 @@
 package jobreducer_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 
@@ -13,6 +14,13 @@
 	"knapweedspur/internal/wire/work"
 )
 
+// A fixed seed makes every run draw the same cases; make drawn draws others.
+func init() {
+	if err := flag.Set("rapid.seed", "20261206"); err != nil {
+		panic(err)
+	}
+}
+
 const candidateJob = "0000000000000001"
 
 func describedSince(s *jobreducer.State) int64 {
--- a/internal/job/loaddivider/loaddivider_test.go
+++ b/internal/job/loaddivider/loaddivider_test.go
@@ -1,12 +1,20 @@
 package loaddivider
 
 import (
+	"flag"
 	"math"
 	"testing"
 
 	"pgregory.net/rapid"
 )
 
+// A fixed seed makes every run draw the same cases; make drawn draws others.
+func init() {
+	if err := flag.Set("rapid.seed", "20261206"); err != nil {
+		panic(err)
+	}
+}
+
 func TestLimitSlowsTheHeaviestFirst(t *testing.T) {
 	// The light part adds 0.02 and is below the limit; the heavy ones share 0.18.
 	limit := Limit([]Part{{2, 0.1}, {0.1, 0.2}, {3, 0.2}}, 0.2)
--- a/internal/job/planner/workerrestart_test.go
+++ b/internal/job/planner/workerrestart_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -11,6 +12,13 @@
 	"knapweedspur/internal/wire/work"
 )
 
+// A fixed seed makes every run draw the same cases; make drawn draws others.
+func init() {
+	if err := flag.Set("rapid.seed", "20261206"); err != nil {
+		panic(err)
+	}
+}
+
 // introduceDeadWorker connects a new agent process on the host of a VM. A delayed
 // heartbeat made it take a worker process that has ended for its worker.
 func (s *simulation) introduceDeadWorker(host, name string, incarnation int64) {
--- a/internal/job/sequencer/sequencer_test.go
+++ b/internal/job/sequencer/sequencer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	stdcmp "cmp"
+	"flag"
 	"slices"
 	"testing"
 	"time"
@@ -10,6 +11,13 @@
 	"pgregory.net/rapid"
 )
 
+// A fixed seed makes every run draw the same cases; make drawn draws others.
+func init() {
+	if err := flag.Set("rapid.seed", "20261206"); err != nil {
+		panic(err)
+	}
+}
+
 var start = time.Unix(1000, 0)
 
 // newJob returns a job that arrived at start with an objective of 10 s and one second
