--- a/internal/job/leader/offer.go
+++ b/internal/job/leader/offer.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		if err := l.contradiction(c, now); err != nil {
-			l.Logger.Warn("proposal rejected", "key", r.Key, "error", err.Error())
+			l.Logger.Warn("proposal rejected", "job", c.JobID, "key", r.Key, "error", err.Error())
 			return nil, err
 		}
 		if known, _ := l.planner.FindJob(c.JobID); known && c.Job != nil {
