--- a/internal/sidecar/supervisor/order.go
+++ b/internal/sidecar/supervisor/order.go
@@ -190,10 +190,12 @@
 // worker refused the connection.
 const voidReasonUnreachable = "unreachable"
 
-// releaseStart returns why a start that waited for a slot must not be sent any more, or ""
-// if it may: another session, or a stop of the run meanwhile. Another worker process
-// would carry it out, since it has seen neither.
+// releaseStart returns why a start that waited for a slot must not be sent, or "" if it
+// may. Another session, or a stop of the run meanwhile, makes it obsolete: another worker
+// process would carry it out, since it has seen neither.
 func (s *Supervisor) releaseStart(call workercontroller.Call, run work.RunRef) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if call != s.call() {
 		return "superseded"
 	}
@@ -201,7 +203,10 @@
 		return "stopped"
 	}
 	delete(s.heldStarts, run)
-	return ""
+	if refusal := s.checkStart(run); refusal != "" {
+		return refusal
+	}
+	return s.checkRoom(run)
 }
 
 // executeStart sends a start to the worker and handles the result. If the call
@@ -210,16 +215,7 @@
 func (s *Supervisor) executeStart(ctx context.Context, call workercontroller.StartCall, run work.RunRef) {
 	s.startSlots <- struct{}{}
 	defer func() { <-s.startSlots }()
-	s.mu.Lock()
-	refusal := s.releaseStart(call.Call, run)
-	if refusal == "" {
-		refusal = s.checkStart(run)
-	}
-	if refusal == "" {
-		refusal = s.checkRoom(run)
-	}
-	s.mu.Unlock()
-	if refusal != "" {
+	if refusal := s.releaseStart(call.Call, run); refusal != "" {
 		s.voidRun(call.Call, run, refusal)
 		return
 	}
