Jobs: a held cancellation spares a job that was submitted after a 410

Cause: Cancel asks whether the job exists, which may last while an entry is suspended or no entry leads, and then cancels what it finds. Meanwhile another entry may have told a client that there is no such job, and a new one may have been submitted and accepted under the ID: acknowledged, and canceled by a request from before.

Change: a DELETE that is over 0.3 s old does not cancel a job whose submission is newer than a report of absence that is newer than the DELETE; it gets 503 with Retry-After and nothing is recorded.

--- a/internal/frontend/jobacceptor/held_test.go
+++ b/internal/frontend/jobacceptor/held_test.go
@@ -244,7 +244,10 @@
 func (s *site) remove(entry int, id string) (absent bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	err = s.acceptors[entry].Cancel(ctx, id, time.Now())
+	position, arrived := s.acceptors[entry].Arrival()
+	now := time.Now()
+	s.faults[entry].current() // a suspended process goes on with what it has read
+	err = s.acceptors[entry].Cancel(ctx, id, position, arrived, now)
 	return isAbsent(err), err
 }
 
@@ -354,6 +357,41 @@
 	})
 }
 
+// A cancellation that a suspended entry held canceled a job that was submitted after
+// another entry had said that there was none.
+func TestHeldCancellationSparesJobSubmittedAfterReportedAbsence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t)
+		defer s.stop()
+		first := s.leading(t)
+		held, other := (first+1)%3, (first+2)%3
+		s.faults[held].set(fault{frozen: true})
+		canceled := make(chan error, 1)
+		go func() {
+			_, err := s.remove(held, jobID)
+			canceled <- err
+		}()
+		time.Sleep(400 * time.Millisecond)
+		if absent, err := s.remove(other, jobID); !absent {
+			t.Fatalf("canceled at another entry: %v", err)
+		}
+		if err := s.post(first, jobID, 3*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		s.faults[held].set(fault{})
+		if err := <-canceled; verdict.Of(err) != verdict.Unrun {
+			t.Errorf("the held cancellation: %v", err)
+		}
+		time.Sleep(time.Second)
+		if state := s.recorded(t, jobID); state != Queued {
+			t.Errorf("the job is %q", state)
+		}
+		if _, err := s.remove(held, jobID); err != nil {
+			t.Errorf("canceled once more: %v", err)
+		}
+	})
+}
+
 // An entry accepts jobs without a leader, and the next leader knows them.
 func TestJobIsAcceptedWithoutLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/frontend/jobacceptor/jobacceptor.go
+++ b/internal/frontend/jobacceptor/jobacceptor.go
@@ -28,6 +28,8 @@
 	// reported or jobs are counted, and of a configuration from which the absence
 	// of a queue is reported. An entry with an older view is not ready.
 	maxViewAge = 1500 * time.Millisecond
+	// maxViewLag is how long after a request the view may show what was in the log before.
+	maxViewLag = 300 * time.Millisecond
 	// maxConfigAge is the age of the configuration from which no job is accepted: its
 	// queue may have been removed while this process was suspended or cut off. It
 	// covers two polls of a log that takes half a second for an answer.
@@ -295,9 +297,10 @@
 	return found
 }
 
-// Cancel records the cancellation of a job. A job that has ended or is canceled
-// already stays as it is.
-func (a *Acceptor) Cancel(ctx context.Context, id string, now time.Time) error {
+// Cancel records the cancellation of a job by a request that arrived when the view had the
+// given position, at the earliest at a time on the boot clock. A job that has ended or is
+// canceled already stays as it is.
+func (a *Acceptor) Cancel(ctx context.Context, id string, position int64, arrived time.Duration, now time.Time) error {
 	state := a.lookup(id)
 	if state == "" {
 		var err error
@@ -312,12 +315,26 @@
 	default:
 		return nil
 	}
+	if a.isNewerThan(id, position, arrived) {
+		return &verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Unavailable, Reason: "the job may have been submitted after this request", RetryAfter: minRetryAfter}
+	}
 	record := jobreducer.CancelRecord(id, &work.Cancel{RequestedAt: now})
 	err := a.resolve(record.Key, a.appendCancel(ctx, record), now)
 	a.Logger.Info("cancellation handled", "job", id, "outcome", outcomeText(err), "took", time.Since(now).String())
 	return err
 }
 
+// isNewerThan reports whether a job may have been submitted after a request that is held
+// here for long arrived: another client was told meanwhile that there is no such job.
+func (a *Acceptor) isNewerThan(id string, position int64, arrived time.Duration) bool {
+	if a.Follower.Clock()-arrived < maxViewLag {
+		return false
+	}
+	newer := false
+	a.Follower.View(func(state *jobreducer.State, _ time.Duration) { newer = state.SubmittedAfterReport(id, position) })
+	return newer
+}
+
 // Pending returns the number of jobs of a queue of which no run was started.
 func (a *Acceptor) Pending(queue string) (int, error) {
 	if a.Follower.Age() > maxViewAge {
--- a/internal/frontend/jobacceptor/jobacceptor_test.go
+++ b/internal/frontend/jobacceptor/jobacceptor_test.go
@@ -201,7 +201,7 @@
 			t.Fatal(err)
 		}
 		time.Sleep(time.Second)
-		if err := a.Cancel(t.Context(), jobID, time.Now()); err != nil {
+		if err := a.Cancel(t.Context(), jobID, 0, a.Follower.Clock(), time.Now()); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(time.Second)
--- a/internal/job/jobreducer/candidate.go
+++ b/internal/job/jobreducer/candidate.go
@@ -120,6 +120,16 @@
 	return !slices.ContainsFunc(s.Absences[id], func(a Absence) bool { return c.Job.Since <= a.Offset && a.Offset < c.Offset })
 }
 
+// SubmittedAfterReport reports whether a job was submitted after a report, at or after an
+// offset, that it does not exist.
+func (s *State) SubmittedAfterReport(id string, offset int64) bool {
+	j := s.Jobs[id]
+	if j == nil || j.Description == nil {
+		return false
+	}
+	return slices.ContainsFunc(s.Absences[id], func(a Absence) bool { return offset <= a.Offset && a.Offset < j.Description.Since })
+}
+
 // ReportedAbsentSince reports whether a record at or after an offset says that the job
 // does not exist.
 func (s *State) ReportedAbsentSince(id string, offset int64) bool {
