--- a/internal/frontend/jobacceptor/jobacceptor.go
+++ b/internal/frontend/jobacceptor/jobacceptor.go
@@ -28,7 +28,8 @@
 	// reported or jobs are counted, and of a configuration from which the absence
 	// of a queue is reported. An entry with an older view is not ready.
 	maxViewAge = 1500 * time.Millisecond
-	// maxViewLag is how long after a request the view may show what was in the log before.
+	// maxViewLag is how far the view lags behind the log at most while reads are answered: a
+	// poll, its pause and the answer.
 	maxViewLag = 300 * time.Millisecond
 	// maxConfigAge is the age of the configuration from which no job is accepted: its
 	// queue may have been removed while this process was suspended or cut off. It
@@ -324,8 +325,8 @@
 	return err
 }
 
-// isNewerThan reports whether a job may have been submitted after a request that is held
-// here for long arrived: another client was told meanwhile that there is no such job.
+// isNewerThan reports whether a job may have been submitted after a request arrived that
+// was held here: another client was told meanwhile that there is no such job.
 func (a *Acceptor) isNewerThan(id string, position int64, arrived time.Duration) bool {
 	if a.Follower.Clock()-arrived < maxViewLag {
 		return false
--- a/internal/job/leader/offer.go
+++ b/internal/job/leader/offer.go
@@ -45,8 +45,8 @@
 	ErrTooManyAbsences = errors.New("too many jobs were reported absent recently")
 )
 
-// ContradictedError means that the leader wrote nothing, since it knows better: a job that
-// was reported absent after it was submitted, or an absent job that exists.
+// ContradictedError means that the leader wrote nothing, since its state rules the record
+// out: the job was reported absent after it was submitted, or the absent job exists.
 type ContradictedError struct {
 	// Offset is that of the last report of the absence, and Elapsed a lower bound of the
 	// time since it was in the log; 0 if that is not known.
