Held submissions: the drawn test checks acknowledged cancellations, too

Cause: the test checked that what was accepted stays, but not that a cancellation with a success does, which the fix could lose where a job is known by a candidate only.

Change: a job whose cancellation was acknowledged must be canceled at the end.

--- a/internal/frontend/jobacceptor/held_test.go
+++ b/internal/frontend/jobacceptor/held_test.go
@@ -484,7 +484,8 @@
 	// lastPost is when the last submission began, absentAt when the last answer that the
 	// job does not exist came, acceptedAt when the last submission was accepted.
 	lastPost, absentAt, acceptedAt time.Time
-	canceled                       bool
+	// canceled is set once a cancellation was sent, acknowledged once one got a success.
+	canceled, acknowledged bool
 }
 
 func (h *clientHistory) note(f func()) {
@@ -537,6 +538,8 @@
 			t.Errorf("%s: reported absent %s after its last submission began, and %s now", id, h.absentAt.Sub(h.lastPost), state)
 		case h.acceptedAt.After(h.absentAt) && (state == "" || state == jobreducer.Canceled && !h.canceled):
 			t.Errorf("%s: accepted, reported absent %s before, and %q now", id, h.acceptedAt.Sub(h.absentAt), state)
+		case h.acknowledged && state != jobreducer.Canceled:
+			t.Errorf("%s: its cancellation was acknowledged, and it is %q now", id, state)
 		}
 		for i := range s.acceptors {
 			if got, err := s.acceptors[i].State(t.Context(), id); err == nil != (state != "") {
@@ -575,8 +578,11 @@
 			continue
 		}
 		h.note(func() { h.canceled = true })
-		if absent, _ := s.remove(entry, id); absent {
+		switch absent, err := s.remove(entry, id); {
+		case absent:
 			h.note(func() { h.absentAt = time.Now() })
+		case err == nil:
+			h.note(func() { h.acknowledged = true })
 		}
 	}
 	group.Wait()
