--- a/internal/sidecar/supervisor/order_test.go
+++ b/internal/sidecar/supervisor/order_test.go
@@ -194,3 +194,29 @@
 		})
 	}
 }
+
+// A start that waited under a former session was sent in place of the one under the new session.
+func TestHeldStartOfFormerSessionIsSentOnceUnderNewOne(t *testing.T) {
+	runWithSession(t, func(t *testing.T, s *Supervisor, w *fakeWorker) {
+		confirmSession(s)
+		for range maxParallelStarts {
+			s.startSlots <- struct{}{}
+		}
+		start := work.Start{Task: "t", Run: 1}
+		sendCommands(s, t, &work.Commands{Number: 1, Starts: []work.Start{start}})
+		time.Sleep(100 * time.Millisecond)
+		s.AcceptGrant(&work.Grant{VM: "vm", WorkerIncarnation: 1, Fence: 4})
+		time.Sleep(time.Second)
+		confirmSession(s)
+		s.HandleCommands(t.Context(), &work.Commands{Number: 1, Epoch: 2, Fence: 4, Starts: []work.Start{start}})
+		for range maxParallelStarts {
+			<-s.startSlots
+		}
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.startCalls != 1 || w.startFence != 4 {
+			t.Errorf("%d starts sent, the last under fence %d; want one under 4", w.startCalls, w.startFence)
+		}
+	})
+}
--- a/internal/sidecar/supervisor/supervisor_test.go
+++ b/internal/sidecar/supervisor/supervisor_test.go
@@ -33,9 +33,11 @@
 	stopped     map[work.RunRef]bool
 	stopCalls   int
 	startCalls  int
-	active      []work.RunStatus
-	ends        []work.RunEnd
-	endsAcked   int64
+	// startFence is the fence of the last start.
+	startFence int64
+	active     []work.RunStatus
+	ends       []work.RunEnd
+	endsAcked  int64
 	// afterList is called once, between the reading of a list and its arrival.
 	afterList func()
 	// loseStartAnswers makes starts take effect without an answer, and their runs
@@ -53,6 +55,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.startCalls++
+	w.startFence = c.Fence
 	run := work.RunRef{Task: c.Start.Task, Run: c.Start.Run}
 	switch {
 	case w.unresponsive || w.ignoreStarts:
