--- a/internal/entry/controlserver/controlserver.go
+++ b/internal/entry/controlserver/controlserver.go
@@ -27,6 +27,7 @@
 	"knapweedspur/internal/task/scheduler"
 	"knapweedspur/internal/wire/admin"
 	"knapweedspur/internal/wire/codec"
+	"knapweedspur/internal/wire/listdecoder"
 	"knapweedspur/internal/wire/message"
 )
 
@@ -34,6 +35,8 @@
 	recordTimeout = 10 * time.Second
 	// maxChangeBytes is the largest size of a change.
 	maxChangeBytes = 4 << 20
+	// maxEdits bounds the edits of a change.
+	maxEdits = 10_000
 	// heardWithin is how old the last heartbeat of a VM may be for the VM to count as
 	// heard.
 	heardWithin = 5 * time.Second
@@ -193,14 +196,31 @@
 	writeJSON(w, list)
 }
 
+// changeBody is a change as operators send it.
+type changeBody struct {
+	Edits editList `json:"edits"`
+	ID    string   `json:"id"`
+	Who   string   `json:"who"`
+}
+
+// editList bounds the number of edits before they are decoded.
+type editList []message.Edit
+
+// UnmarshalJSON decodes the list, or null.
+func (l *editList) UnmarshalJSON(data []byte) (err error) {
+	*l, err = listdecoder.Decode[message.Edit]("edits", data, maxEdits, true, nil)
+	return err
+}
+
 func (s *Server) publish(w http.ResponseWriter, r *http.Request) {
-	var change message.Change
+	var body changeBody
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&change); err != nil {
+	if err := decoder.Decode(&body); err != nil {
 		(&verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Invalid, Reason: "the change is not JSON with id, who and edits: " + err.Error()}).WriteResponse(w)
 		return
 	}
+	change := message.Change{Edits: body.Edits, ID: body.ID, Who: body.Who}
 	ctx, cancel := context.WithTimeout(r.Context(), recordTimeout)
 	defer cancel()
 	version, e := s.Publisher.Publish(ctx, &change)
