One budget of memory and of connections for all requests in progress

What callers saw: clients that send long heads or large bodies, most of them never complete, ended entries and agents; the rest got connection errors.

Cause: each request had a limit at most, their sum had none. The VM's memory and descriptors in the settings were not read; heads had net/http's default of 1 MiB, of which short lines take many times their size; bodies had no time limit and were read by io.ReadAll, which copies as it grows; the runtime had no memory limit, so as much garbage as live memory piled up.

Change: internal/link/budgeter counts what each connection makes the process hold and decides, when memory or connections run short, who is closed: whoever holds most bytes for longest, or the one that asks if it is that. Whole requests and known agents are never closed, and listeners keep a share each. internal/link/requestlimiter applies it around net/http's own limits, which are set too (head bytes and lines, time-outs of head, body, idle connections, unread answers). Refusals say 431, or 503 with Retry-After for a request that had not arrived whole. A proposal that the leader refused so has not been written.

TestLegalRequestsAreServed: the largest legal heads and bodies, requests in pieces and several on one connection are served by a VM of 96 MB.

It works because a byte is counted before it takes memory, and because the order of closing depends on cost: a young small request costs next to nothing and finds room.

--- a/internal/agent/agentbuilder/agent.go
+++ b/internal/agent/agentbuilder/agent.go
@@ -13,6 +13,7 @@
 	"knapweedspur/internal/agent/requestadmitter"
 	"knapweedspur/internal/agent/requestexecutor"
 	"knapweedspur/internal/agent/taskexecutor"
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/wire/message"
 )
 
@@ -31,6 +32,7 @@
 	goroutines   sync.WaitGroup
 	metrics      *http.Server
 	incarnation  string
+	limiter      *requestlimiter.Limiter
 	admitter     *requestadmitter.Admitter
 	executor     *requestexecutor.Executor
 	runner       *taskexecutor.Runner
--- a/internal/agent/agentbuilder/agentbuilder.go
+++ b/internal/agent/agentbuilder/agentbuilder.go
@@ -16,12 +16,16 @@
 	"knapweedspur/internal/client/workerclient"
 	"knapweedspur/internal/link/connector"
 	"knapweedspur/internal/link/framer"
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/metric/exporter"
 )
 
 const (
 	healthInterval = 500 * time.Millisecond
 	healthTimeout  = time.Second
+	// metricsShare is the part of the budget of requests in progress that the only listener
+	// may always use.
+	metricsShare = 0.25
 	// shutdownNoticeDelay is the time given to entries to stop sending requests
 	// after a shutdown was announced.
 	shutdownNoticeDelay = time.Second
@@ -57,7 +61,7 @@
 }
 
 func newAgent(s *Settings, d Dependencies, admitter *requestadmitter.Admitter, logger hclog.Logger) *Agent {
-	a := &Agent{settings: s, incarnation: s.VM + "-" + rand.Text()[:12], admitter: admitter, dependencies: d, logger: logger, Done: make(chan struct{}), Failed: make(chan error, 1)}
+	a := &Agent{settings: s, limiter: requestlimiter.New(s.Requests, s.Limits, logger), incarnation: s.VM + "-" + rand.Text()[:12], admitter: admitter, dependencies: d, logger: logger, Done: make(chan struct{}), Failed: make(chan error, 1)}
 	a.executor = &requestexecutor.Executor{Admitter: admitter, Upstream: d.Upstream}
 	header := http.Header{}
 	if s.Token != "" {
@@ -77,6 +81,7 @@
 
 // exportMetrics exports the metrics of an agent. docs/OPERATIONS.md lists them.
 func exportMetrics(a *Agent) {
+	exporter.Publish("limited", a.limiter.Report)
 	exporter.Publish("knapweedspur", func() any {
 		counts := a.executor.Counts()
 		load := a.admitter.Load()
--- a/internal/agent/agentbuilder/lifecycle.go
+++ b/internal/agent/agentbuilder/lifecycle.go
@@ -8,6 +8,8 @@
 
 	"github.com/gorilla/mux"
 	"go.uber.org/fx"
+
+	"knapweedspur/internal/link/requestlimiter"
 )
 
 // Start starts the agent.
@@ -107,7 +109,7 @@
 	r := mux.NewRouter()
 	r.Handle("/debug/vars", expvar.Handler())
 	r.HandleFunc("/-/health", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
-	s := &http.Server{Handler: r, ReadHeaderTimeout: healthTimeout}
+	s, listener := a.limiter.NewServer(listener, requestlimiter.Endpoint{Name: "metrics", Share: metricsShare, Handler: r})
 	go func() { _ = s.Serve(listener) }()
 	return s, nil
 }
--- a/internal/agent/agentbuilder/settings.go
+++ b/internal/agent/agentbuilder/settings.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/setting/validator"
 )
 
@@ -24,6 +25,9 @@
 	Beat     time.Duration    `help:"Time between heartbeats; the same as the entries'." env:"KNAPWEEDSPUR_BEAT" default:"1s"`
 	Probe    time.Duration    `help:"Time between probes for the lease." env:"KNAPWEEDSPUR_PROBE" default:"2s"`
 	Grace    time.Duration    `help:"How long a planned stop may take." env:"KNAPWEEDSPUR_GRACE" default:"30s"`
+
+	Requests requestlimiter.Settings `embed:""`
+	Limits   requestlimiter.VM       `embed:""`
 }
 
 // Validate returns all problems in the settings as one error.
@@ -53,5 +57,7 @@
 	c.DurationBetween("beat", s.Beat, 50*time.Millisecond, time.Minute)
 	c.DurationBetween("probe", s.Probe, 50*time.Millisecond, 10*time.Minute)
 	c.DurationBetween("grace", s.Grace, time.Second, time.Hour)
+	s.Requests.Check(&c)
+	s.Limits.Check(&c)
 	return c.Err()
 }
--- a/internal/cli/commandrunner/agent.go
+++ b/internal/cli/commandrunner/agent.go
@@ -24,6 +24,7 @@
 	if err := c.Validate(); err != nil {
 		return usageError{err}
 	}
+	limitMemory(c.Limits)
 	logger := env.logger.With("vm", c.VM)
 	options := agentbuilder.Options(&c.Settings, logger, agentbuilder.HTTPDependencies(&c.Settings, connector.HostNetwork{}))
 	return runApp(fx.Options(options, fx.Invoke(agentbuilder.RegisterLifecycle)), c.Grace)
--- a/internal/cli/commandrunner/app.go
+++ b/internal/cli/commandrunner/app.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/fx"
+
+	"knapweedspur/internal/link/requestlimiter"
 )
 
 const (
@@ -15,6 +19,14 @@
 	stopMargin = 5 * time.Second
 )
 
+// limitMemory sets the soft memory limit of the Go runtime, so that garbage does not exceed
+// the memory of the VM. GOMEMLIMIT goes before it.
+func limitMemory(vm requestlimiter.VM) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(vm.MemoryLimit())
+	}
+}
+
 // runApp runs an application until it gets a signal or shuts itself down, and
 // then stops it within the grace period and stopMargin.
 func runApp(options fx.Option, grace time.Duration) error {
--- a/internal/cli/commandrunner/entry.go
+++ b/internal/cli/commandrunner/entry.go
@@ -28,6 +28,7 @@
 	if err := c.Validate(); err != nil {
 		return usageError{err}
 	}
+	limitMemory(c.Limits)
 	network := connector.HostNetwork{}
 	logClient := &logclient.HTTP{Address: c.Log, Client: &http.Client{Transport: connector.NewTransport(network)}}
 	logger := env.logger.With("domain", c.Domain)
--- a/internal/cli/commandrunner/site.go
+++ b/internal/cli/commandrunner/site.go
@@ -11,8 +11,10 @@
 	"go.uber.org/fx"
 
 	"knapweedspur/internal/diagnostic/asyncwriter"
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/metric/exporter"
 	"knapweedspur/internal/setting/gatekeeper"
+	"knapweedspur/internal/setting/validator"
 	"knapweedspur/internal/site/sitebuilder"
 	"knapweedspur/platform"
 )
@@ -29,6 +31,8 @@
 	Lines    int             `help:"Most log lines a second, warnings and a quarter as many of rare messages aside." env:"KNAPWEEDSPUR_LOG_LINES" default:"150"`
 	Without  []string        `help:"Mechanisms to switch off, separated by commas; 'gates' lists them." env:"KNAPWEEDSPUR_WITHOUT" placeholder:"NAME"`
 	Unsafe   bool            `help:"Let --without switch off mechanisms on which a promise rests." env:"KNAPWEEDSPUR_UNSAFE"`
+
+	Requests requestlimiter.Settings `embed:""`
 }
 
 // Validate checks the flags.
@@ -36,6 +40,11 @@
 	if f.Lines < 1 {
 		return trace.BadParameter("--lines is %d, must be at least 1", f.Lines)
 	}
+	var c validator.Checker
+	f.Requests.Check(&c)
+	if err := c.Err(); err != nil {
+		return err
+	}
 	_, err := f.gates()
 	return err
 }
@@ -58,7 +67,7 @@
 
 // runSite loads the platform's settings file and runs the application with them.
 // Log lines are written asynchronously and limited in number.
-func runSite(env *environment, flags *siteFlags, options func(*platform.Settings, gatekeeper.Gates, hclog.Logger) fx.Option) error {
+func runSite(env *environment, flags *siteFlags, options func(*platform.Settings, gatekeeper.Gates, *requestlimiter.Limiter, hclog.Logger) fx.Option) error {
 	gates, err := flags.gates()
 	if err != nil {
 		return usageError{err}
@@ -72,21 +81,32 @@
 	exporter.Publish("log_lines_dropped", func() any { return writer.Dropped() })
 	defer writer.Close()
 	logger := hclog.New(&hclog.LoggerOptions{Name: settings.VMName, Level: env.logger.GetLevel(), Output: writer, JSONFormat: true, DisableTime: false})
-	go checkSettingsOnHangup(logger)
-	return runApp(options(settings, gates, logger), settings.Grace)
+	vm := limitsOf(settings)
+	limitMemory(vm)
+	limiter := requestlimiter.New(flags.Requests, vm, logger)
+	go reloadOnHangup(limiter, logger)
+	return runApp(options(settings, gates, limiter, logger), settings.Grace)
+}
+
+func limitsOf(s *platform.Settings) requestlimiter.VM {
+	return requestlimiter.VM{MemoryMB: s.MemoryMB, Descriptors: s.Descriptors}
 }
 
-// checkSettingsOnHangup validates the settings file on each SIGHUP, which the
-// platform sends when the file has changed. The settings include addresses that
-// are already bound, so a change takes effect at the next start.
-func checkSettingsOnHangup(logger hclog.Logger) {
+// reloadOnHangup reads the settings file on each SIGHUP, which the platform sends when the
+// file has changed. Limits of the VM are taken over. The other settings include addresses
+// that are already bound, so their changes take effect at the next start.
+func reloadOnHangup(limiter *requestlimiter.Limiter, logger hclog.Logger) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	for range hangups {
-		if _, err := platform.LoadSettings(); err != nil {
+		settings, err := platform.LoadSettings()
+		if err != nil {
 			logger.Error("reload: the settings file is invalid; keeping the settings in use", "error", err.Error())
 			continue
 		}
-		logger.Info("reload: the settings file is valid; it takes effect at the next start")
+		vm := limitsOf(settings)
+		limitMemory(vm)
+		limiter.Resize(vm)
+		logger.Info("reload: the settings file is valid; limits of the VM are in effect, the rest at the next start")
 	}
 }
--- a/internal/cli/commandrunner/site_test.go
+++ b/internal/cli/commandrunner/site_test.go
@@ -96,3 +96,27 @@
 		}
 	}
 }
+
+// Wrong limits of requests are refused before anything starts, whichever program they are
+// for and wherever they are written.
+func TestWrongLimitsAreRefused(t *testing.T) {
+	t.Setenv(platform.SettingsEnvVar, "")
+	cases := []struct {
+		name string
+		args []string
+		want string
+	}{
+		{"head too small", []string{"site", "entry", "--head-bytes", "10"}, "--head-bytes 10"},
+		{"in a file", []string{"site", "agent", "--settings", writeSettings(t, "head-lines: 1\n")}, "--head-lines 1"},
+		{"request shorter than its head", []string{"site", "entry", "--head-timeout", "9s", "--request-timeout", "8s"}, "--request-timeout 8s"},
+		{"entry", []string{"entry", "--log", "127.0.0.1:1", "--domain", "a", "--insecure", "--memory", "1"}, "--memory 1"},
+		{"agent", []string{"agent", "--entries", "127.0.0.1:1", "--vm", "v", "--domain", "a", "--worker", "127.0.0.1:1", "--insecure", "--descriptors", "9"}, "--descriptors 9"},
+		{"valid, but for the platform's file", []string{"site", "entry", "--settings", writeSettings(t, "answer-timeout: 2s\nsocket-buffer: 8192\n")}, platform.SettingsEnvVar},
+	}
+	for _, c := range cases {
+		var out, errs bytes.Buffer
+		if code := Run(c.args, &out, &errs); code != exitUsage || !strings.Contains(errs.String(), c.want) {
+			t.Errorf("%s: exit code %d, %q; want it to name %q", c.name, code, errs.String(), c.want)
+		}
+	}
+}
--- a/internal/entry/controlserver/controlserver.go
+++ b/internal/entry/controlserver/controlserver.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"expvar"
 	"net/http"
 	"sort"
@@ -22,6 +23,7 @@
 	"knapweedspur/internal/entry/summarizer"
 	"knapweedspur/internal/fault/verdict"
 	"knapweedspur/internal/link/framer"
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/route/forwarder"
 	"knapweedspur/internal/state/configreducer"
 	"knapweedspur/internal/task/scheduler"
@@ -216,7 +218,11 @@
 	var body changeBody
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&body); err != nil {
+	switch err := decoder.Decode(&body); {
+	case errors.Is(err, requestlimiter.ErrOverBudget):
+		requestlimiter.BodyError(err).WriteResponse(w)
+		return
+	case err != nil:
 		(&verdict.Error{Verdict: verdict.Unrun, Cause: verdict.Invalid, Reason: "the change is not JSON with id, who and edits: " + err.Error()}).WriteResponse(w)
 		return
 	}
--- a/internal/entry/entrybuilder/entry.go
+++ b/internal/entry/entrybuilder/entry.go
@@ -18,6 +18,7 @@
 	"knapweedspur/internal/entry/controlserver"
 	"knapweedspur/internal/entry/schedulerdriver"
 	"knapweedspur/internal/link/connector"
+	"knapweedspur/internal/link/requestlimiter"
 )
 
 // Entry is an entry with all its components.
@@ -41,25 +42,37 @@
 	CallerServer  *callerserver.Server
 	ControlServer *controlserver.Server
 	Network       connector.Connector
+	Limiter       *requestlimiter.Limiter
 	Logger        hclog.Logger
 }
 
+const (
+	// listenerShare is the part of the budget of requests in progress that is kept for
+	// each of the two listeners.
+	listenerShare = 0.25
+	// requestFactor is how many bytes an entry holds for a byte of a request: the body,
+	// whose buffer grows by copying, and the frame. changeFactor is the same for a change.
+	requestFactor, changeFactor = 4, 4
+)
+
 func newEntry(c components) *Entry {
-	return &Entry{
-		components:  c,
-		callerHTTP:  &http.Server{Handler: c.CallerServer.Handler(), ReadHeaderTimeout: appendTimeout},
-		controlHTTP: &http.Server{Handler: c.ControlServer.Handler(), ReadHeaderTimeout: appendTimeout},
-		Done:        make(chan struct{}),
-	}
+	return &Entry{components: c, Done: make(chan struct{})}
 }
 
 // Start starts the entry. It returns before the entry is ready; the readiness check
 // tells when it is.
 func (e *Entry) Start(context.Context) error {
-	if err := e.serve(e.controlHTTP, e.components.Settings.Control); err != nil {
+	var err error
+	e.controlHTTP, err = e.serve(e.components.Settings.Control, requestlimiter.Endpoint{
+		Name: "control", Share: listenerShare, BodyFactor: changeFactor, Handler: e.components.ControlServer.Handler(),
+	})
+	if err != nil {
 		return err
 	}
-	if err := e.serve(e.callerHTTP, e.components.Settings.Listen); err != nil {
+	e.callerHTTP, err = e.serve(e.components.Settings.Listen, requestlimiter.Endpoint{
+		Name: "callers", Share: listenerShare, BodyFactor: requestFactor, Handler: e.components.CallerServer.Handler(),
+	})
+	if err != nil {
 		_ = e.controlHTTP.Close()
 		return err
 	}
@@ -96,17 +109,18 @@
 	}
 }
 
-func (e *Entry) serve(s *http.Server, address netip.AddrPort) error {
+func (e *Entry) serve(address netip.AddrPort, endpoint requestlimiter.Endpoint) (*http.Server, error) {
 	listener, err := e.components.Network.Listen(address)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	s, listener := e.components.Limiter.NewServer(listener, endpoint)
 	go func() {
 		if err := s.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			e.components.Logger.Error("HTTP server failed", "address", address, "error", err)
 		}
 	}()
-	return nil
+	return s, nil
 }
 
 // RegisterLifecycle ties the entry to the lifecycle of the application.
--- a/internal/entry/entrybuilder/entrybuilder.go
+++ b/internal/entry/entrybuilder/entrybuilder.go
@@ -24,6 +24,7 @@
 	"knapweedspur/internal/entry/runserver"
 	"knapweedspur/internal/entry/schedulerdriver"
 	"knapweedspur/internal/link/connector"
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/log/appender"
 	"knapweedspur/internal/policy/placer"
 	"knapweedspur/internal/policy/upstreamselector"
@@ -72,6 +73,7 @@
 			func() hclog.Logger { return logger },
 			func() logclient.Log { return d.Log },
 			func() connector.Connector { return d.Network },
+			func() *requestlimiter.Limiter { return requestlimiter.New(s.Requests, s.Limits, logger) },
 			func() Incarnation { return NewIncarnation("entry") },
 			func() *configcataloger.Cataloger { return &configcataloger.Cataloger{} },
 			agenttracker.New,
--- a/internal/entry/entrybuilder/metrics.go
+++ b/internal/entry/entrybuilder/metrics.go
@@ -6,6 +6,7 @@
 	"knapweedspur/internal/entry/agenttracker"
 	"knapweedspur/internal/entry/schedulerdriver"
 	"knapweedspur/internal/link/framer"
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/log/appender"
 	"knapweedspur/internal/metric/exporter"
 	"knapweedspur/internal/route/forwarder"
@@ -13,7 +14,8 @@
 )
 
 // exportMetrics exports the metrics of an entry. docs/OPERATIONS.md lists them.
-func exportMetrics(f *forwarder.Forwarder, b *retrybudgeter.Budget, d *schedulerdriver.Driver, t *agenttracker.Tracker) {
+func exportMetrics(l *requestlimiter.Limiter, f *forwarder.Forwarder, b *retrybudgeter.Budget, d *schedulerdriver.Driver, t *agenttracker.Tracker) {
+	exporter.Publish("limited", l.Report)
 	exporter.Publish("knapweedspur", func() any {
 		n := f.Counts()
 		taken, denied := b.Totals()
--- a/internal/entry/entrybuilder/settings.go
+++ b/internal/entry/entrybuilder/settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/policy/placer"
 	"knapweedspur/internal/policy/upstreamselector"
 	"knapweedspur/internal/setting/validator"
@@ -35,6 +36,9 @@
 	Routing   string `help:"Routing policy." env:"KNAPWEEDSPUR_ROUTING" default:"sampled"`
 	Placement string `help:"Placement policy." env:"KNAPWEEDSPUR_PLACEMENT" default:"spread"`
 
+	Requests requestlimiter.Settings `embed:""`
+	Limits   requestlimiter.VM       `embed:""`
+
 	SnapshotEvery   time.Duration `help:"Most time between two snapshots; well below the log's retention." env:"KNAPWEEDSPUR_SNAPSHOT_EVERY" default:"10m"`
 	SnapshotRecords int           `help:"Most appends between two snapshots." env:"KNAPWEEDSPUR_SNAPSHOT_RECORDS" default:"20000"`
 }
@@ -59,6 +63,8 @@
 	c.IntBetween("appends", s.Appends, 1, 100_000)
 	c.DurationBetween("grace", s.Grace, time.Second, time.Hour)
 	c.DurationBetween("settle", s.Settle, 0, time.Minute)
+	s.Requests.Check(&c)
+	s.Limits.Check(&c)
 	c.DurationBetween("snapshot-every", s.SnapshotEvery, time.Second, 24*time.Hour)
 	c.IntBetween("snapshot-records", s.SnapshotRecords, 10, 1<<24)
 	if _, err := upstreamselector.Lookup(s.Routing); err != nil {
--- a/internal/entry/runserver/runserver.go
+++ b/internal/entry/runserver/runserver.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,6 +17,7 @@
 	"knapweedspur/internal/entry/schedulerdriver"
 	"knapweedspur/internal/entry/summarizer"
 	"knapweedspur/internal/fault/verdict"
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/task/scheduler"
 	"knapweedspur/internal/wire/admin"
 	"knapweedspur/internal/wire/message"
@@ -56,7 +58,10 @@
 	var submission admin.Submission
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSubmissionBytes))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&submission); err != nil {
+	if err := decoder.Decode(&submission); errors.Is(err, requestlimiter.ErrOverBudget) {
+		requestlimiter.BodyError(err).WriteResponse(w)
+		return
+	} else if err != nil {
 		invalidError("the submission is not JSON with job, run and who: " + err.Error()).WriteResponse(w)
 		return
 	}
--- a/internal/job/leader/offer.go
+++ b/internal/job/leader/offer.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/wire/codec"
 	"knapweedspur/internal/wire/work"
@@ -208,9 +209,9 @@
 
 // ServeProposal handles a proposal from another entry.
 func (l *Leader) ServeProposal(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxProposalBytes))
+	data, err := requestlimiter.ReadBody(r, maxProposalBytes)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		requestlimiter.BodyError(err).WriteResponse(w)
 		return
 	}
 	var v work.WorkRecord
@@ -271,8 +272,8 @@
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return nil
-	case http.StatusMisdirectedRequest:
-		return ErrNotLeading
+	case http.StatusMisdirectedRequest, http.StatusServiceUnavailable:
+		return ErrNotLeading // or it has not read the proposal
 	case http.StatusTooManyRequests:
 		return ErrTooManyAbsences
 	case http.StatusConflict:
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -4,7 +4,6 @@
 package forwarder
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -19,6 +18,7 @@
 	"knapweedspur/internal/config/parser"
 	"knapweedspur/internal/entry/agenttracker"
 	"knapweedspur/internal/fault/verdict"
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/policy/upstreamselector"
 	"knapweedspur/internal/route/retrybudgeter"
 	"knapweedspur/internal/wire/message"
@@ -164,18 +164,12 @@
 }
 
 func readBody(r *http.Request) ([]byte, *verdict.Error) {
-	if r.ContentLength > MaxBody {
-		return nil, unrunError(verdict.Invalid, "the body is larger than 8 MiB", 0)
-	}
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBody+1))
+	body, err := requestlimiter.ReadBody(r, MaxBody)
 	if err != nil {
-		return nil, unrunError(verdict.Invalid, "the body did not arrive whole", 0)
-	}
-	if len(body) > MaxBody {
-		return nil, unrunError(verdict.Invalid, "the body is larger than 8 MiB", 0)
+		return nil, requestlimiter.BodyError(err)
 	}
 	return body, nil
 }
--- a/internal/site/sitebuilder/agent.go
+++ b/internal/site/sitebuilder/agent.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"knapweedspur/internal/link/connector"
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/metric/exporter"
 	"knapweedspur/internal/setting/gatekeeper"
 	"knapweedspur/internal/sidecar/pacer"
@@ -30,16 +31,16 @@
 }
 
 // AgentOptions returns the fx options that build and run an agent.
-func AgentOptions(settings *platform.Settings, gates gatekeeper.Gates, logger hclog.Logger) fx.Option {
+func AgentOptions(settings *platform.Settings, gates gatekeeper.Gates, limiter *requestlimiter.Limiter, logger hclog.Logger) fx.Option {
 	return fx.Options(
-		fx.Supply(settings, gates),
+		fx.Supply(settings, gates, limiter),
 		fx.Provide(func() hclog.Logger { return logger }, platform.NewClient, newAgent),
 		fx.Invoke(func(lc fx.Lifecycle, a *agent) { lc.Append(fx.Hook{OnStart: a.start, OnStop: a.stop}) }),
 	)
 }
 
-func newAgent(s *platform.Settings, gates gatekeeper.Gates, logger hclog.Logger, client *http.Client) *agent {
-	a := &agent{settings: s, gates: gates, logger: logger, servers: &serverGroup{logger: logger}, goroutines: newGoroutineGroup()}
+func newAgent(s *platform.Settings, gates gatekeeper.Gates, limiter *requestlimiter.Limiter, logger hclog.Logger, client *http.Client) *agent {
+	a := &agent{settings: s, gates: gates, logger: logger, servers: &serverGroup{logger: logger, limiter: limiter}, goroutines: newGoroutineGroup()}
 	a.reporter = &reporter.EntryClient{
 		Client: client, Logger: logger, AgentIncarnation: rand.Text()[:12], Host: s.VMName,
 		Finder: &platform.EntryFinder{Stream: &platform.Stream{Address: s.LogAddress, Client: client, Topic: platform.EntryStream}},
@@ -55,6 +56,7 @@
 		a.supervisor.Pacer = taskPacer
 	}
 	exporter.Publish("without", func() any { return gates.Off() })
+	exporter.Publish("limited", limiter.Report)
 	exporter.Publish("evacuation_refusals", func() any { return a.supervisor.EvacuationRefusals() })
 	a.reporter.Supervisor = a.supervisor
 	a.reporter.Init()
@@ -65,10 +67,11 @@
 func (a *agent) start(context.Context) error {
 	router := mux.NewRouter()
 	platform.AddWorkerRoutes(router, a.supervisor)
-	if err := a.servers.serve(connector.HostNetwork{}, a.settings.ControlAddress, router); err != nil {
+	control := requestlimiter.Endpoint{Name: "control", Share: mainShare, BodyFactor: heartbeatFactor, Handler: router}
+	if err := a.servers.serve(connector.HostNetwork{}, a.settings.ControlAddress, control); err != nil {
 		return err
 	}
-	if err := a.servers.serve(connector.HostNetwork{}, a.settings.MetricsAddress, metricsHandler()); err != nil {
+	if err := a.servers.serve(connector.HostNetwork{}, a.settings.MetricsAddress, metricsEndpoint()); err != nil {
 		return err
 	}
 	a.goroutines.run(a.supervisor.Run)
--- a/internal/site/sitebuilder/entry.go
+++ b/internal/site/sitebuilder/entry.go
@@ -24,6 +24,7 @@
 	"knapweedspur/internal/job/planner"
 	"knapweedspur/internal/link/connector"
 	"knapweedspur/internal/link/framer"
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/log/journal"
 	"knapweedspur/internal/metric/exporter"
 	"knapweedspur/internal/setting/gatekeeper"
@@ -39,10 +40,6 @@
 	shutdownDelay = 3 * time.Second
 	// closeReserve is the part of the grace period kept for closing connections.
 	closeReserve = time.Second
-	// headerTimeout bounds the time to read the header of a request.
-	headerTimeout = 3 * time.Second
-	// idleTimeout is when unused connections of clients are closed.
-	idleTimeout = 60 * time.Second
 	// announceInterval is the time between announcements of an entry.
 	announceInterval = leader.MemberTTL / 3
 	// staleEntryAge is the age of the last announcement at which an entry is
@@ -70,21 +67,21 @@
 }
 
 // EntryOptions returns the fx options that build and run an entry.
-func EntryOptions(settings *platform.Settings, gates gatekeeper.Gates, logger hclog.Logger) fx.Option {
+func EntryOptions(settings *platform.Settings, gates gatekeeper.Gates, limiter *requestlimiter.Limiter, logger hclog.Logger) fx.Option {
 	return fx.Options(
-		fx.Supply(settings, gates),
+		fx.Supply(settings, gates, limiter),
 		fx.Provide(func() hclog.Logger { return logger }, platform.NewClient, newEntry),
 		fx.Invoke(func(lc fx.Lifecycle, e *entry) { lc.Append(fx.Hook{OnStart: e.start, OnStop: e.stop}) }),
 	)
 }
 
-func newEntry(s *platform.Settings, gates gatekeeper.Gates, logger hclog.Logger, client *http.Client) *entry {
+func newEntry(s *platform.Settings, gates gatekeeper.Gates, limiter *requestlimiter.Limiter, logger hclog.Logger, client *http.Client) *entry {
 	stream := func(topic string) *platform.Stream {
 		return &platform.Stream{Address: s.LogAddress, Client: client, Topic: topic}
 	}
 	e := &entry{
 		settings: s, gates: gates, logger: logger, workStream: stream(platform.WorkStream), entryStream: stream(platform.EntryStream),
-		incarnation: rand.Text()[:12], servers: &serverGroup{logger: logger}, goroutines: newGoroutineGroup(),
+		incarnation: rand.Text()[:12], servers: &serverGroup{logger: logger, limiter: limiter}, goroutines: newGoroutineGroup(),
 	}
 	catalog := &queuecataloger.Cataloger{}
 	e.watcher = &queuecataloger.Watcher{
@@ -118,6 +115,7 @@
 	exporter.Publish("refused_for_room", func() any { return e.acceptor.RefusedForRoom() })
 	exporter.Publish("forecast_age_us", func() any { return e.forecastAge() })
 	exporter.Publish("work", func() any { return e.workCounts() })
+	exporter.Publish("limited", limiter.Report)
 	exporter.Publish("uneven", func() any { return e.leader.Uneven() })
 	e.follower.Init()
 	e.leader.Init(time.Now())
@@ -137,17 +135,17 @@
 		Entry: e.settings.VMName, Domain: e.settings.Domain, Follower: e.follower, Cataloger: e.acceptor.Cataloger, Gates: e.gates, Logger: e.logger,
 	}).Methods(http.MethodGet)
 	peers.HandleFunc(leader.IncarnationPath, e.leader.ServeIncarnation).Methods(http.MethodGet)
-	handlers := []struct {
-		address netip.AddrPort
-		handler http.Handler
+	endpoints := []struct {
+		address  netip.AddrPort
+		endpoint requestlimiter.Endpoint
 	}{
-		{e.settings.ClientAddress, platform.ClientHandler(e.acceptor)},
-		{e.settings.ReadinessAddress, platform.ReadinessHandler(e.acceptor)},
-		{e.settings.PeerAddress, peers},
-		{e.settings.MetricsAddress, metricsHandler()},
+		{e.settings.ClientAddress, requestlimiter.Endpoint{Name: "clients", Share: mainShare, BodyFactor: jobFactor, Handler: platform.ClientHandler(e.acceptor)}},
+		{e.settings.ReadinessAddress, requestlimiter.Endpoint{Name: "readiness", Share: sideShare, Handler: platform.ReadinessHandler(e.acceptor)}},
+		{e.settings.PeerAddress, requestlimiter.Endpoint{Name: "peers", Share: mainShare, BodyFactor: peerFactor, Handler: peers}},
+		{e.settings.MetricsAddress, metricsEndpoint()},
 	}
-	for _, h := range handlers {
-		if err := e.servers.serve(connector.HostNetwork{}, h.address, h.handler); err != nil {
+	for _, h := range endpoints {
+		if err := e.servers.serve(connector.HostNetwork{}, h.address, h.endpoint); err != nil {
 			return err
 		}
 	}
--- a/internal/site/sitebuilder/group.go
+++ b/internal/site/sitebuilder/group.go
@@ -12,16 +12,18 @@
 	"github.com/hashicorp/go-hclog"
 
 	"knapweedspur/internal/link/connector"
+	"knapweedspur/internal/link/requestlimiter"
 )
 
 // serverGroup is the HTTP servers of a process.
 type serverGroup struct {
 	logger  hclog.Logger
+	limiter *requestlimiter.Limiter
 	servers []*http.Server
 }
 
 // serve starts a server at an address, unless the address is not set.
-func (g *serverGroup) serve(network connector.Connector, address netip.AddrPort, handler http.Handler) error {
+func (g *serverGroup) serve(network connector.Connector, address netip.AddrPort, endpoint requestlimiter.Endpoint) error {
 	if !address.IsValid() {
 		return nil
 	}
@@ -29,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server, listener := g.limiter.NewServer(listener, endpoint)
 	g.servers = append(g.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -54,8 +56,22 @@
 	wg.Wait()
 }
 
-// metricsHandler returns the handler that serves the metrics of the process.
-func metricsHandler() http.Handler { return expvar.Handler() }
+const (
+	// mainShare is the part of the budget of requests in progress that is kept for each
+	// listener that others depend on, and sideShare for each other one.
+	mainShare, sideShare = 0.25, 1.0 / 32
+	// jobFactor is how many bytes an entry holds for a byte of a job: the body, the decoded
+	// steps, whose dependencies take the most, and the record.
+	jobFactor = 16
+	// peerFactor is the same for proposals of other entries, heartbeatFactor for heartbeats
+	// of workers.
+	peerFactor, heartbeatFactor = 8, 4
+)
+
+// metricsEndpoint serves the metrics of the process.
+func metricsEndpoint() requestlimiter.Endpoint {
+	return requestlimiter.Endpoint{Name: "metrics", Share: sideShare, Handler: expvar.Handler()}
+}
 
 // goroutineGroup runs the goroutines of a process.
 type goroutineGroup struct {
