Frames of unknown peers and proposals are bounded like other requests

What callers saw: clients at an entry's address for agents that upgrade a connection and send a part of a frame, or lists of empty elements, ended the entry; so did proposals of empty elements.

Cause: a frame could have 16 MiB before the agent had said who it is, and an upgraded connection left net/http and its limits. A list of 131,072 elements of one byte takes up to 168 bytes for each, and a proposal was decoded with all lists that a record can have.

Change: the budget counts frames while they arrive. Until the agent has introduced itself, its frames have 64 KiB and its lists 1,024 elements, and its connection can be closed in a shortage; then both are as before. Of a proposal only its records are decoded, 1,024 at most (entries send one or two).

It works because nothing is decoded to more than a small multiple of what is counted before the sender is known.

--- a/internal/entry/agentacceptor/agentacceptor.go
+++ b/internal/entry/agentacceptor/agentacceptor.go
@@ -169,6 +169,7 @@
 // ends.
 func (c *agentConn) serve(hello *message.Hello) {
 	now := time.Now()
+	c.conn.Identify(now)
 	c.agent = &agenttracker.Agent{Hello: *hello, Sender: c, ConnectedAt: now}
 	c.agent.Candidate.VM = hello.VM
 	c.agent.Candidate.SameDomain = hello.Domain == c.Domain
--- a/internal/frontend/agentbroker/agentbroker.go
+++ b/internal/frontend/agentbroker/agentbroker.go
@@ -118,6 +118,9 @@
 		delete(b.conns, c.hello.WorkerStatus.VM)
 	}
 	c.hello = h
+	if c.conn != nil {
+		c.conn.Identify(time.Now())
+	}
 	old := b.conns[h.WorkerStatus.VM]
 	b.conns[h.WorkerStatus.VM] = c
 	b.mu.Unlock()
--- a/internal/job/leader/offer.go
+++ b/internal/job/leader/offer.go
@@ -214,8 +214,11 @@
 		requestlimiter.BodyError(err).WriteResponse(w)
 		return
 	}
-	var v work.WorkRecord
-	if err := codec.Decode(data, &v); err != nil || v.Proposal == nil {
+	// Only the proposal of a record is decoded: its other lists could be large.
+	var v struct {
+		Proposal *work.Proposal `cbor:"offer"`
+	}
+	if err := codec.DecodeShort(data, &v); err != nil || v.Proposal == nil {
 		http.Error(w, fmt.Sprintf("no offer: %v", err), http.StatusBadRequest)
 		return
 	}
--- a/internal/link/framer/framer.go
+++ b/internal/link/framer/framer.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/coder/websocket"
 	"github.com/gravitational/trace"
 
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/wire/codec"
 	"knapweedspur/internal/wire/message"
 )
@@ -23,6 +25,11 @@
 	AgentPath = "/internal/agent"
 	// MaxFrameBytes is the size limit of one frame.
 	MaxFrameBytes = 16 << 20
+	// frameFactor is what a byte of a frame costs while it is received: the buffer, which
+	// grows by copying, and the decoded message.
+	frameFactor = 4
+	// maxUnidentifiedBytes is the size limit of a frame of a peer that is not known yet.
+	maxUnidentifiedBytes = 64 << 10
 	// writeTimeout bounds the write of one frame.
 	writeTimeout = 10 * time.Second
 )
@@ -49,6 +56,12 @@
 	writeStarted atomic.Int64
 	watchdog     *time.Timer
 	closed       atomic.Bool
+	// meter counts what a message holds while it is received; nil for a connection that
+	// this process has opened.
+	meter *requestlimiter.Meter
+	// decode decodes a frame; an accepted connection takes only short lists until its peer
+	// is identified.
+	decode func(data []byte, value any) error
 }
 
 // newConn returns a connection that closes itself when it has received nothing
@@ -56,7 +69,7 @@
 // every frame.
 func newConn(ws *websocket.Conn, idleTimeout time.Duration) *Conn {
 	ws.SetReadLimit(MaxFrameBytes)
-	c := &Conn{ws: ws}
+	c := &Conn{ws: ws, decode: codec.Decode}
 	c.lastReceived.Store(time.Now().UnixNano())
 	c.watchdog = time.AfterFunc(idleTimeout/2, func() { c.checkTimeouts(time.Now(), idleTimeout) })
 	return c
@@ -98,7 +111,19 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return newConn(ws, idleTimeout), nil
+	c := newConn(ws, idleTimeout)
+	c.meter = requestlimiter.MeterOf(r.Context())
+	c.decode = codec.DecodeShort
+	ws.SetReadLimit(maxUnidentifiedBytes)
+	return c, nil
+}
+
+// Identify notes that the peer is known: its connection is kept when connections run short,
+// and its frames may have the full size. It is called by the goroutine that receives.
+func (c *Conn) Identify(now time.Time) {
+	c.decode = codec.Decode
+	c.ws.SetReadLimit(MaxFrameBytes)
+	c.meter.Identify(now)
 }
 
 // Send writes one frame. After an error the connection is unusable, and the
@@ -138,14 +163,35 @@
 
 // ReceiveValue is like Receive for a message of any wire type.
 func (c *Conn) ReceiveValue(value any) error {
-	_, data, err := c.ws.Read(context.Background())
+	_, reader, err := c.ws.Reader(context.Background())
+	if err != nil {
+		return trace.ConnectionProblem(err, "receive a frame: %v", err)
+	}
+	defer c.meter.Release()
+	data, err := io.ReadAll(&meteredReader{reader, c.meter})
 	if err != nil {
 		return trace.ConnectionProblem(err, "receive a frame: %v", err)
 	}
 	c.lastReceived.Store(time.Now().UnixNano())
 	traffic.received.Add(int64(len(data)))
 	traffic.frames.Add(1)
-	return trace.Wrap(codec.Decode(data, value))
+	return trace.Wrap(c.decode(data, value))
+}
+
+// meteredReader counts what a message that is being received holds.
+type meteredReader struct {
+	io.Reader
+	meter *requestlimiter.Meter
+}
+
+func (r *meteredReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		if refused := r.meter.Reserve(int64(n)*frameFactor, time.Now()); refused != nil {
+			return 0, refused
+		}
+	}
+	return n, err
 }
 
 // Close closes the connection immediately, without a closing handshake.
--- a/internal/wire/codec/codec.go
+++ b/internal/wire/codec/codec.go
@@ -17,12 +17,17 @@
 	maxMapPairs      = 1 << 12
 	maxNestedLevels  = 16
 
+	// maxShortElements is for messages of senders that are not known yet: an element of one
+	// byte may take 170 in memory.
+	maxShortElements = 1 << 10
+
 	maxSnapshotElements = 1 << 24
 )
 
 var (
 	encMode         = newEncMode()
 	decMode         = newDecMode(maxArrayElements, maxMapPairs)
+	shortDecMode    = newDecMode(maxShortElements, maxMapPairs)
 	snapshotDecMode = newDecMode(maxSnapshotElements, maxSnapshotElements)
 )
 
@@ -70,6 +75,14 @@
 	return nil
 }
 
+// DecodeShort decodes data of a sender that is not known yet into v. Lists must be short.
+func DecodeShort(data []byte, v any) error {
+	if err := shortDecMode.Unmarshal(data, v); err != nil {
+		return trace.BadParameter("decode %T: %v", v, err)
+	}
+	return nil
+}
+
 // DecodeSnapshot decodes data into v with the wider limits of snapshots. It is
 // for data from another entry, or with a verified checksum.
 func DecodeSnapshot(data []byte, v any) error {
