--- a/internal/frontend/placementexplainer/placementexplainer.go
+++ b/internal/frontend/placementexplainer/placementexplainer.go
@@ -23,6 +23,7 @@
 	"knapweedspur/internal/job/logfollower"
 	"knapweedspur/internal/job/planner"
 	"knapweedspur/internal/job/roomforecaster"
+	"knapweedspur/internal/link/requestlimiter"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -103,7 +104,11 @@
 // ServeHTTP answers a question.
 func (e *Explainer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var q Question
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxBytes)).Decode(&q); err != nil {
+	switch err := json.NewDecoder(io.LimitReader(r.Body, maxBytes)).Decode(&q); {
+	case errors.Is(err, requestlimiter.ErrOverBudget):
+		requestlimiter.BodyError(err).WriteResponse(w)
+		return
+	case err != nil:
 		http.Error(w, "no question: "+err.Error(), http.StatusBadRequest)
 		return
 	}
