Limits of requests are counted once each, also those of net/http

Cause: heads that net/http refuses (too many bytes, no HTTP) and idle time-outs had no counter. A request in pieces was taken for one whose body remains, so the read that net/http ends after it would have counted as a time-out; net/http reads again after an error, so a time-out counted three times. An idle connection after a body in pieces kept 200 bytes counted for every three of the body that came with its end.

Change: events `head_refused` and `idle_timeout`; the end of a body is noted when the handler sees it; a body in pieces that ends where the bytes read end leaves nothing unseen. Lines of a head that came with an earlier request are counted when it is handled, by their number.

--- a/internal/link/requestlimiter/body.go
+++ b/internal/link/requestlimiter/body.go
@@ -94,7 +94,7 @@
 		return 0, ErrOverBudget
 	}
 	if errors.Is(err, io.EOF) {
-		c.server.limiter.budget.Enter(&c.holder, budgeter.Running, now)
+		c.endBody(now)
 	}
 	return n, err
 }
@@ -121,11 +121,17 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if !c.begin(r.ContentLength, time.Now()) {
-			panic(http.ErrAbortHandler) // the connection is closed
+		lines := headLines(r.Header)
+		switch err := c.begin(lines, r.ContentLength, time.Now()); {
+		case errors.Is(err, ErrOverBudget):
+			s.limiter.events.add(s.name, overBudget, int64(lines*lineBytes))
+			BodyError(err).WriteResponse(w)
+			return
+		case err != nil:
+			panic(err) // the connection is closed
 		}
 		// Lines that came with the request before were not seen on the way.
-		if lines := headLines(r.Header); lines > s.limiter.settings.HeadLines {
+		if lines > s.limiter.settings.HeadLines {
 			s.limiter.events.add(s.name, longHead, int64(lines*lineBytes))
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
--- a/internal/link/requestlimiter/connection.go
+++ b/internal/link/requestlimiter/connection.go
@@ -24,6 +24,8 @@
 	readBufferBytes = 4 << 10
 	readAhead       = 8
 	minLineBytes    = 3
+	// lastChunk ends a body in pieces, but for trailers.
+	lastChunk = "0\r\n\r\n"
 	// refusalTimeout bounds the write of a refusal, which fits in the socket buffer.
 	refusalTimeout = 5 * time.Millisecond
 	// largeWrite is the size from which the bytes of an answer are counted: net/http writes
@@ -45,19 +47,23 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// inHead means that what arrives belongs to a head, handling that a handler runs, and
-	// upgraded that the connection no longer speaks HTTP.
-	inHead, handling, upgraded bool
-	head                       headScanner
+	// inHead means that what arrives belongs to a head, handling that a handler runs, inBody
+	// that it has not seen the end of the body, and upgraded that the connection no longer
+	// speaks HTTP.
+	inHead, handling, inBody, upgraded bool
+	head                               headScanner
 	// pastHead counts the bytes that arrived after the head; bodyLength is that of the
 	// body, -1 if it is not known.
 	pastHead, bodyLength int64
 	// unseen bounds what net/http had read of a next request when the last one ended.
 	unseen int64
+	// tail is the last bytes that were read.
+	tail [len(lastChunk)]byte
 	// reserved is what the request in progress has reserved.
 	reserved int64
 	shed     budgeter.Shortage
 	removed  bool
+	timedOut bool
 }
 
 // Read counts what arrives of a head.
@@ -81,8 +87,15 @@
 	if c.shed != "" {
 		return ErrOverBudget
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.reserved > 0 && !c.upgraded && (c.inHead || c.bodyRemains()) {
-		c.server.limiter.events.add(c.server.name, timedOut, c.reserved)
+	// net/http also uses a deadline to end a read after the request, and reads again after an
+	// error.
+	if errors.Is(err, os.ErrDeadlineExceeded) && (c.inHead || c.inBody) && !c.timedOut {
+		c.timedOut = true
+		why := timedOut
+		if c.inHead && c.head == (headScanner{}) {
+			why = idle
+		}
+		c.server.limiter.events.add(c.server.name, why, c.reserved)
 	}
 	return err
 }
@@ -91,6 +104,10 @@
 func (c *connection) count(buffer []byte, n int, now time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if kept := len(c.tail) - n; kept > 0 {
+		copy(c.tail[:kept], c.tail[n:])
+	}
+	copy(c.tail[max(len(c.tail)-n, 0):], buffer[max(n-len(c.tail), 0):n])
 	if !c.inHead {
 		c.pastHead += int64(n)
 		return nil
@@ -141,19 +158,23 @@
 	_, _ = io.WriteString(c.Conn, "HTTP/1.1 "+statusLine(status)+"\r\n"+retry+"Connection: close\r\nContent-Length: 0\r\n\r\n")
 }
 
-// begin notes that a request whose head has arrived is handled. It returns false if the
-// connection has been closed meanwhile.
-func (c *connection) begin(bodyLength int64, now time.Time) bool {
+// begin notes that a request whose head has arrived is handled. It returns
+// http.ErrAbortHandler if the connection has been closed meanwhile, and ErrOverBudget if
+// there is no room for lines of the head that came with a request before.
+func (c *connection) begin(lines int, bodyLength int64, now time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.shed != "" {
-		return false
+		return http.ErrAbortHandler
 	}
-	c.inHead, c.handling, c.bodyLength = false, true, bodyLength
+	c.inHead, c.handling, c.inBody, c.bodyLength = false, true, bodyLength != 0, bodyLength
 	if bodyLength == 0 {
 		c.server.limiter.budget.Enter(&c.holder, budgeter.Running, now)
 	}
-	return true
+	if unseen := int64(lines*lineBytes) - c.reserved; unseen > 0 && !c.reserve(unseen, now) {
+		return ErrOverBudget
+	}
+	return nil
 }
 
 // end takes back what the request had reserved, before the next one.
@@ -167,8 +188,12 @@
 	budget := c.server.limiter.budget
 	budget.Release(&c.holder, c.reserved)
 	budget.Enter(&c.holder, budgeter.Idle, now)
-	c.unseen = min(c.unseen+max(c.pastHead-max(c.bodyLength, 0), 0), readBufferBytes)
-	c.inHead, c.handling, c.head, c.pastHead, c.bodyLength, c.reserved = true, false, headScanner{}, 0, 0, 0
+	c.unseen = min(c.unseen+max(c.pastHead-c.bodyLength, 0), readBufferBytes)
+	if c.bodyLength < 0 && string(c.tail[:]) == lastChunk {
+		c.unseen = 0
+	}
+	c.inHead, c.handling, c.inBody = true, false, false
+	c.head, c.pastHead, c.bodyLength, c.reserved = headScanner{}, 0, 0, 0
 	if c.unseen < minLineBytes {
 		return
 	}
@@ -182,7 +207,7 @@
 func (c *connection) upgrade(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.upgraded, c.inHead = true, false
+	c.upgraded, c.inHead, c.inBody = true, false, false
 	c.server.limiter.budget.Release(&c.holder, c.reserved)
 	c.reserved = 0
 	c.server.limiter.budget.Enter(&c.holder, budgeter.Receiving, now)
@@ -196,7 +221,7 @@
 	c.server.limiter.events.add(c.server.name, shedEvents[shortage], c.reserved)
 	c.shed = shortage
 	switch {
-	case c.handling && shortage == budgeter.Memory && !c.upgraded && c.bodyRemains():
+	case c.inBody && shortage == budgeter.Memory:
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // a closed connection has no reader to wake
 		return
 	case c.inHead && c.reserved > 0:
@@ -205,9 +230,13 @@
 	c.close()
 }
 
-// bodyRemains reports whether a part of the body may still arrive. The caller holds the
-// lock.
-func (c *connection) bodyRemains() bool { return c.bodyLength < 0 || c.pastHead < c.bodyLength }
+// endBody notes that the handler has seen the end of the body.
+func (c *connection) endBody(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inBody = false
+	c.server.limiter.budget.Enter(&c.holder, budgeter.Running, now)
+}
 
 // SetReadDeadline keeps the deadline in the past of a connection that is being closed.
 func (c *connection) SetReadDeadline(t time.Time) error {
@@ -232,6 +261,7 @@
 		return 0, err
 	}
 	if !handling {
+		c.server.limiter.events.add(c.server.name, refusedHead, 0)
 		return c.Conn.Write(p) // net/http refuses the head
 	}
 	budget.Enter(&c.holder, budgeter.Answering, now)
--- a/internal/link/requestlimiter/event.go
+++ b/internal/link/requestlimiter/event.go
@@ -16,7 +16,9 @@
 // The events, as metrics and log lines name them.
 const (
 	longHead         event = "head_too_long"
+	refusedHead      event = "head_refused"
 	timedOut         event = "request_timeout"
+	idle             event = "idle_timeout"
 	unread           event = "answer_timeout"
 	overBudget       event = "refused_over_budget"
 	noConnection     event = "refused_connection"
@@ -58,9 +60,14 @@
 // add counts an event of a connection that held a number of bytes.
 func (e *eventCounter) add(listener string, kind event, bytes int64) {
 	count, held := e.record(listener, kind, bytes, time.Now())
-	if count > 0 {
-		e.logger.Warn("requests limited", "listener", listener, "event", string(kind), "count", count, "bytes", held)
+	if count == 0 {
+		return
 	}
+	level := hclog.Warn
+	if kind == idle {
+		level = hclog.Debug // as it should be
+	}
+	e.logger.Log(level, "requests limited", "listener", listener, "event", string(kind), "count", count, "bytes", held)
 }
 
 // record returns the number and bytes of the events that the log line tells of, 0 if none
--- a/internal/link/requestlimiter/requestlimiter_test.go
+++ b/internal/link/requestlimiter/requestlimiter_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/hashicorp/go-hclog"
 
 	"knapweedspur/internal/link/budgeter"
@@ -138,6 +139,41 @@
 	}
 }
 
+// Each limit that is met is counted once, under its name, and ordinary requests meet none.
+func TestLimitsAreCounted(t *testing.T) {
+	settings := Settings{HeadLines: 50, HeadTimeout: 200 * time.Millisecond, RequestTimeout: 300 * time.Millisecond, IdleTimeout: 200 * time.Millisecond}
+	pieces := "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"
+	cases := []struct {
+		name, text string
+		want       event
+	}{
+		{"lines", "GET / HTTP/1.1\r\n" + lines(60), longHead},
+		{"bytes", "GET / HTTP/1.1\r\na: " + strings.Repeat("a", 30_000), refusedHead},
+		{"no request", "\r\n\r\n", refusedHead},
+		{"unfinished head", "GET / HTTP/1.1\r\n", timedOut},
+		{"unfinished body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na", timedOut},
+		{"silent", "", idle},
+		{"requests, then silent", post("a") + pieces + post("b"), idle},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l, address := serve(t, settings, largeVM, echo)
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := io.WriteString(conn, c.text); err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, conn) // until the other side closes it
+			if diff := cmp.Diff(map[event]int64{c.want: 1}, l.events.counts()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // A request that is given up for want of memory gets 503 with Retry-After, and the handler
 // learns that it has not arrived whole.
 func TestUnfinishedBodyIsRefusedForWantOfMemory(t *testing.T) {
@@ -213,6 +249,32 @@
 	}
 }
 
+// A connection that is idle after a body in pieces counts like any other.
+func TestIdleConnectionAfterPiecesHoldsNothingMore(t *testing.T) {
+	l, address := serve(t, Settings{}, largeVM, echo)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for _, parts := range [][]string{{"1\r\na\r\n0\r\n\r\n"}, {"1\r\na\r\n", "0\r\n", "\r\n"}} {
+		for _, part := range append([]string{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"}, parts...) {
+			if _, err := io.WriteString(conn, part); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		if status, _ := readResponse(t, reader); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if held, _ := l.budget.Usage(); held.Bytes != budgeter.ConnectionBytes {
+			t.Errorf("%d bytes are counted", held.Bytes)
+		}
+	}
+}
+
 // All that requests have held is free again when their connections have ended.
 func TestNothingStaysReserved(t *testing.T) {
 	l, address := serve(t, Settings{HeadLines: 100}, largeVM, echo)
