Crowd: limits follow the settings of the VM, also at SIGHUP

This one starts entry and agent with the users' settings, compares metric `limited` with what the settings give, changes the file and sends SIGHUP. A comment of the budget is corrected: Close is called without its lock.

--- a/internal/link/budgeter/budgeter.go
+++ b/internal/link/budgeter/budgeter.go
@@ -87,8 +87,8 @@
 	ending int64
 	phase  Phase
 	since  time.Time
-	// Close ends the connection because of a shortage. It must not block, nor call the
-	// budget.
+	// Close ends the connection because of a shortage. It is called without the lock of the
+	// budget, by the connection that needs the room, and must not block.
 	Close func(Shortage)
 }
 
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"knapweedspur/platform/platformemulator"
 )
 
 const (
@@ -245,3 +250,62 @@
 		})
 	}
 }
+
+// limited returns the limits in the metrics of a process.
+func limited(t *testing.T) (bytes int64, connections int) {
+	t.Helper()
+	response, err := http.Get("http://" + metricsAddress.String() + metrics)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var body struct {
+		Limited struct {
+			Limit struct {
+				Bytes       int64 `json:"bytes"`
+				Connections int   `json:"connections"`
+			} `json:"limit"`
+		} `json:"limited"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
+		t.Fatal(err)
+	}
+	return body.Limited.Limit.Bytes, body.Limited.Limit.Connections
+}
+
+// Limits of the VM come from its settings, and changed ones are taken over at SIGHUP.
+func TestLimitsFollowSettingsOfVM(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	for _, entry := range []bool{true, false} {
+		p := siteEntry
+		if !entry {
+			p = siteAgent
+		}
+		t.Run(p.name, func(t *testing.T) {
+			writeSiteSettings(t, path, entry, 100, 456)
+			p.environment = func(*testing.T) []string { return []string{platformemulator.SettingsEnv(path)} }
+			s := start(t, p)
+			for _, l := range listeners {
+				if l.program.name == p.name {
+					awaitAnswer(t, s, &l)
+				}
+			}
+			if bytes, connections := limited(t); bytes != 20_000_000 || connections != 224 {
+				t.Errorf("%d bytes and %d connections", bytes, connections)
+			}
+			writeSiteSettings(t, path, entry, 200, 1000)
+			if err := s.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+			for began := time.Now(); ; time.Sleep(retryPause) {
+				bytes, connections := limited(t)
+				if bytes == 40_000_000 && connections == 700 {
+					return
+				}
+				if time.Since(began) > answerLimit {
+					t.Fatalf("%d bytes and %d connections after SIGHUP", bytes, connections)
+				}
+			}
+		})
+	}
+}
--- a/test/crowd/process_test.go
+++ b/test/crowd/process_test.go
@@ -86,18 +86,23 @@
 // siteSettings returns the environment of a process on the users' platform.
 func siteSettings(entry bool) func(t *testing.T) []string {
 	return func(t *testing.T) []string {
-		p := platformemulator.Process{
-			Name: "vm", Domain: "a", IsEntry: entry, IP: hostIP, FirstPort: firstPort,
-			LogAddress: logAddress.String(), WorkerAddress: workerAddress.String(), MemoryMB: memoryMB, MaxFDs: maxFDs,
-		}
 		path := filepath.Join(t.TempDir(), "settings.json")
-		if err := os.WriteFile(path, p.SettingsFile(), 0o600); err != nil {
-			t.Fatal(err)
-		}
+		writeSiteSettings(t, path, entry, memoryMB, maxFDs)
 		return []string{platformemulator.SettingsEnv(path)}
 	}
 }
 
+func writeSiteSettings(t *testing.T, path string, entry bool, memory, descriptors int) {
+	t.Helper()
+	p := platformemulator.Process{
+		Name: "vm", Domain: "a", IsEntry: entry, IP: hostIP, FirstPort: firstPort,
+		LogAddress: logAddress.String(), WorkerAddress: workerAddress.String(), MemoryMB: memory, MaxFDs: descriptors,
+	}
+	if err := os.WriteFile(path, p.SettingsFile(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func ownSettings(variables ...string) func(t *testing.T) []string {
 	return func(*testing.T) []string {
 		return append(variables, "KNAPWEEDSPUR_INSECURE=true", "KNAPWEEDSPUR_DOMAIN=a", fmt.Sprintf("KNAPWEEDSPUR_MEMORY=%d", memoryMB), fmt.Sprintf("KNAPWEEDSPUR_DESCRIPTORS=%d", maxFDs))
