A request that was told to end does not run when it arrives whole after all

What callers saw: nothing yet; found by reading the change again. A request that is ended in a shortage of memory gets 503 when its handler reads on. If its last bytes had arrived just then, the handler took it for whole and ran it, while its connection counted as ending: it was the first to be closed for a new one, and an answer above 8 KiB broke off. A request that has run must get its answer.

Cause: the phase of an ending connection does not change, and nobody looked whether it had.

Change: Enter tells whether the connection was told to end; the end of a body, or a request without one, then counts as refused (503, or a closed connection) and is not handled.

Evidence: TestRequestToldToEndDoesNotRun fails without the check of the end of the body (the body is read without an error) and passes with it, also with the race detector.

--- a/internal/link/budgeter/budgeter.go
+++ b/internal/link/budgeter/budgeter.go
@@ -176,13 +176,16 @@
 	}
 }
 
-// Enter changes the phase of a connection, unless it was told to end.
-func (b *Budget) Enter(h *Holder, phase Phase, now time.Time) {
+// Enter changes the phase of a connection. It returns false if the connection was told to
+// end.
+func (b *Budget) Enter(h *Holder, phase Phase, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if h.phase != Ending {
-		h.phase, h.since = phase, now
+	if h.phase == Ending {
+		return false
 	}
+	h.phase, h.since = phase, now
+	return true
 }
 
 // End takes back the bytes that a connection holds, which is about to end.
--- a/internal/link/requestlimiter/body.go
+++ b/internal/link/requestlimiter/body.go
@@ -93,8 +93,8 @@
 	if n > 0 && !c.reserveBody(int64(n), now) {
 		return 0, ErrOverBudget
 	}
-	if errors.Is(err, io.EOF) {
-		c.endBody(now)
+	if errors.Is(err, io.EOF) && !c.endBody(now) {
+		return 0, ErrOverBudget
 	}
 	return n, err
 }
--- a/internal/link/requestlimiter/connection.go
+++ b/internal/link/requestlimiter/connection.go
@@ -168,8 +168,8 @@
 		return http.ErrAbortHandler
 	}
 	c.inHead, c.handling, c.inBody, c.bodyLength = false, true, bodyLength != 0, bodyLength
-	if bodyLength == 0 {
-		c.server.limiter.budget.Enter(&c.holder, budgeter.Running, now)
+	if bodyLength == 0 && !c.server.limiter.budget.Enter(&c.holder, budgeter.Running, now) {
+		return http.ErrAbortHandler
 	}
 	if unseen := int64(lines*lineBytes) - c.reserved; unseen > 0 && !c.reserve(unseen, now) {
 		return ErrOverBudget
@@ -230,12 +230,13 @@
 	c.close()
 }
 
-// endBody notes that the handler has seen the end of the body.
-func (c *connection) endBody(now time.Time) {
+// endBody notes that the body has arrived whole. It returns false if the request was told
+// to end before; it must not run then, since its connection may be closed at any time.
+func (c *connection) endBody(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inBody = false
-	c.server.limiter.budget.Enter(&c.holder, budgeter.Running, now)
+	return c.shed == "" && c.server.limiter.budget.Enter(&c.holder, budgeter.Running, now)
 }
 
 // SetReadDeadline keeps the deadline in the past of a connection that is being closed.
--- a/internal/link/requestlimiter/requestlimiter_test.go
+++ b/internal/link/requestlimiter/requestlimiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -249,6 +250,37 @@
 	}
 }
 
+// Guards against a request that runs although it was told to end: its connection could be
+// closed before its answer is written.
+func TestRequestToldToEndDoesNotRun(t *testing.T) {
+	toldToEnd, read := make(chan struct{}), make(chan error, 1)
+	l, address := serve(t, Settings{}, largeVM, func(w http.ResponseWriter, r *http.Request) {
+		c := connectionOf(r.Context())
+		c.server.limiter.budget.End(&c.holder)
+		close(toldToEnd)
+		_, err := ReadBody(r, 100)
+		read <- err
+	})
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-toldToEnd
+	if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-read; !errors.Is(err, ErrOverBudget) {
+		t.Errorf("the whole body was read with error %v", err)
+	}
+	if held, _ := l.budget.Usage(); held.Bytes != 0 {
+		t.Errorf("%d bytes are counted", held.Bytes)
+	}
+}
+
 // A connection that is idle after a body in pieces counts like any other.
 func TestIdleConnectionAfterPiecesHoldsNothingMore(t *testing.T) {
 	l, address := serve(t, Settings{}, largeVM, echo)
