--- /dev/null
+++ b/review/standin-3/job.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// step is a step of a submission, as PROTOCOL.md writes it.
+type step struct {
+	Count     int    `json:"count"`
+	CPU       int    `json:"cpu"`
+	MemMb     int    `json:"memMb"`
+	Estimate  int    `json:"estDurationMs"`
+	DependsOn []int  `json:"dependsOn,omitempty"`
+	Requires  string `json:"requires,omitempty"`
+	// Gang and AntiAffinity say that the tasks work only together, and how many of them run on
+	// one worker at most.
+	Gang         bool `json:"gang,omitempty"`
+	AntiAffinity int  `json:"antiAffinity,omitempty"`
+}
+
+func newBody(data []byte) io.Reader { return bytes.NewReader(data) }
+
+// jobBody returns the body of a submission.
+func jobBody(steps ...step) []byte {
+	data, err := json.Marshal(map[string]any{"spec": "s", "steps": steps})
+	if err != nil {
+		panic(err) // plain values have an encoding
+	}
+	return data
+}
+
+func jobID(kind, number int) string { return fmt.Sprintf("%08x%08x", kind, number) }
+
+// taskName names a task of the first step of a submission.
+func taskName(job string, index int) string { return fmt.Sprintf("%s.0.0.%d", job, index) }
+
+// maxTries is how often a consumer sends a submission.
+const maxTries = 5
+
+// submit sends a submission until it is accepted, and reports whether it was. Each try goes
+// to the next entry.
+func (c *cluster) submit(entries []*process, number int, id string, body []byte) bool {
+	for try := range maxTries {
+		status, _ := c.send(entries[(number+try)%len(entries)], http.MethodPost, id, body)
+		if status == http.StatusOK {
+			return true
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return false
+}
+
+// state asks for the state of a submission, at the next entry if there is no answer.
+func (c *cluster) state(entries []*process, id string) string {
+	for _, p := range entries {
+		if status, state := c.send(p, http.MethodGet, id, nil); status == http.StatusOK {
+			return state
+		}
+	}
+	return ""
+}
+
+// pending asks an entry how many submissions of the queue wait.
+func (c *cluster) pending(p *process) (int, error) {
+	req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d%s", p.ip, frontPort, prefix), http.NoBody)
+	if err != nil {
+		return 0, err
+	}
+	req.Host = host
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		Pending int `json:"pending"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil || resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("status %d: %w", resp.StatusCode, err)
+	}
+	c.record.line("consumer: GET %s at %s: 200 pending %d", prefix, p.name, answer.Pending)
+	return answer.Pending, nil
+}
+
+// waitCompleted waits until a submission is shown as completed, and reports whether it was in
+// time.
+func (c *cluster) waitCompleted(entries []*process, id string, limit time.Duration) bool {
+	for since := time.Now(); time.Since(since) < limit; time.Sleep(200 * time.Millisecond) {
+		if c.state(entries, id) == "completed" {
+			return true
+		}
+	}
+	return false
+}
