--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -23,13 +23,14 @@
 const (
 	// Ports of each machine; a machine is a loopback address.
 	frontPort, readyPort, controlPort, appPort, firstPort, lastPort = 8161, 8167, 8166, 8160, 7720, 7735
-	storePort                                                       = 8169
+	storePort, advicePort                                           = 8169, 8170
 	// heartbeatTime is heartbeatMs.
 	heartbeatTime = 500 * time.Millisecond
 	// clientTimeout is the time limit of a consumer.
 	clientTimeout = 3 * time.Second
 	readyTimeout  = 10 * time.Second
-	host, prefix  = "queue.example", "/q/"
+	// The queue of advisedPrefix has advice.
+	host, prefix, advisedPrefix = "queue.example", "/q/", "/advised/"
 )
 
 // cluster is a small deployment on loopback addresses.
@@ -38,7 +39,8 @@
 	slot           int
 	record         *recorder
 	store          *platformemulator.LogServer
-	storeServer    *http.Server
+	advisor        *advisor
+	servers        []*http.Server
 	client         *http.Client
 
 	mu        sync.Mutex
@@ -53,22 +55,31 @@
 	ended                    chan struct{}
 }
 
+// config is the operator's first config.
+var config = fmt.Sprintf(`{"version":1,"routes":[
+{"name":"q","host":%q,"pathPrefix":%q,"service":"pool","priority":0,"maxAttempts":3,"stretch":2,"latencyTargetMs":1000},
+{"name":"a","host":%q,"pathPrefix":%q,"service":"pool","priority":0,"maxAttempts":3,"stretch":2,"latencyTargetMs":1000,"advice":{"decideMs":%d,"eachMs":%d,"validMs":%d}}],
+"services":[{"name":"pool","rejectsOverload":false}],"limits":{"maxBodyBytes":262144}}`,
+	host, prefix, host, advisedPrefix, decideTime.Milliseconds(), eachTime.Milliseconds(), ticketTime.Milliseconds())
+
 func newCluster(binary string, slot int, record *recorder) (*cluster, error) {
 	folder, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{binary: binary, folder: folder, slot: slot, record: record, store: platformemulator.NewLogServer(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: clientTimeout}}
-	config := `{"version":1,"routes":[{"name":"q","host":"` + host + `","pathPrefix":"` + prefix + `","service":"pool","priority":0,"maxAttempts":3,"stretch":2,"latencyTargetMs":1000}],"services":[{"name":"pool","rejectsOverload":false}],"limits":{"maxBodyBytes":262144}}`
+	c := &cluster{
+		binary: binary, folder: folder, slot: slot, record: record, store: platformemulator.NewLogServer(), advisor: &advisor{record: record},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: clientTimeout},
+	}
 	if _, err := c.store.Stream(platform.OperatorStream).Append(context.Background(), []journal.Record{{Key: "config", Value: []byte(config)}}, nil); err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", c.storeAddress())
-	if err != nil {
+	if err := c.serve(c.platformAddress(storePort), c.store.Handler()); err != nil {
+		return nil, err
+	}
+	if err := c.serve(c.platformAddress(advicePort), c.advisor); err != nil {
 		return nil, err
 	}
-	c.storeServer = &http.Server{Handler: c.store.Handler(), ReadHeaderTimeout: time.Second}
-	go func() { _ = c.storeServer.Serve(listener) }() // ends with the case
 	return c, nil
 }
 
@@ -78,7 +89,21 @@
 	return fmt.Sprintf("127.%d.%d.%d", c.slot, kind, number+1)
 }
 
-func (c *cluster) storeAddress() string { return fmt.Sprintf("%s:%d", c.address(0, 0), storePort) }
+func (c *cluster) platformAddress(port int) string {
+	return fmt.Sprintf("%s:%d", c.address(0, 0), port)
+}
+
+// serve starts a server of the platform.
+func (c *cluster) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	c.servers = append(c.servers, server)
+	go func() { _ = server.Serve(listener) }() // ends with the case
+	return nil
+}
 
 // settingsFile returns the settings of a process, like those of a small deployment.
 func (c *cluster) settingsFile(name, role, ip, zone string) ([]byte, error) {
@@ -89,7 +114,8 @@
 			"contactMs": 3000, "ackMs": 4000, "drainMs": 2000, "graceS": 6, "configApplyMs": 2000, "recoveryS": 12, "holdMaxMs": leaseLimit.Milliseconds(), "stopMs": 200, "gangWaitMs": 3000,
 			"cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120, "farFactor": 1.5, "checkpointS": 0.5, "restoreMs": 100, "leaseMs": 3000, "paceMs": 100, "harmMs": 4000,
 		},
-		"platform": map[string]any{"addr": c.storeAddress(), "form": "log", "writesPerS": 800, "readsPerS": 2000, "recordBytes": 262144, "callBytes": 2097152, "keep_s": 20, "ttlMinMs": 1000},
+		"advice":   c.platformAddress(advicePort),
+		"platform": map[string]any{"addr": c.platformAddress(storePort), "form": "log", "writesPerS": 800, "readsPerS": 2000, "recordBytes": 262144, "callBytes": 2097152, "keep_s": 20, "ttlMinMs": 1000},
 	}
 	if role == "entry" {
 		s["machineClass"], s["serves"] = "front", []string{"front"}
@@ -145,7 +171,7 @@
 	ip := c.address(2, number)
 	w := &worker{
 		name: fmt.Sprintf("w%d", number), zone: fmt.Sprintf("z%d", number%3), control: fmt.Sprintf("%s:%d", ip, controlPort), address: fmt.Sprintf("%s:%d", ip, appPort),
-		labels: []string{label, "r0"}, millicores: workerMillicores, memory: workerMemory, beat: heartbeatTime, duration: duration, record: c.record,
+		labels: []string{label, "r0"}, millicores: workerMillicores, memory: workerMemory, beat: heartbeatTime, duration: duration, record: c.record, advisor: c.advisor,
 	}
 	if _, err := c.startProcess("agent", number); err != nil {
 		return err
@@ -186,7 +212,9 @@
 	for _, w := range c.workers {
 		w.crash()
 	}
-	_ = c.storeServer.Close() // nobody uses it any more
+	for _, server := range c.servers {
+		_ = server.Close() // nobody uses it any more
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(c.folder) // only logs and settings
 	} else {
@@ -195,10 +223,10 @@
 }
 
 // send sends a request of a consumer to an entry. The status is 0 without a whole answer.
-func (c *cluster) send(p *process, method, id string, body []byte) (int, string) {
+func (c *cluster) send(p *process, method, path string, body []byte) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s%s", p.ip, frontPort, prefix, id), newBody(body))
+	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", p.ip, frontPort, path), newBody(body))
 	if err != nil {
 		return 0, ""
 	}
@@ -218,6 +246,6 @@
 			status, state = resp.StatusCode, answer.State
 		}
 	}
-	c.record.line("consumer: %s %s at %s: %d %s", method, id, p.name, status, state)
+	c.record.line("consumer: %s %s at %s: %d %s", method, path, p.name, status, state)
 	return status, state
 }
--- a/review/standin-3/job.go
+++ b/review/standin-3/job.go
@@ -43,11 +43,11 @@
 // maxTries is how often a consumer sends a submission.
 const maxTries = 5
 
-// submit sends a submission until it is accepted, and reports whether it was. Each try goes
+// submit sends a submission to a path until it is accepted, and reports whether it was. Each try goes
 // to the next entry.
-func (c *cluster) submit(entries []*process, number int, id string, body []byte) bool {
+func (c *cluster) submit(entries []*process, number int, path string, body []byte) bool {
 	for try := range maxTries {
-		status, _ := c.send(entries[(number+try)%len(entries)], http.MethodPost, id, body)
+		status, _ := c.send(entries[(number+try)%len(entries)], http.MethodPost, path, body)
 		if status == http.StatusOK {
 			return true
 		}
@@ -56,21 +56,22 @@
 	return false
 }
 
-// state asks for the state of a submission, at the next entry if there is no answer.
-func (c *cluster) state(entries []*process, id string) string {
+// state asks for the state of the submission at a path, at the next entry if there is no
+// answer.
+func (c *cluster) state(entries []*process, path string) string {
 	for _, p := range entries {
-		if status, state := c.send(p, http.MethodGet, id, nil); status == http.StatusOK {
+		if status, state := c.send(p, http.MethodGet, path, nil); status == http.StatusOK {
 			return state
 		}
 	}
 	return ""
 }
 
-// waitCompleted waits until a submission is shown as completed, and reports whether it was in
-// time.
-func (c *cluster) waitCompleted(entries []*process, id string, limit time.Duration) bool {
+// waitCompleted waits until the submission at a path is shown as completed, and reports whether
+// it was in time.
+func (c *cluster) waitCompleted(entries []*process, path string, limit time.Duration) bool {
 	for since := time.Now(); time.Since(since) < limit; time.Sleep(200 * time.Millisecond) {
-		if c.state(entries, id) == "completed" {
+		if c.state(entries, path) == "completed" {
 			return true
 		}
 	}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,6 +19,7 @@
 // plays holds the cases by name.
 var plays = map[string]func(c *cluster, trouble bool) (bool, error){
 	"times": playTimes,
+	"scale": playScale,
 }
 
 func main() {
--- a/review/standin-3/setup.go
+++ b/review/standin-3/setup.go
@@ -46,8 +46,8 @@
 		}
 	}
 	time.Sleep(settleTime)
-	id := jobID(0xfff, 1)
-	if !c.submit(entries, 0, id, jobBody(step{Count: 3, CPU: 500, MemMb: 100, Estimate: 300})) || !c.waitCompleted(entries, id, 15*time.Second) {
+	path := prefix + jobID(0xfff, 1)
+	if !c.submit(entries, 0, path, jobBody(step{Count: 3, CPU: 500, MemMb: 100, Estimate: 300})) || !c.waitCompleted(entries, path, 15*time.Second) {
 		return nil, errNoService
 	}
 	return entries, nil
--- a/review/standin-3/times.go
+++ b/review/standin-3/times.go
@@ -34,7 +34,7 @@
 	}
 	steps = append(steps, step{Count: freeTasks, CPU: 200, MemMb: 10, Estimate: 50})
 	id, first := jobID(2, 1), time.Now().Add(time.Second)
-	if !c.submit(entries, 0, id, timedBody(first, timesInterval, timesCount, steps...)) {
+	if !c.submit(entries, 0, prefix+id, timedBody(first, timesInterval, timesCount, steps...)) {
 		return false, errNoService
 	}
 	time.Sleep(time.Until(first.Add((timesCount-1)*timesInterval)) + finish + idle)
@@ -50,6 +50,6 @@
 		due := first.Add(time.Duration(k) * timesInterval)
 		c.record.say("occurrence %d was due %s ago: %d of %d tasks of step %d have started", k, time.Since(due).Round(100*time.Millisecond), begun, freeTasks, freeStep)
 	}
-	c.record.say("submission %s is shown as %q; %d tasks that any worker can run have not started, beside idle workers", id, c.state(entries, id), missing)
+	c.record.say("submission %s is shown as %q; %d tasks that any worker can run have not started, beside idle workers", id, c.state(entries, prefix+id), missing)
 	return missing > 0, nil
 }
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -32,6 +32,8 @@
 	// duration returns how long a task takes.
 	duration func(task string) time.Duration
 	record   *recorder
+	// advisor issues the tickets without which no step of a queue with advice starts.
+	advisor *advisor
 
 	mu       sync.Mutex
 	life     int
@@ -66,6 +68,7 @@
 	Run      int    `json:"run"`
 	UntilMs  int64  `json:"untilMs"`
 	Fence    int64  `json:"fence"`
+	Ticket   string `json:"ticket"`
 	SeenUpto int64  `json:"seenUpto"`
 	WaitMs   int64  `json:"waitMs"`
 }
@@ -268,6 +271,10 @@
 	if time.Duration(o.UntilMs)*time.Millisecond <= w.clock(now) {
 		return "late"
 	}
+	// A submission that was handed in to the queue with advice has a ticket.
+	if o.Ticket != "" && !w.advisor.valid(o.Ticket, w.id(), o.Task[:strings.LastIndex(o.Task, ".")]) {
+		return "ticket"
+	}
 	w.extend(o.UntilMs, now)
 	w.running[o.Task] = &run{number: o.Run, began: now, doneAt: now.Add(w.duration(o.Task))}
 	w.record.started(w.id(), o.Task, o.Run)
