--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x bin/standin-3 ] && [ -x target/knapweedspur ] || { echo "build with the deploy file and review/build-3.sh first"; exit 2; }
-exec bin/standin-3 -case times -record review/11/record.txt
+exec bin/standin-3 -case scale -record review/11/record.txt
--- a/review/standin-3/job.go
+++ b/review/standin-3/job.go
@@ -16,6 +16,8 @@
 	MemMb    int    `json:"memMb"`
 	Estimate int    `json:"estDurationMs"`
 	Requires string `json:"requires,omitempty"`
+	// LongRunning tasks last until their submission is ended by its client.
+	LongRunning bool `json:"longRunning,omitempty"`
 }
 
 func newBody(data []byte) io.Reader { return bytes.NewReader(data) }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,8 +18,9 @@
 
 // plays holds the cases by name.
 var plays = map[string]func(c *cluster, trouble bool) (bool, error){
-	"times": playTimes,
-	"scale": playScale,
+	"times":   playTimes,
+	"scale":   playScale,
+	"lasting": playLasting,
 }
 
 func main() {
