--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -71,16 +71,22 @@
 		binary: binary, folder: folder, slot: slot, record: record, store: platformemulator.NewLogServer(), advisor: &advisor{record: record},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: clientTimeout},
 	}
-	if _, err := c.store.Stream(platform.OperatorStream).Append(context.Background(), []journal.Record{{Key: "config", Value: []byte(config)}}, nil); err != nil {
+	if err := c.servePlatform(); err != nil {
+		c.stop()
 		return nil, err
 	}
-	if err := c.serve(c.platformAddress(storePort), c.store.Handler()); err != nil {
-		return nil, err
+	return c, nil
+}
+
+// servePlatform starts the store, with the operator's first config, and the advice service.
+func (c *cluster) servePlatform() error {
+	if _, err := c.store.Stream(platform.OperatorStream).Append(context.Background(), []journal.Record{{Key: "config", Value: []byte(config)}}, nil); err != nil {
+		return err
 	}
-	if err := c.serve(c.platformAddress(advicePort), c.advisor); err != nil {
-		return nil, err
+	if err := c.serve(c.platformAddress(storePort), c.store.Handler()); err != nil {
+		return err
 	}
-	return c, nil
+	return c.serve(c.platformAddress(advicePort), c.advisor)
 }
 
 // address returns a loopback address: kind 0 for the platform, 1 for entries, 2 for agents
