Policy queries: logs and metrics tell what was asked, how long it took, why it was given up

Change: each query that ends writes one line with step, queue, VMs, time taken, the time that the queue declares, and the answer or the reason why there is none (timeout, busy, unreachable, invalid answer). Metrics policy_queries (queries, VMs, approved, unanswered by reason) and policy_query_us. Nothing is decided differently.

--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -99,8 +99,9 @@
 	PolicyService PolicyService
 	// Client sends requests to other entries.
 	Client *http.Client
-	// AppendLatency records how long appends to the log take, unless it is nil.
-	AppendLatency *exporter.Histogram
+	// AppendLatency and PolicyLatency record how long appends to the log and queries to the policy
+	// service take, unless they are nil.
+	AppendLatency, PolicyLatency *exporter.Histogram
 	// MaxAppendBytes is the size limit of one append.
 	MaxAppendBytes int
 	// RandomBelow returns a random number from 0 to n-1. If nil, Init sets a
@@ -114,6 +115,8 @@
 	inbox   inbox
 	leading atomic.Int64
 
+	policyCounter policyCounter
+
 	mu sync.Mutex
 	// claimedEpoch is the epoch of the newest claim of this process.
 	claimedEpoch int64
--- a/internal/job/planner/advice.go
+++ b/internal/job/planner/advice.go
@@ -32,8 +32,10 @@
 
 // PolicyQuery asks the policy service which VMs may run a step.
 type PolicyQuery struct {
-	Step string
-	VMs  []string
+	Step, Queue string
+	VMs         []string
+	// Expected is how long the queue declares that the query takes.
+	Expected time.Duration
 }
 
 // policyName returns the name of a step for the policy service.
@@ -68,7 +70,10 @@
 		return PolicyQuery{}, false
 	}
 	vms := pl.vmsToAsk(best.step, now)
-	return PolicyQuery{Step: best.step.policyName(), VMs: vms[:min(len(vms), maxVMsPerQuery)]}, true
+	vms = vms[:min(len(vms), maxVMsPerQuery)]
+	queue := &best.step.job.record.Queue
+	expected := queue.Approval.BaseLatency + time.Duration(len(vms))*queue.Approval.LatencyPerVM
+	return PolicyQuery{Step: best.step.policyName(), Queue: queue.Name, VMs: vms, Expected: expected}, true
 }
 
 // stepsToApprove returns steps with waiting tasks: those that are ready, and those of the
@@ -143,7 +148,6 @@
 		}
 		s.tickets[name] = t
 	}
-	pl.logDecision("advice", "job", s.job.id, "step", q.Step, "asked", len(q.VMs), "good", len(tickets))
 }
 
 // dropTicket removes a ticket that a worker did not accept.
--- a/internal/site/sitebuilder/entry.go
+++ b/internal/site/sitebuilder/entry.go
@@ -105,6 +105,8 @@
 		Logger: logger, MaxRecordBytes: s.MaxRecordBytes, Gates: gates,
 	}
 	e.leader.AppendLatency = exporter.NewHistogram("append_us")
+	e.leader.PolicyLatency = exporter.NewHistogram("policy_query_us")
+	exporter.Publish("policy_queries", func() any { return e.leader.PolicyCounts() })
 	e.acceptor.AcceptLatency = exporter.NewHistogram("accept_us")
 	exporter.Publish("view_age_us", func() any { return e.follower.Age().Microseconds() })
 	exporter.Publish("leading_epoch", func() any { return e.leader.Leading() })
