A queue starts its jobs however long its queries to the policy service take

One query was open at a time and the most urgent step always went first, so no other step of any queue got a ticket meanwhile.

Change: internal/job/queryscheduler decides, without a network and with the time as an argument, - how long: what the queue declares for that many VMs, twice, and what its answers took longer lately, and what is open at the service before. Beyond that the query is overdue: others no longer wait for it, the step may ask again, and the answer is awaited on (one such query a step, eight in all) for as long as 32 queries before it may take; - how many VMs: what the step needs by the share that the queue gets approved; no more than double the fixed time in the first round, twice as many in each further one up to 2 s; half after a query without an answer; for a gang so many that all tickets are valid at the same time; - whose turn it is: by the service's time that each queue has used. A query that was not answered comes back about other VMs, and fewer. Denied VMs are asked about last, and ever more rarely. A margin that no short ticket can meet is a quarter of its lifetime. A ticket holds for the worker process that was asked about. A rejected ticket is followed by a pause that grows.

Ruled out: a longer fixed time (a queue that declares more fails the same way, and a lost answer then stops all queues for as long); one query at a time with a deadline by the declaration alone (a service that drops calls or is slower than declared stops the rest).

--- a/Makefile
+++ b/Makefile
@@ -74,7 +74,7 @@
 
 # Drawn tests with other seeds, and more draws, than `make test` takes.
 CHECKS ?= 1000
-DRAWN = ./internal/job/jobreducer ./internal/job/sequencer ./internal/job/planner ./internal/job/loaddivider \
+DRAWN = ./internal/job/jobreducer ./internal/job/queryscheduler ./internal/job/sequencer ./internal/job/planner ./internal/job/loaddivider \
   ./internal/agent/requestadmitter ./internal/agent/taskadmitter ./internal/state/taskreducer
 drawn:
 	$(GO) test -count=1 -skip '$(KNOWN_RED)' $(DRAWN) -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -169,6 +169,7 @@
 	p.watcher = &queuecataloger.Watcher{Journal: e.operators, Cataloger: &queuecataloger.Cataloger{}, Decode: platform.DecodeOperatorRecord, Logger: logger, Clock: virtualTime}
 	p.watcher.Init()
 	p.leader.Evacuation = p.watcher.Evacuation
+	p.leader.PolicyService = &platform.PolicyClient{Address: policyAddress, Client: p.leader.Client}
 	broker := &agentbroker.Broker{Evacuation: p.watcher.Evacuation, Follower: p.follower, Leader: p.leader, Logger: logger}
 	p.leader.Follower, p.leader.Agents = p.follower, broker
 	p.follower.Init()
--- a/internal/job/leader/loop.go
+++ b/internal/job/leader/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"knapweedspur/internal/job/jobreducer"
@@ -16,8 +17,11 @@
 	defer l.Agents.Announce()
 	if l.PolicyService != nil {
 		ctx, cancel := context.WithCancel(ctx)
+		var queries sync.WaitGroup
+		queries.Go(func() { l.requestTickets(ctx) })
+		// A late answer must not reach the planner of the next lead.
+		defer queries.Wait()
 		defer cancel()
-		go l.requestTickets(ctx)
 	}
 	lastWrite := time.Now()
 	for {
--- a/internal/job/leader/simulatedworker_test.go
+++ b/internal/job/leader/simulatedworker_test.go
@@ -71,6 +71,8 @@
 	keepsName    bool
 	restartDelay time.Duration
 	lastName     string
+	// acceptsTicket reports whether a worker takes a start with a ticket, nil for any.
+	acceptsTicket func(task, vm, ticket string) bool
 	// onStart are called when a run starts, under the host's lock.
 	onStart []func(h *simulatedHost, w *simulatedWorker, r *simulatedRun)
 }
@@ -281,6 +283,8 @@
 		return workercontroller.Outdated
 	case call.LeaseEnd < w.clock(now):
 		return workercontroller.Expired
+	case h.acceptsTicket != nil && !h.acceptsTicket(task, w.status.VM, call.Start.Ticket):
+		return workercontroller.TicketRejected
 	default:
 		r := &simulatedRun{vm: w.status.VM, domain: h.domain, task: task, run: run, outcome: "done", sentAt: sentAt}
 		r.duration = 50*time.Millisecond + time.Duration(h.random.Int64N(int64(h.taskTime)))
--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -74,8 +74,7 @@
 	awaySince time.Time
 	// noRoomSince is since when the tasks of the step fit on no VM, zero if they do.
 	noRoomSince time.Time
-	// tickets are the answers of the policy service by VM.
-	tickets map[string]ticket
+	approval
 }
 
 func (pl *Planner) newJob(id string, record *work.Job) *job {
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -67,6 +67,7 @@
 	lastArrivals map[string]time.Time
 	promises     promises
 	crashes      crashes
+	approvals    approvals
 
 	// declaredRates are the rates of runs relative to the declared durations.
 	declaredRates healthtracker.Rates
--- a/internal/job/planner/promise.go
+++ b/internal/job/planner/promise.go
@@ -258,8 +258,7 @@
 	if pl.evacuated(v) || s.spec.Label != "" && !slices.Contains(v.workerStatus.Labels, s.spec.Label) || s.spec.MaxPerVM > 0 && v.countRuns(s) >= s.spec.MaxPerVM {
 		return false
 	}
-	t, asked := s.tickets[v.name]
-	return !asked || t.value != "" || !now.Before(t.expires)
+	return !s.denied(v) || !s.answered(v, now)
 }
 
 // isLarge reports whether a demand is large beside tasks of the given mean size.
--- a/internal/job/planner/reason.go
+++ b/internal/job/planner/reason.go
@@ -28,6 +28,7 @@
 	HeldBack           Reason = "held back from it"
 	WithoutLabel       Reason = "without its label"
 	SpreadLimitReached Reason = "at the spread limit"
+	AwaitsApproval     Reason = "without an answer of the policy service"
 	NotApproved        Reason = "not approved by the policy service"
 	KeptForShortJobs   Reason = "kept for short jobs"
 	TooSlowForFillers  Reason = "too busy for fillers"
@@ -104,8 +105,11 @@
 		return WithoutLabel
 	case s.spec.MaxPerVM > 0 && v.countRuns(s) >= s.spec.MaxPerVM:
 		return SpreadLimitReached
-	case !s.mayRunOn(v, now):
+	case s.mayRunOn(v, now):
+		return ""
+	case s.denied(v):
 		return NotApproved
+	default:
+		return AwaitsApproval
 	}
-	return ""
 }
--- a/internal/job/planner/report.go
+++ b/internal/job/planner/report.go
@@ -81,6 +81,7 @@
 	p.active, p.progressPercent, p.measurement = true, a.ProgressPercent, a.Measurement
 	p.measureTime(now)
 	if first || a.ProgressPercent < p.firstPercent {
+		p.step.rejections = 0
 		p.firstSeen, p.firstPercent, p.firstSpeedTime = now, a.ProgressPercent, p.fullSpeedTime
 	}
 	pl.forgetCrashes(p, now)
@@ -257,7 +258,7 @@
 		pl.logDecision("void", "task", x.Task, "run", x.Run, "vm", v.name, "reason", x.Reason)
 		switch x.Reason {
 		case voidReasonTicket:
-			p.step.dropTicket(v.name)
+			p.step.dropTicket(v.name, now)
 		case voidReasonStopped:
 		default:
 			v.health.RecordRefusal(now)
