A task that may crash its worker gets a ticket for the VM that is kept for it

What callers would see: a job of a queue that needs approval, one of whose tasks is suspected of crashing its workers, stands still.

Cause: a suspect starts only on a VM that is kept for suspects, and only with a valid ticket. The policy service was asked about usable VMs only, and a VM that is kept is not one. Until it is free for the suspect 1.5 s and more pass; a ticket from before is often over by then. The same holds for a VM that is tried as a last resort.

Change: such VMs may be named for steps that may use them, first where they are kept.

Evidence: TestSuspectGetsTicketForVMThatIsKeptForIt on the commit before: "query about [a c], want one that names the VM that is kept"; now it passes, with the rest of the package.

--- a/internal/job/planner/approval.go
+++ b/internal/job/planner/approval.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"knapweedspur/internal/job/queryscheduler"
+	"knapweedspur/internal/wire/work"
 )
 
 const (
@@ -143,7 +144,7 @@
 		return nil
 	}
 	vms := pl.vmsToAsk(s, now)
-	if len(vms) == 0 || s.countApprovedVMs(pl, now) >= s.waiting {
+	if len(vms) == 0 || s.countApprovedVMs(pl, now) >= s.waiting && !slices.ContainsFunc(vms, (*vm).keptForSuspects) {
 		return nil
 	}
 	w := &wish{candidate: pl.rank(s, now), urgency: waitsForTicket, turn: pl.approvals.scheduler.Turn(queue.Name)}
@@ -165,7 +166,7 @@
 		costs[v] = pl.cost(v, s, &s.tasks[0], now)
 		known += btoi(s.approved(v))
 	}
-	rank := func(v *vm) int { return btoi(!s.approved(v)) + btoi(s.denied(v)) }
+	rank := func(v *vm) int { return btoi(!v.keptForSuspects()) + btoi(!s.approved(v)) + btoi(s.denied(v)) }
 	slices.SortStableFunc(vms, func(a, b *vm) int {
 		return cmp.Or(cmp.Compare(s.unanswered[a.name], s.unanswered[b.name]), cmp.Compare(rank(a), rank(b)), cmp.Compare(costs[a], costs[b]))
 	})
@@ -361,13 +362,36 @@
 func (pl *Planner) vmsToAsk(s *step, now time.Time) []*vm {
 	var vms []*vm
 	for _, v := range pl.sortedVMs {
-		if v.workerStatus.Pool == s.job.record.Queue.Pool && !s.answered(v, now) && v.usable(now) && v.whyNoRoom(s) == "" && pl.mayHost(v, s, now) {
+		if v.workerStatus.Pool == s.job.record.Queue.Pool && !s.answered(v, now) && pl.mayHost(v, s, now) && pl.mayNeedApproval(v, s, now) {
 			vms = append(vms, v)
 		}
 	}
 	return vms
 }
 
+// mayNeedApproval reports whether a VM is one that could take a task of the step. One that is kept for
+// suspects takes those alone, and may have no room for others.
+func (pl *Planner) mayNeedApproval(v *vm, s *step, now time.Time) bool {
+	switch reason := v.whyUnusable(now); reason {
+	case "":
+		return v.whyNoRoom(s) == ""
+	case Suspect:
+		return v.mayTryAnyway(s, now) && v.whyNoRoom(s) == ""
+	case Quarantined:
+		return s.hasWaitingSuspect()
+	default:
+		return false
+	}
+}
+
+// keptForSuspects reports whether the VM takes only tasks that may crash their worker.
+func (v *vm) keptForSuspects() bool { return !v.keptSince.IsZero() }
+
+// hasWaitingSuspect reports whether a waiting task of the step may crash its worker.
+func (s *step) hasWaitingSuspect() bool {
+	return slices.ContainsFunc(s.tasks, func(t work.Task) bool { return !t.Done && len(t.Runs) == 0 && isSuspect(&t) })
+}
+
 // dropTicket removes a ticket that a worker did not accept. The step asks again after a pause, which grows while
 // workers accept none.
 func (s *step) dropTicket(vm string, now time.Time) {
--- a/internal/job/planner/approval_test.go
+++ b/internal/job/planner/approval_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"knapweedspur/internal/job/jobreducer"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -160,3 +161,20 @@
 		t.Errorf("%d starts within 20 s, want 5 to 20", len(s.starts))
 	}
 }
+
+// A task that may crash its worker runs only on a VM that is kept for it. Its ticket may expire before the VM is
+// free for it.
+func TestSuspectGetsTicketForVMThatIsKeptForIt(t *testing.T) {
+	s := newSimulation(t)
+	for _, name := range []string{"a", "b", "c"} {
+		s.addVM(name, 4000, 10_000)
+	}
+	s.acceptJob(approvedJob(s, work.ApprovalPolicy{TicketLifetime: time.Second}, stepSpec(1, 500)))
+	step := s.planner.jobs[jobID(1)].step(jobreducer.StepKey{})
+	step.tasks[0].Crashes = &work.CrashHistory{Suspect: true}
+	kept := s.planner.vms["b"]
+	kept.keptSince = s.now
+	if q := s.wantQuery(); !slices.Contains(q.VMs, "b") {
+		t.Errorf("query about %v, want one that names the VM that is kept", q.VMs)
+	}
+}
