--- a/internal/frontend/queuecataloger/watcher.go
+++ b/internal/frontend/queuecataloger/watcher.go
@@ -11,6 +11,7 @@
 
 	"knapweedspur/internal/clock/bootclock"
 	"knapweedspur/internal/clock/waiter"
+	"knapweedspur/internal/job/queryscheduler"
 	"knapweedspur/internal/log/journal"
 )
 
@@ -131,6 +132,25 @@
 	return nil
 }
 
+// maxProblemLines bounds the lines about the queues of one version.
+const maxProblemLines = 20
+
+// logProblems logs what operators should know of the queues of a catalog.
+func (w *Watcher) logProblems(c *Catalog) {
+	lines := 0
+	for _, q := range c.Queues {
+		if q.Approval == nil {
+			continue
+		}
+		for _, problem := range queryscheduler.Problems(q.Approval) {
+			if lines++; lines > maxProblemLines {
+				return
+			}
+			w.Logger.Warn("queue is hard to serve", "queue", q.Name, "version", c.Version, "problem", problem)
+		}
+	}
+}
+
 // apply applies a record to the requests and the catalog. A record that cannot be
 // decoded leaves its key as it is in the former requests.
 func (w *Watcher) apply(requests, former *requests, r journal.Record) {
@@ -147,6 +167,7 @@
 	case *Catalog:
 		if w.Cataloger.Update(c) {
 			w.Logger.Info("configuration in force", "version", c.Version, "queues", len(c.Queues), "offset", r.Offset)
+			w.logProblems(c)
 		}
 	case *DomainChange:
 		requests.setDomain(r.Key, c)
--- a/internal/job/queryscheduler/queryscheduler.go
+++ b/internal/job/queryscheduler/queryscheduler.go
@@ -6,6 +6,7 @@
 package queryscheduler
 
 import (
+	"fmt"
 	"maps"
 	"time"
 
@@ -47,6 +48,8 @@
 	maxDeclared = 24 * time.Hour
 	// maxCharge bounds what one query counts for the turns of its queue.
 	maxCharge = time.Minute
+	// minUsefulLifetime is the shortest lifetime of a ticket with which a start usually arrives in time.
+	minUsefulLifetime = 100 * time.Millisecond
 	// idleRetention is how long a queue that asks nothing is remembered.
 	idleRetention = 10 * time.Minute
 )
@@ -333,6 +336,28 @@
 	return min(maxTicketMargin, max(lifetime, 0)/4)
 }
 
+// Problems returns what an operator should know of the times that a queue declares, in words. All are served.
+func Problems(p *work.ApprovalPolicy) []string {
+	normal, changed := Normalize(*p)
+	var problems []string
+	if changed {
+		problems = append(problems, fmt.Sprintf("a time of its approval policy is negative or longer than %s: taken as %s per query, %s per VM and tickets valid for %s",
+			maxDeclared, normal.BaseLatency, normal.LatencyPerVM, normal.TicketLifetime))
+	}
+	takes, lifetime := QueryTime(p, 1), normal.TicketLifetime
+	switch {
+	case lifetime < minUsefulLifetime:
+		problems = append(problems, fmt.Sprintf("its tickets are valid for %s: starts may arrive too late and are repeated", lifetime))
+	case takes >= lifetime:
+		problems = append(problems, fmt.Sprintf("a query about one VM takes %s, longer than its tickets are valid, %s: no start has its ticket in advance, and a gang gets all its tickets only "+
+			"from one query of up to %d VMs", takes, lifetime, MaxVMs))
+	}
+	if takes > maxHold {
+		problems = append(problems, fmt.Sprintf("a query about one VM takes %s: starts wait at least as long, and those of other queues may wait for it", takes))
+	}
+	return problems
+}
+
 // PaysEarly reports whether a step may ask before its tasks can start. Tickets that last hardly longer
 // than a query would expire unused, again and again.
 func PaysEarly(p *work.ApprovalPolicy) bool {
--- a/internal/job/queryscheduler/queryscheduler_test.go
+++ b/internal/job/queryscheduler/queryscheduler_test.go
@@ -179,3 +179,21 @@
 		t.Errorf("patience %s long after late answers, at first %s", last, first)
 	}
 }
+
+func TestProblemsOfDeclaredTimesAreNamed(t *testing.T) {
+	for _, c := range []struct {
+		policy *work.ApprovalPolicy
+		want   int
+	}{
+		{policy(500*time.Millisecond, 120*time.Millisecond, 3*time.Second), 0},
+		{policy(5*time.Second, 0, 10*time.Second), 1},
+		{policy(time.Second, 0, 500*time.Millisecond), 1},
+		{policy(0, 0, 0), 1},
+		{policy(-time.Second, 0, 3*time.Second), 1},
+		{policy(100*24*time.Hour, 0, time.Second), 3},
+	} {
+		if got := Problems(c.policy); len(got) != c.want {
+			t.Errorf("%+v: %d problems, want %d: %q", c.policy, len(got), c.want, got)
+		}
+	}
+}
