An outcome is kept for as long as the settings let clients ask for it

What callers would see: where clients may ask for the state of an ended job for longer than 10 minutes, it is reported absent after that. Found by reading every fixed time for one that does not follow what it bounds.

Cause: the log kept outcomes for a constant 10 minutes, "five times as long as clients may ask for it"; the settings' bound was not read.

Change: twice the bound of the settings, 10 minutes at least.

Evidence: TestOutcomesAreKeptForAsLongAsClientsMayAsk without the change: no outcome after 20 minutes; with it, it passes.

--- a/internal/job/planner/job.go
+++ b/internal/job/planner/job.go
@@ -185,10 +185,12 @@
 }
 
 const (
-	// outcomeRetention is how long the log keeps the outcome of a job: five
-	// times as long as clients may ask for it, and far longer than a duplicate
-	// submission can be delayed.
+	// outcomeRetention is how long the log keeps the outcome of a job at least: far longer
+	// than a duplicate submission can be delayed.
 	outcomeRetention = 10 * time.Minute
+	// retentionFactor is how many times as long as clients may ask for it an outcome is kept. Their
+	// time begins when they learn of it.
+	retentionFactor = 2
 	// outcomeSweepInterval is the interval at which outcomes are checked for
 	// expiry.
 	outcomeSweepInterval = 5 * time.Second
@@ -203,7 +205,7 @@
 	}
 	pl.lastOutcomeSweep = now
 	for id, j := range pl.jobs {
-		if j.dropped && now.Sub(j.outcome.EndedAt) > outcomeRetention {
+		if j.dropped && now.Sub(j.outcome.EndedAt) > max(outcomeRetention, retentionFactor*pl.Settings.StateLifetime) {
 			pl.records = append(pl.records, jobreducer.JobTombstones(id, nil)...)
 			pl.records = append(pl.records, jobreducer.OutcomeTombstone(id))
 			delete(pl.jobs, id)
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -36,6 +36,8 @@
 	// MaxRequestAge is how long after the operators' requests were last known to be
 	// complete tasks may still be placed, 0 for no limit.
 	MaxRequestAge time.Duration
+	// StateLifetime is how long clients may ask for the state of a job that has ended.
+	StateLifetime time.Duration
 	// MaxWaste is the share of the work that copies of tasks may cause to be thrown
 	// away, 0 for the usual one.
 	MaxWaste float64
--- a/internal/job/planner/planner_test.go
+++ b/internal/job/planner/planner_test.go
@@ -263,6 +263,26 @@
 	}
 }
 
+// An outcome must be kept for as long as the settings let clients ask for it, also where that is longer than
+// outcomes are usually kept.
+func TestOutcomesAreKeptForAsLongAsClientsMayAsk(t *testing.T) {
+	s := newSimulation(t)
+	s.planner.Settings.StateLifetime = 20 * time.Minute
+	s.addVM("a", 1000, 1000)
+	s.submitJob(jobID(1), stepSpec(1, 500))
+	s.endAllRuns("done")
+	s.now = s.now.Add(20 * time.Minute)
+	s.runPass()
+	if diff := cmp.Diff(jobreducer.Completed, s.outcome(jobID(1))); diff != "" {
+		t.Errorf("after 20 minutes (-want +got):\n%s", diff)
+	}
+	s.now = s.now.Add(2 * 20 * time.Minute)
+	s.runPass()
+	if j := s.state.Jobs[jobID(1)]; j != nil {
+		t.Errorf("the log still has %+v", j)
+	}
+}
+
 func TestOutcomesAreKeptForTheRetentionTime(t *testing.T) {
 	s := newSimulation(t)
 	s.addVM("a", 1000, 1000)
--- a/internal/site/sitebuilder/entry.go
+++ b/internal/site/sitebuilder/entry.go
@@ -91,7 +91,7 @@
 	e.watcher.Init()
 	e.leader = &leader.Leader{
 		Journal: e.workStream, Logger: logger, Name: s.VMName, Incarnation: e.incarnation, Address: s.PeerAddress,
-		Settings:   planner.Settings{MaxLease: s.MaxLease, FarFactor: s.FarFactor, MaxRequestAge: s.EvacuationBound / 2, Gates: gates},
+		Settings:   planner.Settings{MaxLease: s.MaxLease, FarFactor: s.FarFactor, MaxRequestAge: s.EvacuationBound / 2, StateLifetime: s.StateLifetime, Gates: gates},
 		Evacuation: e.watcher.Evacuation, Client: client, CPUShare: s.CPUShare, MaxAppendBytes: s.MaxAppendBytes,
 	}
 	if s.PolicyAddress.IsValid() {
