Calls to the log are given up by what they transfer, not after a fixed time

Cause: 700 ms for an append of up to 1 MiB and for a page of up to 1 MiB, whatever the link and the partition carry (0.84 s at 10 Mbit/s). The same records are sent again.

Change: an append has the time that its records take on the link, twice, and in the partition, by the settings (limits.linkMbps, platform.partMbPerS), besides the 700 ms.

--- a/internal/site/sitebuilder/entry.go
+++ b/internal/site/sitebuilder/entry.go
@@ -77,7 +77,7 @@
 
 func newEntry(s *platform.Settings, gates gatekeeper.Gates, limiter *requestlimiter.Limiter, logger hclog.Logger, client *http.Client) *entry {
 	stream := func(topic string) *platform.Stream {
-		return &platform.Stream{Address: s.LogAddress, Client: client, Topic: topic}
+		return &platform.Stream{Address: s.LogAddress, Client: client, Topic: topic, LinkRate: s.LinkRate, WriteRate: s.WriteRate}
 	}
 	e := &entry{
 		settings: s, gates: gates, logger: logger, workStream: stream(platform.WorkStream), entryStream: stream(platform.EntryStream),
