Tasks that no VM can take hold back no later occurrences of their job

Cause: a job begins an occurrence only while fewer than 400 of its tasks are ready, and tasks that no VM can take count like those that wait for their turn.

Change: tasks of steps that could take none of the room that there is (label, size, spread limit, approval, gang, quarantine) do not count, unless nothing of the newest occurrence could run. The limit of 20,000 open tasks is as before.

--- a/internal/job/planner/plan.go
+++ b/internal/job/planner/plan.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"knapweedspur/internal/setting/gatekeeper"
@@ -160,9 +161,11 @@
 		return 0
 	}
 	if s.spec.Gang {
-		return pl.placeGang(s, now)
+		placed := pl.placeGang(s, now)
+		s.setStuck(placed == 0 && s.waiting > 0 && pl.roomy(s.job.record.Queue.Pool, now))
+		return placed
 	}
-	placed := 0
+	placed, tried, stuck := 0, false, false
 	for i := range s.startOrder(pl.Settings.Gates.On(gatekeeper.Retries)) {
 		if placed >= limit || s.waiting == 0 {
 			break
@@ -171,16 +174,42 @@
 		if t.Done || len(t.Runs) > 0 || isSuspect(t) || pl.heldBack(s, t, now) {
 			continue
 		}
-		v := pl.chooseVM(s, t, now)
+		tried = true
+		v := pl.examineVMs(s, t, now, func(r Reason) { stuck = stuck || r.leavesRoomToOthers() })
 		if v == nil {
 			break
 		}
 		pl.startRun(s, i, v, t.LastRun+1, now)
 		placed++
 	}
+	s.setStuck(s.waiting > 0 && placed == 0 && (!tried || stuck || !pl.fitsEmptyVM(s, now)))
 	return placed
 }
 
+// capacities holds the different capacities of the VMs that are in use, by pool, as of a pass.
+type capacities struct {
+	pass   int64
+	byPool map[string][]work.Size
+}
+
+// fitsEmptyVM reports whether a VM of the pool that is in use could take a task of a step if it ran nothing else.
+func (pl *Planner) fitsEmptyVM(s *step, now time.Time) bool {
+	c := &pl.capacities
+	if c.pass != pl.pass || c.byPool == nil {
+		c.pass, c.byPool = pl.pass, map[string][]work.Size{}
+		for _, v := range pl.sortedVMs {
+			pool, capacity := v.workerStatus.Pool, v.workerStatus.Capacity
+			if v.whyOutOfUse(now) == "" && !slices.Contains(c.byPool[pool], capacity) {
+				c.byPool[pool] = append(c.byPool[pool], capacity)
+			}
+		}
+	}
+	size := s.spec.Size
+	return slices.ContainsFunc(c.byPool[s.job.record.Queue.Pool], func(capacity work.Size) bool {
+		return size.Memory <= capacity.Memory && size.Accelerators <= capacity.Accelerators && (s.spec.Filler || size.Millicores <= capacity.Millicores)
+	})
+}
+
 // placeGang places all tasks of a gang or none, and returns how many it placed.
 func (pl *Planner) placeGang(s *step, now time.Time) int {
 	if s.waiting < len(s.tasks) {
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -70,6 +70,7 @@
 	promises     promises
 	crashes      crashes
 	approvals    approvals
+	capacities   capacities
 
 	// declaredRates are the rates of runs relative to the declared durations.
 	declaredRates healthtracker.Rates
--- a/internal/job/planner/progress.go
+++ b/internal/job/planner/progress.go
@@ -29,6 +29,8 @@
 	// are done. readyTasks is the number of these tasks.
 	ready      []*step
 	readyTasks int
+	// stuckTasks is the number of ready tasks of steps that are stuck.
+	stuckTasks int
 	// readyTurn is the turn of the ready steps for which there was no place in a pass.
 	readyTurn int
 	// approvalTurn is their turn to be approved.
@@ -48,6 +50,8 @@
 	undone, runs int
 	// retried counts the tasks that are not done and have failed.
 	retried int
+	// begun is set once a task has run.
+	begun bool
 	estimates
 }
 
@@ -74,8 +78,9 @@
 	counted []countedTask
 	// blockedBy counts the dependencies that are not done.
 	blockedBy int
-	// over is set once all tasks are done, isReady while the step is in the list of its job.
-	over, isReady bool
+	// over is set once all tasks are done, isReady while the step is in the list of its job. isStuck
+	// is set while it is ready and there is room that its tasks cannot take.
+	over, isReady, isStuck bool
 }
 
 // countedTask is how a task was counted.
@@ -100,9 +105,25 @@
 }
 
 // mayStartOccurrence reports whether the job may have another occurrence at work. More
-// tasks than a pass can place need not be ready.
+// tasks than a pass can place need not be ready, besides those that could take none of the room that there is. If
+// the newest occurrence could take none at all, nor could the next one, which needs the same.
 func (j *job) mayStartOccurrence() bool {
-	return len(j.open) == 0 || j.readyTasks < maxPlacements && j.openTasks < maxOpenTasks
+	if len(j.open) == 0 {
+		return true
+	}
+	ready := j.readyTasks
+	if j.open[len(j.open)-1].begun {
+		ready -= j.stuckTasks
+	}
+	return ready < maxPlacements && j.openTasks < maxOpenTasks
+}
+
+// setStuck notes whether the ready tasks of a step could take none of the room that there is.
+func (s *step) setStuck(stuck bool) {
+	if s.isStuck != stuck {
+		s.isStuck = stuck
+		s.job.stuckTasks += (btoi(stuck) - btoi(!stuck)) * s.waiting
+	}
 }
 
 // ensureOccurrence returns an occurrence. It creates it with all tasks waiting if it does
@@ -166,6 +187,7 @@
 	s.retried += retried
 	s.occurrence.retried += retried
 	s.occurrence.runs += runs
+	s.occurrence.begun = s.occurrence.begun || now.running || now.done
 	j := s.job
 	j.waiting += waiting
 	j.running += running
@@ -173,6 +195,9 @@
 	if s.isReady {
 		j.readyTasks += waiting
 	}
+	if s.isStuck {
+		j.stuckTasks += waiting
+	}
 }
 
 func btoi(b bool) int {
@@ -209,6 +234,9 @@
 		return
 	}
 	s.isReady = ready
+	if !ready {
+		s.setStuck(false)
+	}
 	j := s.job
 	i, _ := slices.BinarySearchFunc(j.ready, s.key, func(o *step, key jobreducer.StepKey) int {
 		return cmp.Or(cmp.Compare(o.key.Occurrence, key.Occurrence), cmp.Compare(o.key.Step, key.Step))
--- a/internal/job/planner/reason.go
+++ b/internal/job/planner/reason.go
@@ -34,6 +34,17 @@
 	TooSlowForFillers  Reason = "too busy for fillers"
 )
 
+// leavesRoomToOthers reports whether a VM that has room for a task, but may not take it for this reason, may take
+// others.
+func (r Reason) leavesRoomToOthers() bool {
+	switch r {
+	case WithoutLabel, SpreadLimitReached, AwaitsApproval, NotApproved:
+		return true
+	default:
+		return false
+	}
+}
+
 // whyUnusable returns why the VM may get no work, but for suspects.
 func (v *vm) whyUnusable(now time.Time) Reason {
 	if reason := v.whyOutOfUse(now); reason != "" {
--- a/internal/job/queryscheduler/queryscheduler_test.go
+++ b/internal/job/queryscheduler/queryscheduler_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"os"
 	"testing"
 	"time"
 
@@ -13,12 +12,10 @@
 )
 
 // A fixed seed makes every run draw the same cases; make drawn draws others.
-func TestMain(m *testing.M) {
+func init() {
 	if err := flag.Set("rapid.seed", "20261207"); err != nil {
 		panic(err)
 	}
-	flag.Parse()
-	os.Exit(m.Run())
 }
 
 func policy(base, perVM, lifetime time.Duration) *work.ApprovalPolicy {
