A query that the service breaks off gives way to others; queues without a policy service are named

Cause, found by a new row of the table of queries ("a service that breaks off all calls about one step": three other jobs of the queue had not begun after 10.5 s): a broken connection makes all queries wait, up to 2 s, and the step as long; then the step, the most urgent one, asked first again. Besides, a queue that needs approval where the settings name no policy service waits without a word.

Change: the pause of the step begins when the pause of the service is over. A step whose query was broken off or answered with something unusable asks about other VMs, as after a lost answer; after a refusal for load it asks as before. Tickets count from when the answer was received, not from when the planner was free. The watcher names queues that need approval in vain.

--- a/internal/frontend/queuecataloger/queuecataloger_test.go
+++ b/internal/frontend/queuecataloger/queuecataloger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,3 +72,24 @@
 		<-w.Done
 	})
 }
+
+// Operators must be told of queues whose jobs start late, or not at all, for what the queue declares.
+func TestWatcherWarnsOfQueuesThatAreHardToServe(t *testing.T) {
+	var output strings.Builder
+	w := &Watcher{Logger: hclog.New(&hclog.LoggerOptions{Output: &output}), HasPolicyService: true}
+	c := &Catalog{Version: 3, Queues: []Queue{
+		{Queue: work.Queue{Name: "plain"}},
+		{Queue: work.Queue{Name: "usual", Approval: &work.ApprovalPolicy{BaseLatency: time.Second, TicketLifetime: 3 * time.Second}}},
+		{Queue: work.Queue{Name: "short", Approval: &work.ApprovalPolicy{BaseLatency: time.Second, TicketLifetime: time.Second / 2}}},
+	}}
+	w.logProblems(c)
+	if got := output.String(); strings.Count(got, "\n") != 1 || !strings.Contains(got, "queue=short") {
+		t.Errorf("warnings:\n%s", got)
+	}
+	output.Reset()
+	w.HasPolicyService = false
+	w.logProblems(c)
+	if got := output.String(); strings.Count(got, "no policy service") != 2 {
+		t.Errorf("warnings without a policy service:\n%s", got)
+	}
+}
--- a/internal/frontend/queuecataloger/watcher.go
+++ b/internal/frontend/queuecataloger/watcher.go
@@ -33,6 +33,8 @@
 	// Decode decodes a record. It returns nil for a record that changes nothing.
 	Decode func(journal.Record) (Change, error)
 	Logger hclog.Logger
+	// HasPolicyService says that there is a service that approves VMs for the queues that need it.
+	HasPolicyService bool
 	// Clock returns the time since boot. If nil, Init sets the clock of the VM.
 	Clock func() time.Duration
 	// Done is closed when Run has returned.
@@ -142,7 +144,11 @@
 		if q.Approval == nil {
 			continue
 		}
-		for _, problem := range queryscheduler.Problems(q.Approval) {
+		problems := queryscheduler.Problems(q.Approval)
+		if !w.HasPolicyService {
+			problems = []string{"it needs approval, but the settings name no policy service: its jobs do not start"}
+		}
+		for _, problem := range problems {
 			if lines++; lines > maxProblemLines {
 				return
 			}
--- a/internal/job/leader/approval.go
+++ b/internal/job/leader/approval.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"knapweedspur/internal/job/planner"
+	"knapweedspur/internal/job/queryscheduler"
 )
 
 // policyIdlePause is the pause while no step needs a ticket, or the policy service is busy.
@@ -142,7 +143,8 @@
 	if leadCtx.Err() != nil {
 		return
 	}
-	took := time.Since(sent)
+	received := time.Now()
+	took := received.Sub(sent)
 	if l.PolicyLatency != nil {
 		l.PolicyLatency.Observe(took)
 	}
@@ -157,8 +159,8 @@
 		}
 	})
 	l.Logger.Info("policy query answered", append(queryFields(query), "took", took, "approved", len(answer.tickets), "valid", answer.valid)...)
-	l.WithPlanner(func(p *planner.Planner, now time.Time) {
-		p.HandlePolicyAnswer(query, answer.tickets, answer.valid, now)
+	l.WithPlanner(func(p *planner.Planner, _ time.Time) {
+		p.HandlePolicyAnswer(query, answer.tickets, answer.valid, received)
 	})
 }
 
@@ -175,8 +177,8 @@
 	reason := unansweredReason(ctx, err)
 	l.policyCounter.add(func(c *PolicyCounts) { c.Unanswered[reason]++ })
 	l.Logger.Warn("policy query given up", append(queryFields(query), "took", took, "reason", reason, "error", err.Error())...)
-	atOnce := reason == reasonBusy || reason == reasonUnreachable
-	l.WithPlanner(func(p *planner.Planner, now time.Time) { p.HandlePolicyFailure(query, atOnce, now) })
+	failure := map[string]queryscheduler.Failure{reasonBusy: queryscheduler.Busy, reasonUnreachable: queryscheduler.Unreachable}[reason]
+	l.WithPlanner(func(p *planner.Planner, now time.Time) { p.HandlePolicyFailure(query, failure, now) })
 }
 
 // delayPolicyQuery handles a query that has taken longer than its patience, and reports whether its answer
--- a/internal/job/leader/policy_test.go
+++ b/internal/job/leader/policy_test.go
@@ -136,6 +136,11 @@
 
 func policyCases() []policyCase {
 	second := time.Second
+	const first = 900
+	aboutFirst := func(step string) bool { return strings.HasPrefix(step, fmt.Sprintf("%016x", first)) }
+	submitFirst := func(p *policyPlay) {
+		p.submit(first, approvedQueue("q", 500*time.Millisecond, 100*time.Millisecond, 3*second), work.Step{Tasks: 2})
+	}
 	return []policyCase{
 		{"a query that takes long by itself", 5, &policyService{}, approvedQueue("q", 8*second, 100*time.Millisecond, 3*second), 1,
 			work.Step{Tasks: 2}, 8*second + 500*time.Millisecond + startBound, nil},
@@ -156,11 +161,14 @@
 			work.Step{Tasks: 1}, 3*3*second + startBound, nil},
 		{"a service that drops every second call", 10, &policyService{drops: func(call int, _ string) bool { return call%2 == 1 }},
 			approvedQueue("q", 500*time.Millisecond, 100*time.Millisecond, 3*second), 3, work.Step{Tasks: 2}, 4*(2*1500*time.Millisecond+second) + startBound, nil},
-		{"a service that drops all calls about one step", 10, &policyService{drops: func(_ int, step string) bool { return strings.HasPrefix(step, fmt.Sprintf("%016x", 900)) }},
+		{"a service that drops all calls about one step", 10, &policyService{drops: func(_ int, step string) bool { return aboutFirst(step) }},
 			approvedQueue("q", 500*time.Millisecond, 100*time.Millisecond, 3*second), 3, work.Step{Tasks: 2}, 3*(2*1500*time.Millisecond+second) + startBound,
-			func(p *policyPlay) {
-				p.submit(900, approvedQueue("q", 500*time.Millisecond, 100*time.Millisecond, 3*second), work.Step{Tasks: 2})
-			}},
+			submitFirst},
+		{"a service that breaks off all calls about one step", 10, &policyService{breaksOff: aboutFirst},
+			approvedQueue("q", 500*time.Millisecond, 100*time.Millisecond, 3*second), 3, work.Step{Tasks: 2}, 3*(1500*time.Millisecond+second) + startBound, submitFirst},
+		// It is asked for the last time before it takes calls 2 s earlier at most.
+		{"a service that refuses all calls for a while", 10, &policyService{fullFor: 15 * second}, approvedQueue("q", 500*time.Millisecond, 100*time.Millisecond, 3*second), 3,
+			work.Step{Tasks: 2}, 10*second + 2*second + 3*1500*time.Millisecond + startBound, nil},
 	}
 }
 
--- a/internal/job/leader/policyservice_test.go
+++ b/internal/job/leader/policyservice_test.go
@@ -28,8 +28,13 @@
 	worksOn bool
 	// drops says which calls, counted from 1, get no answer, whatever the service does with them.
 	drops func(call int, step string) bool
+	// breaksOff says about which steps calls are broken off at once.
+	breaksOff func(step string) bool
+	// fullFor is how long from the start of the service on it refuses calls.
+	fullFor time.Duration
 
-	turn chan struct{}
+	turn      chan struct{}
+	startedAt time.Time
 
 	mu      sync.Mutex
 	calls   int
@@ -48,7 +53,7 @@
 
 // startPolicyService lets a service answer the calls of the cluster, and the workers check its tickets.
 func (c *cluster) startPolicyService(p *policyService) *http.Server {
-	p.cluster, p.turn, p.tickets = c, make(chan struct{}, 1), map[string]issuedTicket{}
+	p.cluster, p.turn, p.tickets, p.startedAt = c, make(chan struct{}, 1), map[string]issuedTicket{}, time.Now()
 	if p.slowness == 0 {
 		p.slowness = 1
 	}
@@ -75,7 +80,7 @@
 	p.mu.Lock()
 	p.calls++
 	number := p.calls
-	full := p.waiting >= maxWaitingCalls
+	full := p.waiting >= maxWaitingCalls || time.Since(p.startedAt) < p.fullFor
 	if !full {
 		p.waiting++
 	}
@@ -84,6 +89,10 @@
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
 	}
+	if p.breaksOff != nil && p.breaksOff(call.Step) {
+		p.leave()
+		panic(http.ErrAbortHandler)
+	}
 	gone := r.Context().Done()
 	if p.drops != nil && p.drops(number, call.Step) {
 		p.cluster.checker.logf("policy service drops call %d about %s", number, call.Step)
--- a/internal/job/planner/approval.go
+++ b/internal/job/planner/approval.go
@@ -208,28 +208,26 @@
 	return waits
 }
 
-// HandlePolicyFailure notes that a query ended without an answer; atOnce says that the service could not be
-// reached or was busy.
-func (pl *Planner) HandlePolicyFailure(q PolicyQuery, atOnce bool, now time.Time) {
+// HandlePolicyFailure notes that a query ended without an answer.
+func (pl *Planner) HandlePolicyFailure(q PolicyQuery, failure queryscheduler.Failure, now time.Time) {
 	open := pl.approvals.open[q.ID]
 	if open == nil {
 		return
 	}
 	inTime := open.step.query == q.ID
 	pl.closeQuery(q)
-	pl.approvals.scheduler.Fail(q.ID, atOnce, now)
-	switch {
-	case atOnce:
-		// The pause of the scheduler applies: the query itself was not at fault.
-	case inTime:
-		open.step.noteUnanswered(q, now)
+	pl.approvals.scheduler.Fail(q.ID, failure, now)
+	// A busy service has not looked at the query.
+	if inTime && failure != queryscheduler.Busy {
+		// Others come first once the service is asked again.
+		open.step.noteUnanswered(q, pl.approvals.scheduler.AsksFrom(now))
 	}
 }
 
-// noteUnanswered makes the step ask about other VMs first, and about fewer.
-func (s *step) noteUnanswered(q PolicyQuery, now time.Time) {
+// noteUnanswered makes the step ask about other VMs first, and about fewer, a while after others may ask.
+func (s *step) noteUnanswered(q PolicyQuery, othersFrom time.Time) {
 	s.failures++
-	s.askAgainAt = now.Add(queryscheduler.RetryPause(s.failures))
+	s.askAgainAt = othersFrom.Add(queryscheduler.RetryPause(s.failures))
 	if s.unanswered == nil {
 		s.unanswered = map[string]int{}
 	}
@@ -255,13 +253,13 @@
 
 // HandlePolicyAnswer stores the answer of the policy service. VMs that were in
 // the query and got no ticket may not run the step. The tickets are valid for the given time, 0 for as
-// long as the queue declares.
-func (pl *Planner) HandlePolicyAnswer(q PolicyQuery, tickets map[string]string, valid time.Duration, now time.Time) {
+// long as the queue declares, from when the answer was received.
+func (pl *Planner) HandlePolicyAnswer(q PolicyQuery, tickets map[string]string, valid time.Duration, received time.Time) {
 	open := pl.approvals.open[q.ID]
 	pl.closeQuery(q)
 	s, _ := pl.findTask(q.Step + ".0")
 	if s == nil {
-		pl.approvals.scheduler.Answer(q.ID, 0, 0, now)
+		pl.approvals.scheduler.Answer(q.ID, 0, 0, received)
 		return
 	}
 	if open == nil {
@@ -285,12 +283,12 @@
 		}
 		former, asked := s.tickets[name]
 		asked = asked && former.workerIncarnation == incarnation
-		t := ticket{value: tickets[name], workerIncarnation: incarnation, expires: now.Add(valid), margin: queryscheduler.TicketMargin(valid)}
+		t := ticket{value: tickets[name], workerIncarnation: incarnation, expires: received.Add(valid), margin: queryscheduler.TicketMargin(valid)}
 		if t.value == "" {
 			if asked {
 				t.denials = former.denials
 			}
-			t.expires = now.Add(min(deniedRetryInterval<<min(t.denials, 8), maxDeniedRetryInterval))
+			t.expires = received.Add(min(deniedRetryInterval<<min(t.denials, 8), maxDeniedRetryInterval))
 			t.denials++
 		} else if !asked {
 			newlyApproved++
@@ -298,9 +296,9 @@
 		s.tickets[name] = t
 		delete(s.unanswered, name)
 	}
-	pl.approvals.scheduler.Answer(q.ID, open.unknown, min(newlyApproved, open.unknown), now)
+	pl.approvals.scheduler.Answer(q.ID, open.unknown, min(newlyApproved, open.unknown), received)
 	s.failures, s.askAgainAt = 0, time.Time{}
-	if s.rounds++; s.countApprovedVMs(pl, now) >= s.waiting {
+	if s.rounds++; s.countApprovedVMs(pl, received) >= s.waiting {
 		s.rounds = 0
 	}
 }
--- a/internal/job/planner/approval_test.go
+++ b/internal/job/planner/approval_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"knapweedspur/internal/job/jobreducer"
+	"knapweedspur/internal/job/queryscheduler"
 	"knapweedspur/internal/wire/work"
 )
 
@@ -86,7 +87,7 @@
 	if got := s.placements(jobID(1)); len(got) != 2 {
 		t.Errorf("placements %v after the late answer of the first query, want 2", got)
 	}
-	if s.planner.HandlePolicyFailure(second, false, s.now); len(s.planner.approvals.open) != 0 {
+	if s.planner.HandlePolicyFailure(second, queryscheduler.NoAnswer, s.now); len(s.planner.approvals.open) != 0 {
 		t.Errorf("%d queries are still open", len(s.planner.approvals.open))
 	}
 }
--- a/internal/job/queryscheduler/queryscheduler.go
+++ b/internal/job/queryscheduler/queryscheduler.go
@@ -313,17 +313,36 @@
 	q.asked, q.approved = keep*q.asked+float64(asked), keep*q.approved+float64(approved)
 }
 
-// Fail notes that a query ended without an answer. atOnce is set if the service could not be reached or
-// was busy, which concerns all queries.
-func (s *Scheduler) Fail(id int64, atOnce bool, now time.Time) {
+// Failure is why a query has no answer.
+type Failure int
+
+const (
+	// NoAnswer is a query that was awaited long enough, or whose answer could not be used.
+	NoAnswer Failure = iota
+	// Unreachable is a service that could not be reached or broke off.
+	Unreachable
+	// Busy is a service that refused the query since too many wait.
+	Busy
+)
+
+// Fail notes that a query ended without an answer. Where it was the service that failed, all queries wait.
+func (s *Scheduler) Fail(id int64, failure Failure, now time.Time) {
 	delete(s.open, id)
-	if !atOnce {
+	if failure == NoAnswer {
 		return
 	}
 	s.pausedUntil = now.Add(min(minPause<<min(s.refusals, 8), maxPause))
 	s.refusals++
 }
 
+// AsksFrom returns from when on the service is asked, now unless it failed.
+func (s *Scheduler) AsksFrom(now time.Time) time.Time {
+	if now.Before(s.pausedUntil) {
+		return s.pausedUntil
+	}
+	return now
+}
+
 // RetryPause returns how long a step waits after its latest queries were not answered, so that
 // other steps of its queue get their turn.
 func RetryPause(failures int) time.Duration {
--- a/internal/job/queryscheduler/queryscheduler_test.go
+++ b/internal/job/queryscheduler/queryscheduler_test.go
@@ -120,7 +120,7 @@
 			t.Fatalf("the loss of an answer is noticed after %s", q.Patience)
 		}
 		if !s.Delay(q.ID, true) {
-			s.Fail(q.ID, false, now)
+			s.Fail(q.ID, NoAnswer, now)
 		}
 		now = now.Add(maxHold)
 		if !s.MayAsk("b", now) {
@@ -138,7 +138,7 @@
 	for end := now.Add(20 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
 		if s.MayAsk("q", now) {
 			calls++
-			s.Fail(s.Begin("q", policy(0, 0, time.Second), 1, now).ID, true, now)
+			s.Fail(s.Begin("q", policy(0, 0, time.Second), 1, now).ID, Busy, now)
 		}
 	}
 	if calls > 15 {
--- a/internal/site/sitebuilder/entry.go
+++ b/internal/site/sitebuilder/entry.go
@@ -86,7 +86,7 @@
 	catalog := &queuecataloger.Cataloger{}
 	e.watcher = &queuecataloger.Watcher{
 		Journal: stream(platform.OperatorStream), Cataloger: catalog, Decode: platform.DecodeOperatorRecord,
-		Logger: logger,
+		Logger: logger, HasPolicyService: s.PolicyAddress.IsValid(),
 	}
 	e.watcher.Init()
 	e.leader = &leader.Leader{
