--- a/internal/standin/soaktester/client.go
+++ b/internal/standin/soaktester/client.go
@@ -132,7 +132,11 @@
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
 	entry := c.soak.entries[c.random.IntN(len(c.soak.entries))]
-	req, err := platformemulator.NewJobRequest(method, entry.clientAddress, c.job, body, clientTimeout)
+	newRequest := platformemulator.NewJobRequest
+	if c.soak.config.Policy {
+		newRequest = platformemulator.NewApprovedJobRequest
+	}
+	req, err := newRequest(method, entry.clientAddress, c.job, body, clientTimeout)
 	if err != nil {
 		return 0, nil
 	}
--- a/internal/standin/soaktester/fault.go
+++ b/internal/standin/soaktester/fault.go
@@ -9,6 +9,7 @@
 	"knapweedspur/internal/standin/faultinjector"
 	"knapweedspur/internal/standin/keyedlogemulator"
 	"knapweedspur/platform"
+	"knapweedspur/platform/platformemulator"
 )
 
 // meanFaultInterval is the mean time between faults. Faults last longer than this
@@ -100,6 +101,7 @@
 // clearFaults ends all faults.
 func (s *soak) clearFaults() {
 	s.logService.SetFaults(keyedlogemulator.Faults{})
+	s.policy.SetFault(platformemulator.NoPolicyFault)
 	for _, p := range s.processes() {
 		p.signal(syscall.SIGCONT)
 		p.proxy.SetMode(faultinjector.PassThrough)
--- a/internal/standin/soaktester/soaktester.go
+++ b/internal/standin/soaktester/soaktester.go
@@ -46,6 +46,8 @@
 	Crashes bool
 	// Heavy enables jobs that are as large as the interface allows, beside single faults.
 	Heavy bool
+	// Policy enables queues whose jobs need approval, and faults of the policy service, beside single faults.
+	Policy bool
 	// LogDir is the directory for the logs and settings of the processes.
 	LogDir string
 }
@@ -79,6 +81,7 @@
 	random     *rand.Rand
 	checker    *checker
 	logService *platformemulator.LogServer
+	policy     platformemulator.PolicyServer
 	entries    []*process
 	agents     []*process
 	workers    []*platformemulator.Worker
@@ -144,11 +147,14 @@
 	go s.evacuateDomains(evacuationsDone)
 	resizesDone := make(chan struct{})
 	go s.resizeWorkers(resizesDone)
+	policyDone := make(chan struct{})
+	go s.injectPolicyFaults(policyDone)
 	pairsDone := make(chan struct{})
 	go s.injectPairs(pairsDone)
 	crashesDone := make(chan struct{})
 	go s.injectCrashes(crashesDone)
 	s.injectFaults()
+	<-policyDone
 	<-pairsDone
 	<-crashesDone
 	<-evacuationsDone
@@ -189,6 +195,11 @@
 	if err := s.startServer(logAddress, s.logService.Handler()); err != nil {
 		return err
 	}
+	if s.config.Policy {
+		if err := s.startServer(s.policyAddress(), &s.policy); err != nil {
+			return err
+		}
+	}
 	for i := range s.config.Entries {
 		p := &process{name: fmt.Sprintf("entry-%d", i), role: "entry", ip: s.address(1, i)}
 		p.clientAddress = netip.AddrPortFrom(netip.MustParseAddr(p.ip), basePort)
@@ -199,7 +210,7 @@
 		s.agents = append(s.agents, p)
 		w := &platformemulator.Worker{
 			Name: fmt.Sprintf("w%d", i), Domain: domainOf(i), AgentAddress: fmt.Sprintf("%s:%d", p.ip, basePort+platformemulator.ControlPortOffset), Millicores: workerMillicores, MemoryMB: workerMemory,
-			Observer: s.checker, TaskDuration: s.taskDuration, CrashDelay: s.checker.crashesWorker, KeepsID: i%2 == 1,
+			Observer: s.checker, AcceptsTicket: s.acceptsTicket(), TaskDuration: s.taskDuration, CrashDelay: s.checker.crashesWorker, KeepsID: i%2 == 1,
 		}
 		if s.config.Pairs {
 			w.ClockDrift = maxClockDrift * rand.New(rand.NewPCG(s.config.Seed, uint64(firstDriftStream+i))).Float64()
@@ -278,7 +289,7 @@
 	}
 	settings := platformemulator.Process{
 		Name: p.name, Domain: domainOf(index), IsEntry: p.role == "entry", IP: p.ip, FirstPort: basePort, LogAddress: proxyAddress,
-		WorkerAddress: fmt.Sprintf("%s:%d", s.address(3, max(index-s.config.Entries, 0)), basePort),
+		WorkerAddress: fmt.Sprintf("%s:%d", s.address(3, max(index-s.config.Entries, 0)), basePort), PolicyAddress: s.policyAddress(),
 	}
 	p.settingsPath, p.settings = filepath.Join(s.config.LogDir, p.name+".json"), settings.SettingsFile()
 	if err := os.WriteFile(p.settingsPath, p.settings, 0o600); err != nil {
--- a/internal/standin/standinrunner/soak.go
+++ b/internal/standin/standinrunner/soak.go
@@ -20,7 +20,7 @@
 	Length  time.Duration `help:"How long faults come." default:"15s"`
 	Entries int           `help:"Entry processes." default:"3"`
 	Agents  int           `help:"Agent processes." default:"4"`
-	Faults  string        `help:"Faults to inject: single ones, pairs at one VM, both (all), crashes of workers, or single ones beside very large jobs (heavy)." enum:"all,single,pairs,crashes,heavy" default:"all"`
+	Faults  string        `help:"Faults to inject: single ones, pairs at one VM, both (all), crashes of workers, or single ones beside very large jobs (heavy) or beside faults of the policy service (policy)." enum:"all,single,pairs,crashes,heavy,policy" default:"all"`
 	Slot    int           `help:"Keeps soaks that run at the same time apart, 0 to 200." default:"0"`
 	Logs    string        `help:"Directory for logs of runs that break a promise." default:"report/soak"`
 }
@@ -34,7 +34,7 @@
 		if err := os.MkdirAll(logs, 0o755); err != nil {
 			return trace.Wrap(err)
 		}
-		result, err := soaktester.Run(soaktester.Config{Binary: c.Binary, Seed: seed, FaultDuration: c.Length, Entries: c.Entries, Agents: c.Agents, Slot: c.Slot, SingleFaults: c.Faults == "all" || c.Faults == "single" || c.Faults == "heavy", Heavy: c.Faults == "heavy", Pairs: c.Faults == "all" || c.Faults == "pairs", Crashes: c.Faults == "crashes", LogDir: logs})
+		result, err := soaktester.Run(soaktester.Config{Binary: c.Binary, Seed: seed, FaultDuration: c.Length, Entries: c.Entries, Agents: c.Agents, Slot: c.Slot, SingleFaults: c.Faults == "all" || c.Faults == "single" || c.Faults == "heavy" || c.Faults == "policy", Policy: c.Faults == "policy", Heavy: c.Faults == "heavy", Pairs: c.Faults == "all" || c.Faults == "pairs", Crashes: c.Faults == "crashes", LogDir: logs})
 		if err != nil {
 			return trace.Wrap(err, "seed %d", seed)
 		}
