--- a/internal/job/queryscheduler/queryscheduler_test.go
+++ b/internal/job/queryscheduler/queryscheduler_test.go
@@ -42,6 +42,7 @@
 		{"known ones are enough", policy(5*second, second, 3*second), Demand{VMs: 2, Known: 3, Candidates: 14}, 2},
 		{"together in as many queries as tickets allow", policy(100*ms, 100*ms, 10*second), Demand{VMs: 14, Known: 14, Candidates: 14, Together: true}, 2},
 		{"together in one query", policy(2*second, 200*ms, second), Demand{VMs: 6, Known: 6, Candidates: 8, Together: true}, 6},
+		{"together in one query, though it names more than is usual", policy(100*ms, 200*ms, second), Demand{VMs: 8, Known: 8, Candidates: 8, Together: true}, 8},
 		{"together, also after a failure", policy(2*second, 200*ms, second), Demand{VMs: 6, Known: 6, Candidates: 8, Together: true, Failures: 3}, 6},
 	} {
 		t.Run(c.name, func(t *testing.T) {
