Turns of queues count what their queries take; a query is overdue after 10 minutes at the latest

Change: what an answer took longer counts for the turn of its queue, and each query 10 ms at least. No query is in time for more than 10 minutes; its answer is still awaited.

--- a/internal/job/queryscheduler/queryscheduler.go
+++ b/internal/job/queryscheduler/queryscheduler.go
@@ -46,8 +46,12 @@
 	maxTicketMargin = 300 * time.Millisecond
 	// maxDeclared bounds each declared time, so that sums of them do not overflow.
 	maxDeclared = 24 * time.Hour
-	// maxCharge bounds what one query counts for the turns of its queue.
+	// minCharge and maxCharge bound what one query counts for the turns of its queue.
+	minCharge = 10 * time.Millisecond
 	maxCharge = time.Minute
+	// maxPatience bounds the time after which a query is overdue whatever its queue declares: the queue may declare
+	// far more than its queries take, and an answer may be lost.
+	maxPatience = 10 * time.Minute
 	// minUsefulLifetime is the shortest lifetime of a ticket with which a start usually arrives in time.
 	minUsefulLifetime = 100 * time.Millisecond
 	// idleRetention is how long a queue that asks nothing is remembered.
@@ -227,13 +231,13 @@
 	s.lastID++
 	o := &openQuery{sentAt: now, startsAfter: startsAfter, waits: waits, Query: Query{
 		ID: s.lastID, Queue: name, Expected: expected,
-		Patience: waits + patience(expected+q.overrun),
+		Patience: min(waits+patience(expected+q.overrun), maxPatience),
 	}}
 	// All others that may wait at the service come before, each with the patience of the longest known one.
 	o.MaxWait = o.Patience + maxQueued*patience(s.longestQuery())
 	s.open[o.ID] = o
 	s.virtual = s.Turn(name)
-	q.finish = s.virtual + min(expected, maxCharge)
+	q.finish = s.virtual + min(max(expected, minCharge), maxCharge)
 	return o.Query
 }
 
@@ -303,12 +307,14 @@
 		return
 	}
 	took := now.Sub(o.sentAt)
-	overrun := min(max(took-o.waits-o.Expected, 0), maxOverrunFactor*o.Expected+overrunAllowance)
+	longer := max(took-o.waits-o.Expected, 0)
+	q.finish += min(longer, maxCharge)
+	overrun := min(longer, maxOverrunFactor*o.Expected+overrunAllowance)
 	if overrun < q.overrun {
 		overrun = (3*q.overrun + overrun) / 4
 	}
 	q.overrun = overrun
-	// Answers of the past count half as much with each new one of the same size.
+	// Earlier answers count half as much after a hundred VMs.
 	keep := float64(MaxVMs) / float64(MaxVMs+asked)
 	q.asked, q.approved = keep*q.asked+float64(asked), keep*q.approved+float64(approved)
 }
